--- /dev/null
+++ b/internal/doc.go
@@ -0,0 +1,3 @@
+// Package internal holds the parts of boragelock that are not meant to be
+// embedded.
+package internal
--- /dev/null
+++ b/journal/snapshot.go
@@ -0,0 +1,97 @@
+package journal
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+)
+
+// Snapshot is the body of a snapshot record: one part of a compressed State.
+type Snapshot struct {
+	// Of identifies the snapshot that the part belongs to.
+	Of string `json:"of"`
+	// Next is the Next field of the state.
+	Next  int64 `json:"next"`
+	Part  int   `json:"part"`
+	Parts int   `json:"parts"`
+	// Data is a part of the gzip-compressed JSON state. The checksum in the
+	// gzip trailer finds corruption.
+	Data []byte `json:"data"`
+}
+
+// SnapshotPartBytes is the largest Data of one part.
+const SnapshotPartBytes = 256 << 10
+
+// SnapshotError says that a snapshot cannot be used.
+type SnapshotError struct {
+	Of     string
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *SnapshotError) Error() string {
+	if e.Err != nil {
+		return "snapshot " + e.Of + ": " + e.Reason + ": " + e.Err.Error()
+	}
+	return "snapshot " + e.Of + ": " + e.Reason
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Err }
+
+// EncodeSnapshot returns the parts of a snapshot of s.
+func EncodeSnapshot(id string, s *State) ([]Snapshot, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zw).Encode(s); err != nil {
+		return nil, &SnapshotError{Of: id, Reason: "encode", Err: err}
+	}
+	if err := zw.Close(); err != nil {
+		return nil, &SnapshotError{Of: id, Reason: "compress", Err: err}
+	}
+	data := buf.Bytes()
+	n := (len(data) + SnapshotPartBytes - 1) / SnapshotPartBytes
+	parts := make([]Snapshot, n)
+	for i := range parts {
+		end := min((i+1)*SnapshotPartBytes, len(data))
+		parts[i] = Snapshot{Of: id, Next: s.Next, Part: i, Parts: n, Data: data[i*SnapshotPartBytes : end]}
+	}
+	return parts, nil
+}
+
+// DecodeSnapshot returns the state of a whole set of parts in order. It fails
+// with *SnapshotError when a part is missing, foreign or corrupt.
+func DecodeSnapshot(parts []Snapshot) (*State, error) {
+	if len(parts) == 0 {
+		return nil, &SnapshotError{Reason: "no parts"}
+	}
+	of := parts[0].Of
+	var buf bytes.Buffer
+	for i, p := range parts {
+		if p.Of != of || p.Part != i || p.Parts != len(parts) {
+			return nil, &SnapshotError{Of: of, Reason: "parts do not belong together"}
+		}
+		buf.Write(p.Data)
+	}
+	zr, err := gzip.NewReader(&buf)
+	if err != nil {
+		return nil, &SnapshotError{Of: of, Reason: "decompress", Err: err}
+	}
+	raw, err := io.ReadAll(zr)
+	if err != nil {
+		return nil, &SnapshotError{Of: of, Reason: "decompress", Err: err}
+	}
+	s := NewState()
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, &SnapshotError{Of: of, Reason: "decode", Err: err}
+	}
+	if s.Next != parts[0].Next || s.Table == nil {
+		return nil, &SnapshotError{Of: of, Reason: "state does not fit its header"}
+	}
+	for _, id := range s.Recent {
+		s.recentSet[id] = true
+	}
+	return s, nil
+}
--- /dev/null
+++ b/journal/state.go
@@ -0,0 +1,371 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/ownership"
+)
+
+// RecentIDs is how many record identifiers are kept for finding duplicates.
+// A duplicate comes from an append whose answer was lost and is followed
+// within seconds, so the last few thousand records suffice.
+const RecentIDs = 4096
+
+// State is everything that the log says.
+type State struct {
+	// Next is the offset of the next record to apply.
+	Next int64 `json:"next"`
+	// Config is nil until a bootstrap record has been applied.
+	Config   *contract.State      `json:"config"`
+	Table    *ownership.Table     `json:"table"`
+	Granters map[string]Granters  `json:"granters"`
+	Entries  map[string]EntryHost `json:"entries"`
+	// TargetVersion is, for each target, the offset of the last record that
+	// changed what it holds. Grants carry it as their version.
+	TargetVersion map[string]int64 `json:"target_version"`
+	// Recent holds the identifiers of the last records, oldest first.
+	Recent []string `json:"recent"`
+	// Skipped counts the records that were not understood.
+	Skipped int64 `json:"skipped"`
+
+	recentSet map[string]bool
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Table: ownership.NewTable(), Granters: map[string]Granters{},
+		Entries: map[string]EntryHost{}, TargetVersion: map[string]int64{},
+		recentSet: map[string]bool{},
+	}
+}
+
+// Clone returns a copy that shares nothing mutable with s.
+func (s *State) Clone() *State {
+	c := *s
+	c.Table = s.Table.Clone()
+	c.Granters = maps.Clone(s.Granters)
+	c.Entries = maps.Clone(s.Entries)
+	c.TargetVersion = maps.Clone(s.TargetVersion)
+	c.Recent = slices.Clone(s.Recent)
+	c.recentSet = maps.Clone(s.recentSet)
+	return &c
+}
+
+// Outcome says what a record did.
+type Outcome string
+
+// Outcomes of Apply.
+const (
+	// Applied: all of the record is in force.
+	Applied Outcome = "applied"
+	// Partly: some entries of a move or released record were refused.
+	Partly Outcome = "partly"
+	// Refused: the record was understood and had no effect.
+	Refused Outcome = "refused"
+	// Duplicate: a record with this ID has been applied before.
+	Duplicate Outcome = "duplicate"
+	// Skipped: the record was not understood.
+	Skipped Outcome = "skipped"
+	// Old: the offset is below the state's.
+	Old Outcome = "old"
+)
+
+// Result is the effect of one record.
+type Result struct {
+	Offset  int64
+	ID      string
+	Kind    Kind
+	Outcome Outcome
+	// Err says why, for Refused, Partly and Skipped.
+	Err error
+	// Refusals are the refused entries of a move or released record.
+	Refusals []*ownership.Refusal
+}
+
+// GapError says that records between the state and an offset are missing.
+type GapError struct{ Next, Offset int64 }
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("record at offset %d does not follow state at offset %d", e.Offset, e.Next)
+}
+
+// FormatError says that a record was not understood.
+type FormatError struct {
+	Offset int64
+	Reason string
+}
+
+// Error implements error.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("record at offset %d: %s", e.Offset, e.Reason)
+}
+
+// StateError says that a record does not fit the state.
+type StateError struct{ Reason string }
+
+// Error implements error.
+func (e *StateError) Error() string { return e.Reason }
+
+// Apply applies the record at an offset. It fails with *GapError, and then
+// changes nothing; all other faults of a record are in the Result.
+func (s *State) Apply(offset int64, data []byte) (Result, error) {
+	res := Result{Offset: offset}
+	if offset < s.Next {
+		res.Outcome = Old
+		return res, nil
+	}
+	if offset > s.Next {
+		return res, &GapError{Next: s.Next, Offset: offset}
+	}
+	s.Next = offset + 1
+	var env Envelope
+	if err := json.Unmarshal(data, &env); err != nil {
+		return s.skip(res, "not a record"), nil
+	}
+	res.ID, res.Kind = env.ID, env.Kind
+	if env.V > FormatVersion {
+		return s.skip(res, fmt.Sprintf("format %d is newer than %d", env.V, FormatVersion)), nil
+	}
+	if env.ID == "" {
+		return s.skip(res, "no id"), nil
+	}
+	if s.recentSet[env.ID] {
+		res.Outcome = Duplicate
+		return res, nil
+	}
+	res = s.applyBody(res, env)
+	s.remember(env.ID)
+	return res, nil
+}
+
+func (s *State) skip(res Result, reason string) Result {
+	s.Skipped++
+	res.Outcome = Skipped
+	res.Err = &FormatError{Offset: res.Offset, Reason: reason}
+	return res
+}
+
+func (s *State) remember(id string) {
+	if s.recentSet == nil {
+		s.recentSet = map[string]bool{}
+	}
+	s.recentSet[id] = true
+	s.Recent = append(s.Recent, id)
+	if len(s.Recent) > RecentIDs {
+		delete(s.recentSet, s.Recent[0])
+		s.Recent = s.Recent[1:]
+	}
+}
+
+// Seen reports whether a record with this ID is among the recent ones.
+func (s *State) Seen(id string) bool { return s.recentSet[id] }
+
+func (s *State) applyBody(res Result, env Envelope) Result {
+	switch env.Kind {
+	case KindBootstrap:
+		return decodeAnd(s, res, env, s.applyBootstrap)
+	case KindChange:
+		return decodeAnd(s, res, env, s.applyChange)
+	case KindMove:
+		return decodeAnd(s, res, env, s.applyMove)
+	case KindReleased:
+		return decodeAnd(s, res, env, s.applyReleased)
+	case KindSplit:
+		return decodeAnd(s, res, env, s.applySplit)
+	case KindMerge:
+		return decodeAnd(s, res, env, s.applyMerge)
+	case KindGranters:
+		return decodeAnd(s, res, env, s.applyGranters)
+	case KindEntryHost:
+		return decodeAnd(s, res, env, s.applyEntryHost)
+	case KindSnapshot:
+		res.Outcome = Applied
+		return res
+	}
+	return s.skip(res, fmt.Sprintf("unknown kind %q", env.Kind))
+}
+
+func decodeAnd[T any](s *State, res Result, env Envelope, apply func(Result, T) Result) Result {
+	var body T
+	if err := json.Unmarshal(env.Body, &body); err != nil {
+		return s.skip(res, "body does not fit kind "+string(env.Kind))
+	}
+	if env.Kind != KindBootstrap && s.Config == nil && env.Kind != KindEntryHost {
+		return refuse(res, &StateError{Reason: "no configuration yet"})
+	}
+	return apply(res, body)
+}
+
+func refuse(res Result, err error) Result {
+	res.Outcome, res.Err = Refused, err
+	return res
+}
+
+func applied(res Result) Result {
+	res.Outcome = Applied
+	return res
+}
+
+func (s *State) applyBootstrap(res Result, d Bootstrap) Result {
+	if s.Config != nil {
+		return refuse(res, &StateError{Reason: "there is a configuration already"})
+	}
+	cfg, err := contract.NewState(d)
+	if err != nil {
+		return refuse(res, err)
+	}
+	s.setConfig(cfg)
+	return applied(res)
+}
+
+func (s *State) setConfig(cfg *contract.State) {
+	s.Config = cfg
+	for _, w := range cfg.Workloads {
+		if w.Keyed {
+			s.Table.AddWorkload(w.Name, w.Shards)
+		}
+	}
+}
+
+func (s *State) applyChange(res Result, ch Change) Result {
+	next, err := s.Config.Apply(ch)
+	if err != nil {
+		return refuse(res, err)
+	}
+	s.setConfig(next)
+	return applied(res)
+}
+
+func (s *State) applyMove(res Result, m Move) Result {
+	valid := Move{Reason: m.Reason}
+	for _, e := range m.Shards {
+		t, ok := s.Config.Targets[e.To]
+		if !ok || t.Workload != e.Workload {
+			res.Refusals = append(res.Refusals, &ownership.Refusal{ID: e.ID, Code: ownership.RefusedOwner, Want: e.FromEpoch})
+			continue
+		}
+		valid.Shards = append(valid.Shards, e)
+	}
+	before := s.owners(ids(valid.Shards))
+	res.Refusals = append(res.Refusals, s.Table.ApplyMove(valid)...)
+	s.bump(res.Offset, ids(valid.Shards), before)
+	return entries(res, len(m.Shards))
+}
+
+func (s *State) applyReleased(res Result, r Released) Result {
+	shards := make([]ownership.ID, len(r.Shards))
+	for i, e := range r.Shards {
+		shards[i] = e.ID
+	}
+	before := s.owners(shards)
+	res.Refusals = s.Table.ApplyReleased(r)
+	s.bump(res.Offset, shards, before)
+	return entries(res, len(r.Shards))
+}
+
+func ids(shards []ownership.MoveShard) []ownership.ID {
+	out := make([]ownership.ID, len(shards))
+	for i, e := range shards {
+		out[i] = e.ID
+	}
+	return out
+}
+
+// owners returns the present state of the shards.
+func (s *State) owners(shards []ownership.ID) []ownership.Shard {
+	out := make([]ownership.Shard, len(shards))
+	for i, id := range shards {
+		out[i], _ = s.Table.Get(id)
+	}
+	return out
+}
+
+// bump sets the version of each target that held or now holds one of the
+// changed shards.
+func (s *State) bump(offset int64, shards []ownership.ID, before []ownership.Shard) {
+	for i, id := range shards {
+		now, _ := s.Table.Get(id)
+		if now == before[i] {
+			continue
+		}
+		for _, target := range []string{before[i].Owner, now.Owner} {
+			if target != "" {
+				s.TargetVersion[target] = offset
+			}
+		}
+	}
+}
+
+func entries(res Result, n int) Result {
+	switch {
+	case len(res.Refusals) == 0:
+		res.Outcome = Applied
+	case len(res.Refusals) < n:
+		res.Outcome, res.Err = Partly, res.Refusals[0]
+	default:
+		res.Outcome, res.Err = Refused, res.Refusals[0]
+	}
+	return res
+}
+
+func (s *State) applySplit(res Result, sp Split) Result {
+	if r := s.Table.ApplySplit(sp); r != nil {
+		return refuse(res, r)
+	}
+	w := s.Table.Workloads[sp.Workload]
+	s.TargetVersion[w.Shards[w.Hot[sp.Key]].Owner] = res.Offset
+	return applied(res)
+}
+
+func (s *State) applyMerge(res Result, m Merge) Result {
+	w, ok := s.Table.Workloads[m.Workload]
+	owner := ""
+	if ok {
+		if n, split := w.Hot[m.Key]; split {
+			owner = w.Shards[n].Owner
+		}
+	}
+	if r := s.Table.ApplyMerge(m); r != nil {
+		return refuse(res, r)
+	}
+	s.TargetVersion[owner] = res.Offset
+	return applied(res)
+}
+
+func (s *State) applyGranters(res Result, g Granters) Result {
+	if _, ok := s.Config.Domains[g.Domain]; !ok {
+		return refuse(res, &StateError{Reason: "unknown domain " + g.Domain})
+	}
+	old := s.Granters[g.Domain]
+	if g.FromVersion != old.Version {
+		return refuse(res, &StateError{Reason: fmt.Sprintf("granters of %s: made from version %d, version %d is in force", g.Domain, g.FromVersion, old.Version)})
+	}
+	g.Version, g.Offset = old.Version+1, res.Offset
+	for i, m := range g.Members {
+		g.Members[i].AddedAt = res.Offset
+		for _, was := range old.Members {
+			if was.Host == m.Host && was.Incarnation == m.Incarnation {
+				g.Members[i].AddedAt = was.AddedAt
+			}
+		}
+	}
+	s.Granters[g.Domain] = g
+	return applied(res)
+}
+
+func (s *State) applyEntryHost(res Result, h EntryHost) Result {
+	if h.Name == "" {
+		return refuse(res, &StateError{Reason: "entry host without a name"})
+	}
+	if cur, ok := s.Entries[h.Name]; ok && h.Gone && cur.Incarnation != h.Incarnation {
+		return refuse(res, &StateError{Reason: "entry host " + h.Name + " has a newer incarnation"})
+	}
+	s.Entries[h.Name] = h
+	return applied(res)
+}
--- /dev/null
+++ b/ownership/table_test.go
@@ -0,0 +1,36 @@
+package ownership
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A new owner that acts before the former one is released would make two.
+func TestMoveWaitsForRelease(t *testing.T) {
+	Convey("a moved shard is inactive until its former owner is released", t, func() {
+		tab := NewTable()
+		tab.AddWorkload("lookups", 4)
+		id := ID{Workload: "lookups", Shard: 1}
+		move := func(from uint64, to string) []*Refusal {
+			return tab.ApplyMove(Move{Shards: []MoveShard{{ID: id, FromEpoch: from, To: to}}})
+		}
+		So(move(0, "a"), ShouldBeEmpty)
+		s, _ := tab.Get(id)
+		So(s.Active(), ShouldBeTrue)
+
+		So(move(1, "b"), ShouldBeEmpty)
+		So(move(1, "c"), ShouldHaveLength, 1)
+		s, _ = tab.Get(id)
+		So(s, ShouldResemble, Shard{Owner: "b", Epoch: 2, Waiting: 1, Previous: "a"})
+
+		So(move(2, "c"), ShouldBeEmpty)
+		s, _ = tab.Get(id)
+		So(s, ShouldResemble, Shard{Owner: "c", Epoch: 3, Waiting: 1, Previous: "a"})
+
+		So(tab.ApplyReleased(Released{Shards: []ReleasedShard{{ID: id, Epoch: 2}}}), ShouldHaveLength, 1)
+		So(tab.ApplyReleased(Released{Shards: []ReleasedShard{{ID: id, Epoch: 1}}}), ShouldBeEmpty)
+		s, _ = tab.Get(id)
+		So(s.Active(), ShouldBeTrue)
+	})
+}
