Add the public interface of package lease

Cause: the control plane is written against the granter core, so its types and signatures come before its rules. Conclusion: callers can be written now; the behaviour follows.

--- /dev/null
+++ b/lease/api.go
@@ -0,0 +1,251 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// Event is an input of Step.
+type Event interface{ event() }
+
+type (
+	// Tick lets time pass.
+	Tick struct{}
+
+	// Published hands over the state in force on this host. The state must not
+	// be changed afterwards. One with a lower Next than the last is ignored.
+	Published struct{ State *journal.State }
+
+	// LogRead says that the log was read to its end at offset End by a read
+	// that started at Start. It counts once a state with Next >= End has been
+	// published. For a read through a peer that reports "started t ago", Start
+	// is the time at which the peer was asked minus t*(1+RateBound).
+	LogRead struct {
+		Start time.Duration
+		End   int64
+	}
+
+	// GrantAnswer is a target's answer to the SendGrant with the same Seq.
+	GrantAnswer struct {
+		Target string
+		Seq    uint64
+		Reply  platform.GrantReply
+	}
+
+	// GrantFailed says that a SendGrant had no answer or was not written.
+	GrantFailed struct {
+		Target string
+		Seq    uint64
+	}
+
+	// PeerSeen is what a host answered to peer.hello. An incarnation other
+	// than the one in the domain's list proves that one dead, when the hello
+	// was sent after the list had been read.
+	PeerSeen struct {
+		Host, Incarnation string
+		// SentAt is when the hello was sent.
+		SentAt time.Duration
+		// Next is the Next of the host's state.
+		Next int64
+		// Renewed holds, for each target that the peer has renewed in the last
+		// FollowAfter, the age of the renewal when it answered.
+		Renewed map[string]time.Duration
+	}
+
+	// ConsentAnswered is the answer to an AskConsent.
+	ConsentAnswered struct {
+		From   journal.Member
+		Answer ConsentAnswer
+	}
+
+	// BackAnswered says that a SendBack arrived.
+	BackAnswered struct {
+		From journal.Member
+		Seq  uint64
+	}
+
+	// StopAnswered is the answer to a SendStopRenew that was sent at SentAt.
+	StopAnswered struct {
+		From   journal.Member
+		SentAt time.Duration
+		Answer StopAnswer
+	}
+)
+
+func (Tick) event()            {}
+func (Published) event()       {}
+func (LogRead) event()         {}
+func (GrantAnswer) event()     {}
+func (GrantFailed) event()     {}
+func (PeerSeen) event()        {}
+func (ConsentAnswered) event() {}
+func (BackAnswered) event()    {}
+func (StopAnswered) event()    {}
+
+// Action is an output of Step.
+type Action interface{ action() }
+
+type (
+	// SendGrant sends a grant to a target. Call MayRenew immediately before
+	// the write.
+	SendGrant struct {
+		Target string
+		// Seq ties the answer to the grant.
+		Seq   uint64
+		Grant platform.Grant
+	}
+
+	// AskConsent asks another granter of the domain for its consent, by
+	// lease.consent.
+	AskConsent struct {
+		To      journal.Member
+		Request ConsentRequest
+	}
+
+	// SendBack tells another granter that this one reads the log again, by
+	// lease.back.
+	SendBack struct {
+		To     journal.Member
+		Notice BackNotice
+	}
+
+	// SendStopRenew asks another granter to stop renewing a target, by
+	// lease.stop_renew.
+	SendStopRenew struct {
+		To      journal.Member
+		Request StopRequest
+	}
+
+	// AppendReleased appends a released record. It is repeated every
+	// ReleaseRetry until the state shows it; a second copy is harmless.
+	AppendReleased struct {
+		// Target is the former owner.
+		Target string
+		Body   ownership.Released
+	}
+
+	// AuthorityChanged reports that this granter may renew on other grounds
+	// than before. It is for logs and metrics.
+	AuthorityChanged struct{ From, To Authority }
+)
+
+func (SendGrant) action()        {}
+func (AskConsent) action()       {}
+func (SendBack) action()         {}
+func (SendStopRenew) action()    {}
+func (AppendReleased) action()   {}
+func (AuthorityChanged) action() {}
+
+// ConsentRequest asks for consent to renew without the log.
+type ConsentRequest struct {
+	Domain string         `json:"domain"`
+	From   journal.Member `json:"from"`
+	// Seq numbers the sender's spells without the log.
+	Seq uint64 `json:"seq"`
+	// Next is the Next of the sender's state.
+	Next int64 `json:"next"`
+}
+
+// ConsentAnswer answers a ConsentRequest.
+type ConsentAnswer struct {
+	Seq     uint64 `json:"seq"`
+	Granted bool   `json:"granted"`
+	// Next is the Next of the answering host's state. When it exceeds the
+	// asking host's, that host should read the missing records from this one
+	// and ask again.
+	Next int64 `json:"next"`
+}
+
+// BackNotice ends a spell without the log.
+type BackNotice struct {
+	Domain string         `json:"domain"`
+	From   journal.Member `json:"from"`
+	// Seq is the last spell that has ended.
+	Seq uint64 `json:"seq"`
+}
+
+// StopRequest asks a granter to stop renewing a target.
+type StopRequest struct {
+	Domain string `json:"domain"`
+	Target string `json:"target"`
+	// Version is the lowest that may be granted from now on.
+	Version uint64 `json:"version"`
+	// Pause asks for no renewal at all for StopHold, so that the lease lapses.
+	// Without it only lower versions are given up.
+	Pause bool `json:"pause"`
+}
+
+// StopAnswer answers a StopRequest.
+type StopAnswer struct {
+	// By is the incarnation that answers.
+	By      string `json:"by"`
+	Target  string `json:"target"`
+	Version uint64 `json:"version"`
+	Pause   bool   `json:"pause"`
+	// BoundMS is the time in milliseconds after which no lease or permit given
+	// by this granter is in force, 0 when none is now.
+	BoundMS int64 `json:"bound_ms"`
+}
+
+// PermitRequest asks for the right to send to a target that does not check
+// fences.
+type PermitRequest struct {
+	Home   string `json:"home"`
+	Target string `json:"target"`
+	// Version is the target's version in the state by which the home sends
+	// requests: it starts none for shards that the target has lost by then.
+	Version uint64 `json:"version"`
+	// Drained is the highest version for which all requests for shards that
+	// the target had lost by then have ended. Drained <= Version.
+	Drained uint64 `json:"drained"`
+}
+
+// PermitAnswer answers a PermitRequest.
+type PermitAnswer struct {
+	// PermitMS counts from the moment at which the home sent its request; 0
+	// when there is no permit.
+	PermitMS int64 `json:"permit_ms"`
+	// Version is the lowest that a home must have reached to get a permit.
+	Version uint64 `json:"version"`
+}
+
+// Authority says on which grounds a granter may renew.
+type Authority string
+
+// Authorities.
+const (
+	// AuthorityNone: it may not renew.
+	AuthorityNone Authority = "none"
+	// AuthorityLog: its last complete log read is recent enough.
+	AuthorityLog Authority = "log"
+	// AuthorityConsent: all other granters of the domain consented.
+	AuthorityConsent Authority = "consent"
+)
+
+// Self identifies the host that a Granter runs on.
+type Self struct {
+	Host        string
+	Incarnation string
+	// Domain is the one whose targets are renewed; for an observer it differs
+	// from the host's own.
+	Domain string
+}
+
+// Status is a summary for logs, metrics and the operator interface.
+type Status struct {
+	Authority Authority
+	// Until is when the authority ends if nothing more is heard.
+	Until time.Duration
+	// Rank is the place in the list of granters, -1 for an observer.
+	Rank int
+	// Stopping lists targets that are not renewed so that their lease lapses.
+	Stopping []string
+	// OffLog lists the other granters that may renew without the log.
+	OffLog []string
+	// Unaccounted lists, for each stopping target, the granters that keep its
+	// lease from being known to have ended.
+	Unaccounted map[string][]string
+}
--- /dev/null
+++ b/lease/doc.go
@@ -0,0 +1,25 @@
+// Package lease decides which host may renew the leases of one domain's
+// targets, and when a former owner of a shard is known to have stopped.
+//
+// A Granter is the core for one domain on one host. It does no I/O, starts no
+// goroutine and reads no clock: the caller passes events and the time on the
+// boot-time clock (CLOCK_BOOTTIME, as a time.Duration) and carries out the
+// returned actions. It is not safe for concurrent use.
+//
+// Contract with the caller:
+//
+//   - Step is called for each event, and with Tick at least every
+//     Config.TickEvery. Its actions are carried out in order; an action may be
+//     lost or late without harm to safety.
+//   - MayRenew is called after a grant has been built, immediately before it is
+//     written; when it returns false the grant is dropped and GrantFailed
+//     reported.
+//   - The answers of Consent, Back, StopRenew and Permit are sent to the caller
+//     of the matching peer method as they are.
+//   - Times passed as Start or SentAt are never later than the real moment;
+//     ages reported by a peer are stretched by the clock rate bound.
+//
+// A host that is no member of the domain's granters runs a Granter as an
+// observer: it renews nothing, but finds out when shards of a domain that was
+// lost, or that has been cut off for longer than it may serve, are released.
+package lease
