Simplify lease.stop_renew to a version floor

Cause: a pause that ends by itself has to be repeated and given up in time. What: StopRequest and StopAnswer carry a version only. A granter never again grants a lower one, and none renews a target from which shards were taken as lost, so a pause is not needed. ConsentAnswer names the incarnation that answers. Conclusion: fewer fields in the peer methods before they are used.

--- a/lease/api.go
+++ b/lease/api.go
@@ -151,7 +151,9 @@
 
 // ConsentAnswer answers a ConsentRequest.
 type ConsentAnswer struct {
-	Seq     uint64 `json:"seq"`
+	Seq uint64 `json:"seq"`
+	// By is the incarnation that answers.
+	By      string `json:"by"`
 	Granted bool   `json:"granted"`
 	// Next is the Next of the answering host's state. When it exceeds the
 	// asking host's, that host should read the missing records from this one
@@ -167,15 +169,12 @@
 	Seq uint64 `json:"seq"`
 }
 
-// StopRequest asks a granter to stop renewing a target.
+// StopRequest asks a granter to stop renewing a target at old versions.
 type StopRequest struct {
 	Domain string `json:"domain"`
 	Target string `json:"target"`
 	// Version is the lowest that may be granted from now on.
 	Version uint64 `json:"version"`
-	// Pause asks for no renewal at all for StopHold, so that the lease lapses.
-	// Without it only lower versions are given up.
-	Pause bool `json:"pause"`
 }
 
 // StopAnswer answers a StopRequest.
@@ -184,9 +183,10 @@
 	By      string `json:"by"`
 	Target  string `json:"target"`
 	Version uint64 `json:"version"`
-	Pause   bool   `json:"pause"`
-	// BoundMS is the time in milliseconds after which no lease or permit given
-	// by this granter is in force, 0 when none is now.
+	// BoundMS is the time in milliseconds after which no lease that this granter
+	// gave below Version is in force, 0 when none is now. For a target that
+	// does not check fences it covers the permits of homes that have not
+	// drained Version.
 	BoundMS int64 `json:"bound_ms"`
 }
 
@@ -241,11 +241,12 @@
 	Until time.Duration
 	// Rank is the place in the list of granters, -1 for an observer.
 	Rank int
-	// Stopping lists targets that are not renewed so that their lease lapses.
-	Stopping []string
+	// Lapsing lists the targets that are not renewed until the shards taken
+	// from them as lost have been released.
+	Lapsing []string
 	// OffLog lists the other granters that may renew without the log.
 	OffLog []string
-	// Unaccounted lists, for each stopping target, the granters that keep its
-	// lease from being known to have ended.
+	// Unaccounted lists, for each target with shards that wait for release, the
+	// granters that keep the release from being proven.
 	Unaccounted map[string][]string
 }
--- a/lease/config.go
+++ b/lease/config.go
@@ -29,16 +29,6 @@
 	ConsentAfter time.Duration
 	// AskEvery is the time between repeats of a request to a peer. Default 100 ms.
 	AskEvery time.Duration
-	// LapseAfter is how long a former owner may leave grants unanswered before
-	// its lease is left to lapse. Default 400 ms.
-	LapseAfter time.Duration
-	// StopHold is how long a granter that answered StopRenew keeps from
-	// renewing the target. It must exceed Lease. Default 2 s.
-	StopHold time.Duration
-	// LapseRetry is when an attempt to let a lease lapse that could not be
-	// completed is given up for a while, so that a target that returned can be
-	// renewed. Default 6 s.
-	LapseRetry time.Duration
 	// ReleaseStep delays the released records of the granters after the first
 	// one, per rank, to avoid duplicates. Default 100 ms.
 	ReleaseStep time.Duration
@@ -60,7 +50,6 @@
 		RenewEvery: 200 * time.Millisecond, FollowAfter: 400 * time.Millisecond,
 		RetryAfter: 50 * time.Millisecond, AnswerWithin: 200 * time.Millisecond,
 		ConsentAfter: 250 * time.Millisecond, AskEvery: 100 * time.Millisecond,
-		LapseAfter: 400 * time.Millisecond, StopHold: 2 * time.Second, LapseRetry: 6 * time.Second,
 		ReleaseStep: 100 * time.Millisecond, ReleaseRetry: time.Second,
 		PermitFor: 1500 * time.Millisecond, TickEvery: 20 * time.Millisecond,
 	}
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -20,7 +20,7 @@
 func (g *Granter) Step(now time.Duration, ev Event) []Action { return nil }
 
 // MayRenew reports whether a grant may be written now. A grant is refused when
-// the authority has ended, or the target's version or pause has changed, since
+// the authority has ended, or what the target should hold has changed, since
 // Step returned it.
 func (g *Granter) MayRenew(now time.Duration, s SendGrant) bool { return false }
 
