Close gaps in the fold that could make two owners act

Cause: reading the fold for the granter core showed these gaps. A granters record could drop a member that still renews leases. A target could be given another address or domain under its name, and fencing could be switched while leases run, so that granters which are behind follow other rules. A granter had no way to tell a target that drains from one that was declared lost. What: members left out of a list retire, with the offset at which they were added, and cannot come back before they have retired; domain, workload and address of a target and the fencing of a workload are fixed; a shard taken as lost is marked until its release; the state keeps the offset of the last change of isolated_serve_ms; records of a format below 1 are skipped. Conclusion: the state holds what the accounting for a release needs.

--- a/contract/state.go
+++ b/contract/state.go
@@ -175,11 +175,17 @@
 		if err := it.Workload.validate(path + ".workload"); err != nil {
 			return err
 		}
+		if old, ok := s.Workloads[it.Workload.Name]; ok && old.Fencing != it.Workload.Fencing {
+			return &InvalidError{Field: path + ".workload.fencing", Value: fmt.Sprint(it.Workload.Fencing), Allowed: "the value with which the workload was created"}
+		}
 		s.Workloads[it.Workload.Name] = *it.Workload
 	case it.AddTgt != nil:
 		if err := it.AddTgt.validate(path+".add_target", s.Domains, s.Workloads); err != nil {
 			return err
 		}
+		if old, ok := s.Targets[it.AddTgt.Name]; ok && !sameInstance(old, *it.AddTgt) {
+			return &InvalidError{Field: path + ".add_target.name", Value: it.AddTgt.Name, Allowed: "a new name, or the domain, workload and address of the target with this name"}
+		}
 		s.Targets[it.AddTgt.Name] = *it.AddTgt
 	case it.Isolated != nil:
 		s.IsolatedServeMS = it.Isolated.ServeMS
@@ -189,6 +195,13 @@
 	return nil
 }
 
+// sameInstance reports whether two entries describe the same target. A target
+// with another address is another instance, which could hold a lease beside
+// the first one; in another domain it would have other granters.
+func sameInstance(a, b Target) bool {
+	return a.Domain == b.Domain && a.Workload == b.Workload && a.Addr == b.Addr
+}
+
 // TargetIn reports whether new work may be sent to a target as far as the
 // operators are concerned.
 func (s *State) TargetIn(name string) bool {
--- a/journal/record.go
+++ b/journal/record.go
@@ -79,7 +79,9 @@
 	Version int64 `json:"version"`
 	// Members in order: the first one that is alive leads.
 	Members []Member `json:"members"`
-	// Retiring members are no longer used, but may still hold authority.
+	// Retiring members are no longer used, but may still hold authority. The
+	// fold adds each member that a new list leaves out; a record ends the
+	// retirement of one by leaving it out of Retiring.
 	Retiring []Member `json:"retiring,omitempty"`
 	// Offset is the offset of the record; set by the fold.
 	Offset int64 `json:"offset"`
--- a/journal/state.go
+++ b/journal/state.go
@@ -27,6 +27,9 @@
 	// TargetVersion is, for each target, the offset of the last record that
 	// changed what it holds. Grants carry it as their version.
 	TargetVersion map[string]int64 `json:"target_version"`
+	// IsolatedAt is the offset of the record that set Config.IsolatedServeMS.
+	// A granter that has not read it may still go by the value before.
+	IsolatedAt int64 `json:"isolated_at"`
 	// Recent holds the identifiers of the last records, oldest first.
 	Recent []string `json:"recent"`
 	// Skipped counts the records that were not understood.
@@ -129,6 +132,9 @@
 		return s.skip(res, "not a record"), nil
 	}
 	res.ID, res.Kind = env.ID, env.Kind
+	if env.V < 1 {
+		return s.skip(res, fmt.Sprintf("format %d", env.V)), nil
+	}
 	if env.V > FormatVersion {
 		return s.skip(res, fmt.Sprintf("format %d is newer than %d", env.V, FormatVersion)), nil
 	}
@@ -221,6 +227,7 @@
 		return refuse(res, err)
 	}
 	s.setConfig(cfg)
+	s.IsolatedAt = res.Offset
 	return applied(res)
 }
 
@@ -238,6 +245,9 @@
 	if err != nil {
 		return refuse(res, err)
 	}
+	if next.IsolatedServeMS != s.Config.IsolatedServeMS {
+		s.IsolatedAt = res.Offset
+	}
 	s.setConfig(next)
 	return applied(res)
 }
@@ -348,17 +358,47 @@
 	}
 	g.Version, g.Offset = old.Version+1, res.Offset
 	for i, m := range g.Members {
+		if _, ok := find(old.Retiring, m); ok {
+			return refuse(res, &StateError{Reason: "granter " + m.Host + " is still retiring"})
+		}
 		g.Members[i].AddedAt = res.Offset
-		for _, was := range old.Members {
-			if was.Host == m.Host && was.Incarnation == m.Incarnation {
-				g.Members[i].AddedAt = was.AddedAt
-			}
+		if was, ok := find(old.Members, m); ok {
+			g.Members[i].AddedAt = was.AddedAt
 		}
 	}
+	g.Retiring = retiring(old, g)
 	s.Granters[g.Domain] = g
 	return applied(res)
 }
 
+func find(members []Member, m Member) (Member, bool) {
+	for _, x := range members {
+		if x.Host == m.Host && x.Incarnation == m.Incarnation {
+			return x, true
+		}
+	}
+	return Member{}, false
+}
+
+// retiring returns the retiring members of the list next that replaces old.
+// Each member that the new list leaves out retires, whether the record says so
+// or not, because it may renew leases until it has read the record. The record
+// can only leave out members that were retiring before.
+func retiring(old, next Granters) []Member {
+	var out []Member
+	for _, m := range old.Members {
+		if _, stays := find(next.Members, m); !stays {
+			out = append(out, m)
+		}
+	}
+	for _, m := range old.Retiring {
+		if _, kept := find(next.Retiring, m); kept {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 func (s *State) applyEntryHost(res Result, h EntryHost) Result {
 	if h.Name == "" {
 		return refuse(res, &StateError{Reason: "entry host without a name"})
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -24,6 +24,10 @@
 	Waiting uint64 `json:"w,omitempty"`
 	// Previous is the owner at the epoch Waiting; empty when Waiting is 0.
 	Previous string `json:"p,omitempty"`
+	// Lost says that the shard was taken from Previous with ReasonLost. No
+	// granter renews Previous until the shard is released, so that its lease
+	// lapses as a whole, including requests that it still drains.
+	Lost bool `json:"l,omitempty"`
 }
 
 // Active reports whether the owner may act.
@@ -215,16 +219,19 @@
 		case s.Epoch != e.FromEpoch:
 			refused = append(refused, &Refusal{ID: e.ID, Code: RefusedEpoch, Want: e.FromEpoch, Have: s.Epoch})
 		default:
-			s.move(e.To)
+			s.move(e.To, m.Reason)
 		}
 	}
 	return refused
 }
 
-func (s *Shard) move(to string) {
+func (s *Shard) move(to string, why Reason) {
 	if s.Active() {
 		s.Waiting, s.Previous = s.Epoch, s.Owner
 	}
+	if s.Waiting != 0 && why == ReasonLost {
+		s.Lost = true
+	}
 	s.Owner = to
 	s.Epoch++
 }
@@ -241,7 +248,7 @@
 		case s.Waiting == 0 || s.Waiting != e.Epoch:
 			refused = append(refused, &Refusal{ID: e.ID, Code: RefusedEpoch, Want: e.Epoch, Have: s.Waiting})
 		default:
-			s.Waiting, s.Previous = 0, ""
+			s.Waiting, s.Previous, s.Lost = 0, "", false
 		}
 	}
 	return refused
@@ -271,7 +278,7 @@
 	parent.Epoch++
 	n := w.freeHotShard()
 	hot := &w.Shards[n]
-	hot.Owner, hot.Waiting, hot.Previous = owner, 0, ""
+	hot.Owner, hot.Waiting, hot.Previous, hot.Lost = owner, 0, "", false
 	hot.Epoch++
 	if w.Hot == nil {
 		w.Hot = map[string]int32{}
