--- a/lease/api.go
+++ b/lease/api.go
@@ -183,11 +183,12 @@
 	By      string `json:"by"`
 	Target  string `json:"target"`
 	Version uint64 `json:"version"`
-	// BoundMS is the time in milliseconds after which no lease that this granter
-	// gave below Version is in force, 0 when none is now. For a target that
-	// does not check fences it covers the permits of homes that have not
-	// drained Version.
+	// BoundMS is the time in milliseconds after which no lease or permit that
+	// this granter has given so far is in force, 0 when none is now.
 	BoundMS int64 `json:"bound_ms"`
+	// Drained says that no home that has not drained Version holds a permit
+	// from this granter, nor will again. Only for targets without fencing.
+	Drained bool `json:"drained,omitempty"`
 }
 
 // PermitRequest asks for the right to send to a target that does not check
--- /dev/null
+++ b/lease/status.go
@@ -0,0 +1,43 @@
+package lease
+
+import "time"
+
+// Status returns a summary.
+func (g *Granter) Status(now time.Duration) Status {
+	s := Status{Authority: AuthorityNone, Until: now, Rank: g.rank, Unaccounted: map[string][]string{}}
+	if g.state == nil {
+		return s
+	}
+	s.Authority, s.Until = g.authority(now)
+	for _, name := range g.sortedTargets() {
+		t := g.targets[name]
+		if t.lost {
+			s.Lapsing = append(s.Lapsing, name)
+		}
+		for _, m := range g.others() {
+			if len(t.waiting) > 0 && g.unaccounted(now, t, keyOf(m)) {
+				s.Unaccounted[name] = append(s.Unaccounted[name], m.Host)
+			}
+		}
+	}
+	for _, m := range g.others() {
+		if p := g.peers[keyOf(m)]; p.offLog != 0 && !p.dead {
+			s.OffLog = append(s.OffLog, m.Host)
+		}
+	}
+	return s
+}
+
+// unaccounted reports whether a release still needs something of the granter.
+func (g *Granter) unaccounted(now time.Duration, t *target, k memberKey) bool {
+	for _, m := range g.others() {
+		if keyOf(m) != k {
+			continue
+		}
+		if t.lost {
+			return now < g.endOf(t, m)
+		}
+		return g.lacksWord(t, m, t.version)
+	}
+	return false
+}
