--- /dev/null
+++ b/internal/control/follower.go
@@ -0,0 +1,279 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// RecentRecords is how many records a host keeps to answer peers that cannot
+// read the log.
+const RecentRecords = 8192
+
+// readLimit is the most records asked for in one read.
+const readLimit = 1024
+
+// retryPause is the pause after a failed read.
+const retryPause = 50 * time.Millisecond
+
+// fetched is the answer of a record source.
+type fetched struct {
+	platform.Batch
+	// asOf is a time on this host's clock at or before the moment the source
+	// had read the log to End.
+	asOf time.Duration
+}
+
+// source reads records, from the log or through a peer.
+type source interface {
+	name() string
+	read(ctx context.Context, from int64, wait time.Duration) (fetched, error)
+	// snapshot returns a state to start from when the records at an offset
+	// are no longer held.
+	snapshot(ctx context.Context) (*journal.State, error)
+}
+
+// Position says how far a host has read.
+type Position struct {
+	// Next is the offset of the next record to apply.
+	Next int64
+	// ReadAsOf is the latest time at which the host is known to have read the
+	// log to its end; zero when never.
+	ReadAsOf time.Duration
+	// Source names where the last records came from.
+	Source string
+	// LogReachable says whether this host's last direct read succeeded.
+	LogReachable bool
+}
+
+// Follower folds the log. Its Serve is a suture service.
+type Follower struct {
+	now     func() time.Duration
+	wait    time.Duration
+	log     hclog.Logger
+	sources func() []source
+	// published is called with a new state, which the Follower no longer changes.
+	published func(*journal.State)
+	// complete is called after each read to the end of the log.
+	complete func(asOf time.Duration)
+
+	mu     sync.Mutex
+	state  *journal.State
+	recent []platform.Record
+	pos    Position
+	change chan struct{}
+	// results holds the outcome of recently applied records by identifier.
+	results map[string]journal.Result
+	order   []string
+}
+
+func newFollower(now func() time.Duration, wait time.Duration, log hclog.Logger) *Follower {
+	return &Follower{
+		now: now, wait: wait, log: log, state: journal.NewState(),
+		change: make(chan struct{}), results: map[string]journal.Result{},
+	}
+}
+
+// Serve reads records until the context ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !f.readOnce(ctx) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// readOnce reads from the first source that answers.
+func (f *Follower) readOnce(ctx context.Context) bool {
+	for i, src := range f.sources() {
+		next := f.Position().Next
+		got, err := f.readFrom(ctx, src, next)
+		f.noteSource(src, err)
+		if err != nil {
+			readFailures.Add(1)
+			if i == 0 && f.log.IsDebug() {
+				f.log.Debug("read failed", "source", src.name(), "offset", next, "error", err)
+			}
+			continue
+		}
+		f.apply(src, got)
+		return true
+	}
+	return false
+}
+
+func (f *Follower) readFrom(ctx context.Context, src source, next int64) (fetched, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
+	defer cancel()
+	got, err := src.read(ctx, next, f.wait)
+	var pe *platform.Error
+	if errors.As(err, &pe) && pe.Code == platform.CodeExpired {
+		return f.fromSnapshot(ctx, src)
+	}
+	return got, err
+}
+
+// readTimeout is how much longer than its wait a read may take.
+const readTimeout = 350 * time.Millisecond
+
+// fromSnapshot replaces the state by a newer one and reads on from there.
+func (f *Follower) fromSnapshot(ctx context.Context, src source) (fetched, error) {
+	st, err := src.snapshot(ctx)
+	if err != nil {
+		snapshotsTotal.Add("failed", 1)
+		return fetched{}, err
+	}
+	f.mu.Lock()
+	newer := st.Next > f.state.Next
+	if newer {
+		f.state = st
+		f.recent = nil
+		f.pos.Next = st.Next
+	}
+	f.mu.Unlock()
+	if !newer {
+		return fetched{}, &journal.SnapshotError{Reason: "snapshot is older than the state"}
+	}
+	snapshotsTotal.Add("loaded", 1)
+	f.log.Info("snapshot loaded", "source", src.name(), "offset", st.Next)
+	return src.read(ctx, st.Next, 0)
+}
+
+func (f *Follower) noteSource(src source, err error) {
+	if _, direct := src.(*logSource); !direct {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pos.LogReachable != (err == nil) {
+		f.log.Info("log reachability changed", "reachable", err == nil)
+	}
+	f.pos.LogReachable = err == nil
+}
+
+// apply folds a batch and publishes the state when it has changed.
+func (f *Follower) apply(src source, got fetched) {
+	f.mu.Lock()
+	changed := false
+	for _, rec := range got.Records {
+		res, err := f.state.Apply(rec.Offset, rec.Data)
+		if err != nil {
+			f.log.Warn("records missing", "source", src.name(), "error", err)
+			break
+		}
+		if res.Outcome == journal.Old {
+			continue
+		}
+		changed = true
+		f.keep(rec, res)
+		f.logResult(res)
+	}
+	f.pos.Next = f.state.Next
+	f.pos.Source = src.name()
+	atEnd := f.state.Next >= got.End && got.asOf > f.pos.ReadAsOf
+	if atEnd {
+		f.pos.ReadAsOf = got.asOf
+	}
+	var pub *journal.State
+	if changed {
+		pub = f.state.Clone()
+	}
+	f.mu.Unlock()
+	if pub != nil {
+		f.published(pub)
+		f.wake()
+	}
+	if atEnd {
+		f.complete(got.asOf)
+	}
+}
+
+func (f *Follower) keep(rec platform.Record, res journal.Result) {
+	f.recent = append(f.recent, rec)
+	if len(f.recent) > RecentRecords {
+		f.recent = append([]platform.Record(nil), f.recent[RecentRecords/4:]...)
+	}
+	if res.ID == "" || res.Outcome == journal.Duplicate {
+		return
+	}
+	f.results[res.ID] = res
+	f.order = append(f.order, res.ID)
+	if len(f.order) > journal.RecentIDs {
+		delete(f.results, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
+func (f *Follower) logResult(res journal.Result) {
+	recordsTotal.Add(string(res.Outcome), 1)
+	switch res.Outcome {
+	case journal.Skipped:
+		f.log.Warn("record skipped", "offset", res.Offset, "kind", res.Kind, "error", res.Err)
+	case journal.Refused, journal.Partly:
+		f.log.Info("record refused", "offset", res.Offset, "kind", res.Kind, "outcome", res.Outcome, "error", res.Err)
+	default:
+		f.log.Debug("record applied", "offset", res.Offset, "kind", res.Kind, "outcome", res.Outcome)
+	}
+}
+
+func (f *Follower) wake() {
+	f.mu.Lock()
+	old := f.change
+	f.change = make(chan struct{})
+	f.mu.Unlock()
+	close(old)
+}
+
+// Position returns how far the host has read.
+func (f *Follower) Position() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pos
+}
+
+// Snapshot returns a copy of the state as of now.
+func (f *Follower) Snapshot() *journal.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Clone()
+}
+
+// result returns the outcome of a record that was applied lately.
+func (f *Follower) result(id string) (journal.Result, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	res, ok := f.results[id]
+	return res, ok
+}
+
+// changed returns a channel that is closed when more records are applied.
+func (f *Follower) changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.change
+}
+
+// held returns the kept records from an offset on, and whether they are all there.
+func (f *Follower) held(from int64, limit int) ([]platform.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from >= f.state.Next {
+		return nil, true
+	}
+	if len(f.recent) == 0 || from < f.recent[0].Offset {
+		return nil, false
+	}
+	i := int(from - f.recent[0].Offset)
+	end := min(i+limit, len(f.recent))
+	return append([]platform.Record(nil), f.recent[i:end]...), true
+}
--- /dev/null
+++ b/internal/control/sources.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/peer"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// logSource reads the platform's log.
+type logSource struct {
+	log platform.Log
+	now func() time.Duration
+}
+
+func (s *logSource) name() string { return "log" }
+
+func (s *logSource) read(ctx context.Context, from int64, wait time.Duration) (fetched, error) {
+	asOf := s.now()
+	logReadsTotal.Add(1)
+	b, err := s.log.Read(ctx, from, readLimit, wait)
+	for _, r := range b.Records {
+		logReadBytes.Add(int64(len(r.Data)))
+	}
+	return fetched{Batch: b, asOf: asOf}, err
+}
+
+// snapshot scans the log for the newest whole snapshot.
+func (s *logSource) snapshot(ctx context.Context) (*journal.State, error) {
+	first, err := s.first(ctx)
+	if err != nil {
+		return nil, err
+	}
+	parts := map[string][]journal.Snapshot{}
+	var best *journal.State
+	var lastErr error
+	for from := first; ; {
+		b, err := s.log.Read(ctx, from, readLimit, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, rec := range b.Records {
+			p, ok := snapshotPart(rec.Data)
+			if !ok {
+				continue
+			}
+			parts[p.Of] = append(parts[p.Of], p)
+			if len(parts[p.Of]) < p.Parts {
+				continue
+			}
+			st, err := journal.DecodeSnapshot(parts[p.Of])
+			if err != nil {
+				lastErr = err
+			} else if st.Next >= first && (best == nil || st.Next > best.Next) {
+				best = st
+			}
+			delete(parts, p.Of)
+		}
+		from += int64(len(b.Records))
+		if from >= b.End || len(b.Records) == 0 {
+			break
+		}
+	}
+	if best == nil {
+		return nil, &journal.SnapshotError{Reason: "no usable snapshot on the log", Err: lastErr}
+	}
+	return best, nil
+}
+
+// first returns the oldest offset that the log holds.
+func (s *logSource) first(ctx context.Context) (int64, error) {
+	b, err := s.log.Read(ctx, 0, 1, 0)
+	if err != nil && b.First == 0 {
+		return 0, err
+	}
+	return b.First, nil
+}
+
+func snapshotPart(data []byte) (journal.Snapshot, bool) {
+	var env journal.Envelope
+	var p journal.Snapshot
+	if json.Unmarshal(data, &env) != nil || env.Kind != journal.KindSnapshot || env.V > journal.FormatVersion {
+		return p, false
+	}
+	if json.Unmarshal(env.Body, &p) != nil || p.Parts < 1 {
+		return p, false
+	}
+	return p, true
+}
+
+// peerSource reads records through another entry host.
+type peerSource struct {
+	addr   string
+	client *peer.Client
+	now    func() time.Duration
+}
+
+func (s *peerSource) name() string { return "peer " + s.addr }
+
+func (s *peerSource) read(ctx context.Context, from int64, wait time.Duration) (fetched, error) {
+	sent := s.now()
+	var rep RecordsReply
+	err := s.client.Call(ctx, s.addr, methodRecords, RecordsRequest{From: from, Limit: readLimit, WaitMS: wait.Milliseconds()}, &rep)
+	if err != nil {
+		return fetched{}, err
+	}
+	if rep.Expired {
+		return fetched{}, &platform.Error{Op: "peer.records", Code: platform.CodeExpired, Detail: "peer no longer holds the records"}
+	}
+	got := fetched{Batch: platform.Batch{Records: rep.Records, First: rep.First, End: rep.End}}
+	if rep.AgeMS >= 0 {
+		// The answer left after the request was sent, so the peer's read had
+		// ended its start at the latest AgeMS before that.
+		got.asOf = sent - time.Duration(rep.AgeMS)*time.Millisecond
+	}
+	return got, nil
+}
+
+func (s *peerSource) snapshot(ctx context.Context) (*journal.State, error) {
+	var rep SnapshotReply
+	if err := s.client.Call(ctx, s.addr, methodSnapshot, struct{}{}, &rep); err != nil {
+		return nil, err
+	}
+	return journal.DecodeSnapshot(rep.Parts)
+}
