--- /dev/null
+++ b/internal/httpplatform/client.go
@@ -0,0 +1,174 @@
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelock/boragelock/platform"
+)
+
+const (
+	// maxAnswerBytes limits the answers that are read into memory.
+	maxAnswerBytes = 64 << 20
+	// maxDetailBytes limits how much of an error answer is kept as detail.
+	maxDetailBytes = 256
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 30 * time.Second
+)
+
+// Options are the settings of a client.
+type Options struct {
+	// DialTimeout limits the opening of a connection. Default 400 ms, so that
+	// a granter sees a dead target within two renewals.
+	DialTimeout time.Duration
+	// Dial opens connections. Default: a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = 400 * time.Millisecond
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+	return o
+}
+
+// client sends requests to one server.
+type client struct {
+	base string
+	http *http.Client
+}
+
+func newClient(addr string, o Options) *client {
+	o = o.withDefaults()
+	tr := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := o.Dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &client{base: "http://" + addr, http: &http.Client{
+		Transport:     tr,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// countedConn counts calls of Write, successful or not.
+type countedConn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+// sending watches the connections that one request is given.
+type sending struct {
+	mu    sync.Mutex
+	conns []*countedConn
+	start []int64
+	other bool
+}
+
+func (s *sending) gotConn(info httptrace.GotConnInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := info.Conn.(*countedConn)
+	if !ok {
+		s.other = true
+		return
+	}
+	s.conns = append(s.conns, c)
+	s.start = append(s.start, c.writes.Load())
+}
+
+// mayHaveSent reports whether a byte of the request can have left this host.
+// When the context has ended, the transport may still be about to write to a
+// connection that the request was given.
+func (s *sending) mayHaveSent(ctxEnded bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.other || (ctxEnded && len(s.conns) > 0) {
+		return true
+	}
+	for i, c := range s.conns {
+		if c.writes.Load() != s.start[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// do sends one request and decodes the answer into out.
+func (c *client) do(ctx context.Context, op, method, path string, body []byte, out any) error {
+	sent := &sending{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
+	var rd io.Reader
+	if body != nil {
+		rd = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(traced, method, c.base+path, rd)
+	if err != nil {
+		return &platform.Error{Op: op, Code: platform.CodeUnavailable, Detail: "request could not be built", Err: err}
+	}
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if sent.mayHaveSent(ctx.Err() != nil) {
+			return &platform.Error{Op: op, Code: platform.CodeUnknownOutcome, Detail: "no answer", Err: err}
+		}
+		return &platform.Error{Op: op, Code: platform.CodeUnavailable, Detail: "no connection", Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &platform.Error{Op: op, Code: platform.CodeUnknownOutcome, Detail: "answer was cut", Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(op, resp, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &platform.Error{Op: op, Code: platform.CodeMalformed, Detail: "answer is not the expected JSON", Err: err}
+	}
+	return nil
+}
+
+// refusal turns an answer other than 200 into an error.
+func refusal(op string, resp *http.Response, body []byte) error {
+	detail := strings.TrimSpace(string(body[:min(len(body), maxDetailBytes)]))
+	e := &platform.Error{Op: op, Detail: resp.Status + " " + detail}
+	switch {
+	case resp.StatusCode == http.StatusGone:
+		e.Code = platform.CodeExpired
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
+		e.Code = platform.CodeRejected
+	case resp.Header.Get(platform.HeaderOutcome) == "not_run":
+		e.Code = platform.CodeUnavailable
+	default:
+		e.Code = platform.CodeUnknownOutcome
+	}
+	return e
+}
+
+// CloseIdle closes the connections that carry no request.
+func (c *client) CloseIdle() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/httpplatform/platform_test.go
@@ -0,0 +1,83 @@
+package httpplatform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/boragelock/boragelock/platform"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func codeOf(err error) platform.Code {
+	var e *platform.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// A lost answer reported as "no effect" makes the caller append twice.
+func TestOutcomeOfFailures(t *testing.T) {
+	ctx := context.Background()
+	serve := func(h http.HandlerFunc) (*Log, func()) {
+		s := httptest.NewServer(h)
+		return NewLog(s.Listener.Addr().String(), Options{}), s.Close
+	}
+	Convey("a refused connection has no effect", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		addr := ln.Addr().String()
+		So(ln.Close(), ShouldBeNil)
+		_, err = NewLog(addr, Options{}).Append(ctx, []byte("x"))
+		So(codeOf(err), ShouldEqual, platform.CodeUnavailable)
+	})
+	Convey("an answer lost after the request was sent leaves the outcome unknown, and the request is sent once", t, func() {
+		calls := 0
+		l, stop := serve(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.Close()
+		})
+		defer stop()
+		_, err := l.Append(ctx, []byte("x"))
+		So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+		So(calls, ShouldEqual, 1)
+	})
+	Convey("a timeout on an open connection leaves the outcome unknown", t, func() {
+		l, stop := serve(func(w http.ResponseWriter, r *http.Request) { time.Sleep(100 * time.Millisecond) })
+		defer stop()
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		_, err := l.Append(short, []byte("x"))
+		So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+	})
+	Convey("answers map to codes", t, func() {
+		for _, c := range []struct {
+			status  int
+			outcome string
+			body    string
+			want    platform.Code
+		}{
+			{410, "", "", platform.CodeExpired},
+			{429, "not_run", "", platform.CodeRejected},
+			{503, "not_run", "", platform.CodeUnavailable},
+			{502, "", "", platform.CodeUnknownOutcome},
+			{200, "", "{}", platform.CodeMalformed},
+			{200, "", "<html>", platform.CodeMalformed},
+		} {
+			l, stop := serve(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(platform.HeaderOutcome, c.outcome)
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			})
+			_, err := l.Append(ctx, []byte("x"))
+			stop()
+			So(codeOf(err), ShouldEqual, c.want)
+		}
+	})
+}
