--- /dev/null
+++ b/internal/standin/run.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// maxWorkBytes limits the body of a work request.
+const maxWorkBytes = 16 << 20
+
+// run is one request that runs.
+type run struct {
+	requestID, tag, method  string
+	workload, key, customer string
+	shard                   int32
+	epoch                   uint64
+	fenced                  bool
+	session                 int64
+	incarnation             string
+	start                   time.Duration
+	wall                    time.Time
+	running                 int
+	deadline                time.Duration
+	bodyBytes               int
+	bodyHash                uint64
+}
+
+// Answer is the body of the answer to a work request. A caller finds crossed
+// or cut answers by comparing it with what it sent.
+type Answer struct {
+	Target      string `json:"target"`
+	Incarnation string `json:"incarnation"`
+	Workload    string `json:"workload"`
+	Key         string `json:"key"`
+	Tag         string `json:"tag"`
+	RequestID   string `json:"request_id"`
+	// BodyBytes and BodyHash (xxhash64, hex) describe the received body.
+	BodyBytes int    `json:"body_bytes"`
+	BodyHash  string `json:"body_hash"`
+	// End is always "end"; an answer without it was cut.
+	End string `json:"end"`
+}
+
+// parseRun reads a work request. It returns nil and answers when the request
+// is malformed.
+func (t *Target) parseRun(w http.ResponseWriter, r *http.Request) *run {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxWorkBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body_cut")
+		return nil
+	}
+	h := r.Header
+	out := &run{
+		requestID: h.Get(platform.HeaderRequestID), tag: r.URL.Query().Get("tag"), method: r.Method,
+		workload: h.Get(platform.HeaderWorkload), customer: h.Get(platform.HeaderCustomer),
+		fenced: t.cfg.Keyed && t.cfg.Fencing, deadline: math.MaxInt64,
+		bodyBytes: len(body), bodyHash: xxhash.Sum64(body),
+	}
+	if out.key, err = url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), httpplatform.PathWork)); err != nil {
+		refuse(w, http.StatusBadRequest, "malformed_key")
+		return nil
+	}
+	if named := h.Get(platform.HeaderKey); named != "" {
+		if k, err := url.PathUnescape(named); err != nil || (t.cfg.Keyed && k != out.key) {
+			refuse(w, http.StatusBadRequest, "key_differs_from_path")
+			return nil
+		}
+	}
+	shard, err1 := strconv.ParseInt(orZero(h.Get(platform.HeaderShard)), 10, 32)
+	epoch, err2 := strconv.ParseUint(orZero(h.Get(platform.HeaderEpoch)), 10, 64)
+	left, err3 := strconv.ParseInt(orZero(h.Get(platform.HeaderDeadlineMS)), 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		refuse(w, http.StatusBadRequest, "malformed_header")
+		return nil
+	}
+	out.shard, out.epoch = int32(shard), epoch
+	if h.Get(platform.HeaderDeadlineMS) != "" {
+		out.deadline = MonoNow() + time.Duration(left)*time.Millisecond
+	}
+	return out
+}
+
+func orZero(s string) string {
+	if s == "" {
+		return "0"
+	}
+	return s
+}
+
+func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
+	x := t.parseRun(w, r)
+	if x == nil {
+		return
+	}
+	t.awaitThaw()
+	service, status, code := t.begin(x)
+	if status != 0 {
+		refuse(w, status, code)
+		return
+	}
+	outcome := t.work(r.Context(), x, service)
+	t.awaitThaw()
+	outcome = t.finish(r.Context(), x, outcome)
+	switch outcome {
+	case RunEffect:
+		t.answer(w, x)
+	case RunNotOwner:
+		refuse(w, http.StatusConflict, platform.RefusalNotOwner)
+	case RunDeadline:
+		refuse(w, http.StatusServiceUnavailable, platform.RefusalDeadline)
+	default:
+		cutConnection(w)
+	}
+}
+
+// begin takes a slot and returns the service time, or the refusal.
+func (t *Target) begin(x *run) (time.Duration, int, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := MonoNow()
+	switch {
+	case now < t.fallen:
+		return 0, http.StatusServiceUnavailable, platform.RefusalShed
+	case t.switches.Leaving && t.switches.RefuseLeaving:
+		t.event(EventRefusedLeaving)
+		return 0, http.StatusServiceUnavailable, platform.RefusalLeaving
+	case now >= x.deadline:
+		return 0, http.StatusServiceUnavailable, platform.RefusalDeadline
+	case x.fenced && !t.fence.mayStart(x, now):
+		t.event(EventNotOwner)
+		return 0, http.StatusConflict, platform.RefusalNotOwner
+	case len(t.running) >= t.bears():
+		t.shed(now)
+		return 0, http.StatusServiceUnavailable, platform.RefusalShed
+	}
+	t.running[x] = struct{}{}
+	x.start, x.wall, x.running, x.session = now, time.Now(), len(t.running), t.fence.session
+	x.incarnation = t.fence.incarnation
+	t.sample()
+	return t.serviceTime(), 0, ""
+}
+
+// shed counts a refused request and falls over when flooded while cold.
+func (t *Target) shed(now time.Duration) {
+	if !t.cold {
+		t.event(EventShed)
+		return
+	}
+	t.event(EventShedCold)
+	t.sheds = append(t.sheds, now)
+	for len(t.sheds) > 0 && t.sheds[0] < now-time.Second {
+		t.sheds = t.sheds[1:]
+	}
+	if t.cfg.FallOverSheds > 0 && len(t.sheds) >= t.cfg.FallOverSheds {
+		t.fallen = now + time.Duration(t.cfg.FallOverMS)*time.Millisecond
+		t.sheds = nil
+		t.event(EventFallOver)
+	}
+}
+
+func (t *Target) serviceTime() time.Duration {
+	ms := t.cfg.ServiceMS * math.Exp(t.cfg.SigmaLog*t.rng.NormFloat64())
+	if f := t.switches.SlowFactor; f > 0 {
+		ms *= f
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// work spends the service time.
+func (t *Target) work(ctx context.Context, x *run, service time.Duration) RunOutcome {
+	left := x.deadline - x.start
+	pause(ctx, min(service, left))
+	switch {
+	case ctx.Err() != nil:
+		return RunCancelled
+	case left < service:
+		return RunDeadline
+	}
+	return RunEffect
+}
+
+// finish checks ownership again, frees the slot and records the run. The end
+// of the record is the time of the check.
+func (t *Target) finish(ctx context.Context, x *run, outcome RunOutcome) RunOutcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := MonoNow()
+	if outcome == RunEffect {
+		switch {
+		case ctx.Err() != nil, x.incarnation != t.fence.incarnation:
+			outcome = RunCancelled
+		case x.fenced && !t.fence.mayTakeEffect(x, now):
+			outcome = RunNotOwner
+		case now >= x.deadline:
+			outcome = RunDeadline
+		}
+	}
+	delete(t.running, x)
+	t.worked(now - x.start)
+	t.sample()
+	t.recorder.Add(Record{
+		Target: t.cfg.Name, Incarnation: x.incarnation, Outcome: outcome,
+		RequestID: x.requestID, Tag: x.tag, Method: x.method, Workload: x.workload, Key: x.key,
+		Shard: x.shard, Epoch: x.epoch, Customer: x.customer, Running: x.running,
+		StartMono: int64(x.start), EndMono: int64(now), StartWall: x.wall,
+	})
+	return outcome
+}
+
+func (t *Target) answer(w http.ResponseWriter, x *run) {
+	body, err := json.Marshal(Answer{
+		Target: t.cfg.Name, Incarnation: x.incarnation, Workload: x.workload, Key: x.key, Tag: x.tag,
+		RequestID: x.requestID, BodyBytes: x.bodyBytes, BodyHash: strconv.FormatUint(x.bodyHash, 16), End: "end",
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,345 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// TargetConfig describes a target.
+type TargetConfig struct {
+	Name     string `json:"name"`
+	Workload string `json:"workload"`
+	Domain   string `json:"domain"`
+	// Keyed and Shards describe the workload; Fencing says that grants and
+	// epochs are checked.
+	Keyed   bool  `json:"keyed"`
+	Shards  int32 `json:"shards"`
+	Fencing bool  `json:"fencing"`
+	// Slots is the number of requests run at once. Default 2.
+	Slots int `json:"slots"`
+	// Connections is the number of open connections. Default 130.
+	Connections int `json:"connections"`
+	// ServiceMS is the median service time in milliseconds; SigmaLog the
+	// standard deviation of its logarithm. Default 5 ms; 0 means constant.
+	ServiceMS float64 `json:"service_ms"`
+	SigmaLog  float64 `json:"sigma_log"`
+	// StartCold makes the target cold at its start. It then bears ColdSlots
+	// requests, and Slots after RampMS milliseconds of work.
+	StartCold bool  `json:"start_cold"`
+	ColdSlots int   `json:"cold_slots"`
+	RampMS    int64 `json:"ramp_ms"`
+	// FallOverSheds is the number of requests shed within a second while cold
+	// after which the target refuses everything for FallOverMS milliseconds;
+	// 0 means never.
+	FallOverSheds int   `json:"fall_over_sheds"`
+	FallOverMS    int64 `json:"fall_over_ms"`
+	// Seed of the service times.
+	Seed uint64 `json:"seed"`
+}
+
+func (c TargetConfig) withDefaults() TargetConfig {
+	if c.Slots <= 0 {
+		c.Slots = 2
+	}
+	if c.Connections <= 0 {
+		c.Connections = 130
+	}
+	if c.ServiceMS <= 0 {
+		c.ServiceMS = 5
+	}
+	if c.ColdSlots <= 0 || c.ColdSlots > c.Slots {
+		c.ColdSlots = max(1, c.Slots/2)
+	}
+	if c.RampMS <= 0 {
+		c.RampMS = 1000
+	}
+	if c.FallOverMS <= 0 {
+		c.FallOverMS = 3000
+	}
+	if c.Shards <= 0 {
+		c.Shards = 256
+	}
+	return c
+}
+
+// TargetSwitches change how a target behaves.
+type TargetSwitches struct {
+	// SlowFactor multiplies service times; 0 means 1.
+	SlowFactor float64 `json:"slow_factor"`
+	// Frozen stops everything but the admin handler.
+	Frozen bool `json:"frozen"`
+	// Leaving announces that the target leaves; RefuseLeaving also refuses
+	// new work.
+	Leaving       bool `json:"leaving"`
+	RefuseLeaving bool `json:"refuse_leaving"`
+	// LoadLagMS is the age of load reports, in milliseconds.
+	LoadLagMS int64 `json:"load_lag_ms"`
+	// FalseLoad is reported instead of the load.
+	FalseLoad *platform.LoadReport `json:"false_load"`
+	// Down refuses, cuts or ignores all requests.
+	Down Down `json:"down"`
+}
+
+// loadSample is the load at one time.
+type loadSample struct {
+	at   time.Duration
+	load platform.LoadReport
+}
+
+// maxLoadSamples limits the kept history of the load.
+const maxLoadSamples = 4096
+
+// Target is a stand-in for a target.
+type Target struct {
+	cfg      TargetConfig
+	recorder *Recorder
+	mux      *http.ServeMux
+
+	mu       sync.Mutex
+	switches TargetSwitches
+	thaw     chan struct{}
+	fence    *fence
+	running  map[*run]struct{}
+	rng      *rand.Rand
+	history  []loadSample
+	cold     bool
+	warmth   time.Duration
+	sheds    []time.Duration
+	fallen   time.Duration
+	conns    int
+}
+
+// NewTarget returns a target that holds nothing.
+func NewTarget(cfg TargetConfig, rec *Recorder) *Target {
+	cfg = cfg.withDefaults()
+	t := &Target{
+		cfg: cfg, recorder: rec, mux: http.NewServeMux(), thaw: make(chan struct{}),
+		running: map[*run]struct{}{}, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
+	}
+	t.mux.HandleFunc("POST "+httpplatform.PathGrant, t.serveGrant)
+	t.mux.HandleFunc("GET "+httpplatform.PathLoad, t.serveLoad)
+	t.restart(cfg.StartCold)
+	return t
+}
+
+// Config returns the configuration with its defaults filled in.
+func (t *Target) Config() TargetConfig { return t.cfg }
+
+// Restart forgets grants and becomes cold under a new incarnation. Runs of the
+// old incarnation take no effect.
+func (t *Target) Restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.restart(true)
+}
+
+func (t *Target) restart(cold bool) {
+	session := int64(0)
+	if t.fence != nil {
+		session = t.fence.session + 1
+	}
+	t.fence = newFence(fmt.Sprintf("%s-%x", t.cfg.Name, uint64(MonoNow())), t.cfg.Shards)
+	t.fence.session = session
+	t.running = map[*run]struct{}{}
+	t.cold, t.warmth, t.fallen = cold, 0, 0
+	t.event(EventStart)
+	if cold {
+		t.event(EventCold)
+	}
+	t.sample()
+}
+
+// Switches returns the switches in force.
+func (t *Target) Switches() TargetSwitches {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.switches
+}
+
+// SetSwitches sets the switches.
+func (t *Target) SetSwitches(s TargetSwitches) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.switches.Frozen && !s.Frozen {
+		close(t.thaw)
+		t.thaw = make(chan struct{})
+	}
+	if s.Leaving && !t.switches.Leaving {
+		t.event(EventLeaving)
+	}
+	t.switches = s
+	t.sample()
+}
+
+// Cool makes the target cold without a restart, which it does not announce
+// but for its load report.
+func (t *Target) Cool() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cold, t.warmth = true, 0
+	t.event(EventCold)
+	t.sample()
+}
+
+// event records an event. The mutex is held.
+func (t *Target) event(k EventKind) {
+	now := int64(MonoNow())
+	t.recorder.Add(Record{Target: t.cfg.Name, Incarnation: t.fence.incarnation, Event: k,
+		StartMono: now, EndMono: now, StartWall: time.Now()})
+}
+
+// bears returns how many requests the target runs at once now.
+func (t *Target) bears() int {
+	if !t.cold {
+		return t.cfg.Slots
+	}
+	ramp := time.Duration(t.cfg.RampMS) * time.Millisecond
+	return t.cfg.ColdSlots + int(int64(t.cfg.Slots-t.cfg.ColdSlots)*int64(t.warmth)/int64(ramp))
+}
+
+// worked counts work done towards becoming warm.
+func (t *Target) worked(d time.Duration) {
+	if !t.cold {
+		return
+	}
+	t.warmth += d
+	if t.warmth >= time.Duration(t.cfg.RampMS)*time.Millisecond {
+		t.cold = false
+	}
+}
+
+// load returns the true load. The mutex is held.
+func (t *Target) load() platform.LoadReport {
+	l := platform.LoadReport{State: platform.TargetServing, InFlight: len(t.running), Bears: t.bears()}
+	switch {
+	case t.switches.Leaving:
+		l.State = platform.TargetLeaving
+	case t.cold:
+		l.State = platform.TargetCold
+	}
+	return l
+}
+
+// sample remembers the load for late reports. The mutex is held.
+func (t *Target) sample() {
+	if len(t.history) >= maxLoadSamples {
+		t.history = append(t.history[:0], t.history[maxLoadSamples/2:]...)
+	}
+	t.history = append(t.history, loadSample{at: MonoNow(), load: t.load()})
+}
+
+// report returns the load as the target reports it. The mutex is held.
+func (t *Target) report() platform.LoadReport {
+	if t.switches.FalseLoad != nil {
+		return *t.switches.FalseLoad
+	}
+	if t.switches.LoadLagMS <= 0 {
+		return t.load()
+	}
+	asOf := MonoNow() - time.Duration(t.switches.LoadLagMS)*time.Millisecond
+	l := t.history[0].load
+	for _, s := range t.history {
+		if s.at > asOf {
+			break
+		}
+		l = s.load
+	}
+	return l
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.awaitThaw()
+	switch t.Switches().Down {
+	case DownRefuse:
+		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+	case DownCut:
+		cutConnection(w)
+	case DownSilent:
+		<-r.Context().Done()
+		cutConnection(w)
+	default:
+		// ServeMux would redirect keys that contain "//" or "..".
+		if strings.HasPrefix(r.URL.EscapedPath(), httpplatform.PathWork) {
+			t.serveWork(w, r)
+			return
+		}
+		t.mux.ServeHTTP(w, r)
+	}
+}
+
+// awaitThaw blocks while the target is frozen.
+func (t *Target) awaitThaw() {
+	for {
+		t.mu.Lock()
+		frozen, thaw := t.switches.Frozen, t.thaw
+		t.mu.Unlock()
+		if !frozen {
+			return
+		}
+		<-thaw
+	}
+}
+
+func (t *Target) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var g platform.Grant
+	body, err := io.ReadAll(io.LimitReader(r.Body, 16<<20))
+	if err == nil {
+		err = json.Unmarshal(body, &g)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "malformed")
+		return
+	}
+	t.awaitThaw()
+	reply, ok := t.Grant(g)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+		return
+	}
+	writeJSON(w, reply)
+}
+
+// Grant takes a grant. It returns false while the target has fallen over.
+func (t *Target) Grant(g platform.Grant) (platform.GrantReply, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := MonoNow()
+	if now < t.fallen {
+		return platform.GrantReply{}, false
+	}
+	res := platform.GrantAccepted
+	if t.cfg.Fencing {
+		res = t.fence.grant(g, now)
+	} else {
+		t.fence.version = g.Version
+	}
+	reply := platform.GrantReply{
+		Result: res, Nonce: t.fence.issue(g.Granter, now), Version: t.fence.version,
+		Incarnation: t.fence.incarnation, Load: t.report(),
+	}
+	if t.cfg.Fencing {
+		reply.Draining = t.fence.draining(t.running)
+	}
+	return reply, true
+}
+
+func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	l, fallen := t.report(), MonoNow() < t.fallen
+	t.mu.Unlock()
+	if fallen {
+		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+		return
+	}
+	writeJSON(w, l)
+}
