Add the control plane of an entry host

Cause: leases, homes, permits, the list of granters and moves need one process that follows the log, calls targets and peers, and carries out what the cores decide.

--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/journal"
+)
+
+// Control is the control plane of one entry host. Create it with New, add
+// Services to a supervisor, and use it as a view.Source.
+type Control struct {
+	cfg      Config
+	log      hclog.Logger
+	follower *Follower
+	writer   *Writer
+	domains  *domainSet
+	homes    *homeTable
+	leader   *leader
+	hosts    *hostTable
+	stopping atomic.Bool
+
+	current atomic.Pointer[journal.State]
+	view    atomic.Pointer[view.View]
+
+	mu     sync.Mutex
+	change chan struct{}
+
+	events chan view.Event
+}
+
+// eventBuffer bounds the reports of the request path; when it is full the
+// newest is dropped and counted, since reports are hints only.
+const eventBuffer = 1024
+
+// New returns a control plane that is not yet running.
+func New(cfg Config) *Control {
+	cfg = cfg.withDefaults()
+	c := &Control{
+		cfg: cfg, log: cfg.Logger.Named("control"),
+		change: make(chan struct{}), events: make(chan view.Event, eventBuffer),
+	}
+	c.follower = newFollower(cfg.Now, cfg.Timing.ReadWait, c.log.Named("follower"))
+	c.follower.sources = c.sources
+	c.follower.published = c.onState
+	c.follower.complete = c.onLogRead
+	c.writer = &Writer{
+		log: cfg.Log, follower: c.follower, limit: cfg.Timing.Append,
+		prefix: cfg.Self.Name + "." + cfg.Self.Incarnation,
+	}
+	c.homes = newHomeTable(cfg)
+	c.leader = newLeader()
+	c.hosts = newHostTable()
+	c.domains = newDomainSet(c)
+	return c
+}
+
+// Services returns the duties to supervise.
+func (c *Control) Services() []suture.Service {
+	return []suture.Service{
+		service{"follower", c.follower.Serve},
+		service{"granter", c.serveGranter},
+		service{"homes", c.serveHomes},
+		service{"hosts", c.serveHosts},
+		service{"planner", c.servePlanner},
+		service{"snapshots", c.serveSnapshots},
+		service{"events", c.serveEvents},
+	}
+}
+
+// service names a duty for the supervisor's log.
+type service struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// String names the duty.
+func (s service) String() string { return s.name }
+
+// state returns the state in force, or nil.
+func (c *Control) state() *journal.State { return c.current.Load() }
+
+// entryHost returns this host as it announces itself.
+func (c *Control) entryHost() journal.EntryHost {
+	s := c.cfg.Self
+	return journal.EntryHost{
+		Name: s.Name, Incarnation: s.Incarnation, Domain: s.Domain,
+		HTTPAddr: s.HTTPAddr, PeerAddr: c.cfg.PeerAddr,
+	}
+}
+
+// onState takes a new state from the follower.
+func (c *Control) onState(st *journal.State) {
+	c.current.Store(st)
+	c.domains.publish(st)
+	c.publish()
+}
+
+// onLogRead takes the proof that the log was read to its end.
+func (c *Control) onLogRead(asOf time.Duration) {
+	c.domains.logRead(asOf, c.follower.Position().Next)
+}
+
+// publish builds a new view for the request path.
+func (c *Control) publish() {
+	st := c.state()
+	if st == nil || st.Config == nil {
+		return
+	}
+	v := &view.View{Self: c.cfg.Self, State: st}
+	c.homes.fill(v)
+	v.IsolatedFor = c.isolatedFor()
+	c.view.Store(v)
+	c.mu.Lock()
+	old := c.change
+	c.change = make(chan struct{})
+	c.mu.Unlock()
+	close(old)
+}
+
+// isolationAfter is the age of the last complete log read from which a host
+// says that it is isolated.
+const isolationAfter = 2 * time.Second
+
+func (c *Control) isolatedFor() time.Duration {
+	pos := c.follower.Position()
+	if pos.ReadAsOf == 0 {
+		return 0
+	}
+	if age := c.cfg.Now() - pos.ReadAsOf; age > isolationAfter {
+		return age
+	}
+	return 0
+}
+
+// View implements view.Source.
+func (c *Control) View() *view.View { return c.view.Load() }
+
+// Changed implements view.Source.
+func (c *Control) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.change
+}
+
+// Permit implements view.Source.
+func (c *Control) Permit(target string) time.Duration { return c.homes.permit(target) }
+
+// Report implements view.Source.
+func (c *Control) Report(e view.Event) {
+	select {
+	case c.events <- e:
+	default:
+		eventsDropped.Add(string(e.Kind), 1)
+	}
+}
+
+// Append writes a record and returns what it did; see Writer.Append.
+func (c *Control) Append(ctx context.Context, kind journal.Kind, body any) (journal.Result, error) {
+	return c.writer.Append(ctx, kind, body)
+}
+
+// sources lists where to read records from, best first. Granters read the log
+// themselves, since their authority depends on it; other hosts read through a
+// granter of their domain first, which keeps the load on the log independent
+// of the number of hosts.
+func (c *Control) sources() []source {
+	direct := &logSource{log: c.cfg.Log, now: c.cfg.Now}
+	st := c.state()
+	if st == nil {
+		return append([]source{direct}, c.seedSources()...)
+	}
+	var out []source
+	granters := st.Granters[c.cfg.Self.Domain].Members
+	isGranter := false
+	for _, m := range granters {
+		if m.Host == c.cfg.Self.Name {
+			isGranter = true
+			continue
+		}
+		if e, ok := st.Entries[m.Host]; ok && !e.Gone {
+			out = append(out, c.peerSource(e.PeerAddr))
+		}
+	}
+	if isGranter || len(granters) == 0 {
+		return append(append([]source{direct}, out...), c.remoteSources(st)...)
+	}
+	return append(append(out, direct), c.remoteSources(st)...)
+}
+
+// remoteSources lists the first granters of the other domains, for a domain
+// that is cut off from the log but not from them.
+func (c *Control) remoteSources(st *journal.State) []source {
+	if st.Config == nil {
+		return c.seedSources()
+	}
+	var out []source
+	for _, d := range st.Config.DomainOrder {
+		members := st.Granters[d].Members
+		if d == c.cfg.Self.Domain || len(members) == 0 {
+			continue
+		}
+		if e, ok := st.Entries[members[0].Host]; ok && !e.Gone {
+			out = append(out, c.peerSource(e.PeerAddr))
+		}
+	}
+	return out
+}
+
+func (c *Control) seedSources() []source {
+	var out []source
+	for _, addr := range c.cfg.SeedPeers {
+		if addr != c.cfg.PeerAddr {
+			out = append(out, c.peerSource(addr))
+		}
+	}
+	return out
+}
+
+func (c *Control) peerSource(addr string) source {
+	return &peerSource{addr: addr, client: c.cfg.Peers, now: c.cfg.Now}
+}
+
+// Stop announces a planned stop: the host gives up its homes and is no longer
+// chosen as a granter. It returns when its homes have been taken over or the
+// context ends.
+func (c *Control) Stop(ctx context.Context) {
+	c.stopping.Store(true)
+	c.homes.giveUp()
+	for ctx.Err() == nil && c.homes.held() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.cfg.Timing.ViewInterval / 4):
+		}
+	}
+	gone := c.entryHost()
+	gone.Gone = true
+	if _, err := c.Append(ctx, journal.KindEntryHost, gone); err != nil {
+		c.log.Warn("stop not announced", "error", err)
+	}
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -56,6 +58,17 @@
 	ConfigVersion int64 `json:"config_version"`
 	// LogReachable says whether the peer's last direct read of the log succeeded.
 	LogReachable bool `json:"log_reachable"`
+	// RenewedMS maps targets to the age of the peer's last renewal, in milliseconds.
+	RenewedMS map[string]int64 `json:"renewed_ms,omitempty"`
 	// Stopping says that the peer is about to exit.
 	Stopping bool `json:"stopping,omitempty"`
 }
+
+// renewed returns the ages of the peer's renewals.
+func (r HelloReply) renewed() map[string]time.Duration {
+	out := make(map[string]time.Duration, len(r.RenewedMS))
+	for t, ms := range r.RenewedMS {
+		out[t] = time.Duration(ms) * time.Millisecond
+	}
+	return out
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -63,6 +63,14 @@
 func (c *Control) hello(_ context.Context, _ HelloRequest) (HelloReply, error) {
 	pos := c.follower.Position()
 	rep := HelloReply{Host: c.entryHost(), Next: pos.Next, LogReachable: pos.LogReachable, Stopping: c.stopping.Load()}
+	dc := c.domains.own()
+	dc.mu.Lock()
+	renewed := dc.core.Renewed(c.cfg.Now())
+	dc.mu.Unlock()
+	rep.RenewedMS = make(map[string]int64, len(renewed))
+	for t, age := range renewed {
+		rep.RenewedMS[t] = age.Milliseconds() + 1
+	}
 	if st := c.state(); st != nil && st.Config != nil {
 		rep.ConfigVersion = st.Config.Version
 	}
--- a/journal/state.go
+++ b/journal/state.go
@@ -32,6 +32,8 @@
 	IsolatedAt int64 `json:"isolated_at"`
 	// Recent holds the identifiers of the last records, oldest first.
 	Recent []string `json:"recent"`
+	// LastSnapshot is the Next of the last snapshot that was written whole.
+	LastSnapshot int64 `json:"last_snapshot"`
 	// Skipped counts the records that were not understood.
 	Skipped int64 `json:"skipped"`
 
@@ -191,8 +193,7 @@
 	case KindEntryHost:
 		return decodeAnd(s, res, env, s.applyEntryHost)
 	case KindSnapshot:
-		res.Outcome = Applied
-		return res
+		return decodeAnd(s, res, env, s.applySnapshot)
 	}
 	return s.skip(res, fmt.Sprintf("unknown kind %q", env.Kind))
 }
@@ -409,3 +410,12 @@
 	s.Entries[h.Name] = h
 	return applied(res)
 }
+
+// applySnapshot notes a snapshot by its last part; the state in it is only
+// used by hosts that start.
+func (s *State) applySnapshot(res Result, p Snapshot) Result {
+	if p.Part == p.Parts-1 && p.Next <= res.Offset {
+		s.LastSnapshot = max(s.LastSnapshot, p.Next)
+	}
+	return applied(res)
+}
