Add admission, limits and retry: API with first implementations

Cause: the request path is written against these packages at the same time and needs their types, signatures and contracts first. What changed: package admission (Limiter), package limits (Gate, Lender, Credentials), package retry (Outcome, Error and its codes, Budget, Backoff, Hedger, ID, Issuer, Ledger). The adaptive limit, cold detection and the lender change are still in a simple form. Conclusion: callers can be written; tests and the missing parts follow.

--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,273 @@
+package admission
+
+import (
+	"time"
+)
+
+// Limiter admits requests to one target. It is not safe for concurrent use.
+type Limiter struct {
+	cfg      Config
+	limits   Limits
+	running  map[uint64]running
+	queue    queue
+	service  estimator
+	adaptive adaptive
+	ramp     ramp
+	foreign  foreign
+	draining bool
+	out      []Notice
+	stats    Stats
+}
+
+// running is a request that was sent to the target.
+type running struct {
+	flow    *flow
+	started time.Duration
+	charged float64
+}
+
+// New returns the limiter of a target whose home this host becomes at now. It
+// fails with *ConfigError.
+func New(cfg Config, limits Limits, now time.Duration, start Start) (*Limiter, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	limits, err := limits.normalize()
+	if err != nil {
+		return nil, err
+	}
+	l := &Limiter{
+		cfg: cfg, limits: limits,
+		running: make(map[uint64]running, limits.Slots),
+		queue:   newQueue(),
+		service: newEstimator(cfg.InitialService),
+	}
+	l.adaptive.reset(limits.Slots)
+	l.ramp.report = start.Report
+	if !start.Warm {
+		l.ramp.restart()
+		l.stats.ColdStarts++
+	} else {
+		l.ramp.finish()
+	}
+	l.foreign.start(start.InFlight, now+cfg.ForeignTTL)
+	return l, nil
+}
+
+// Arrive decides on a new request. The notices concern other requests, which
+// the arrival displaced from the queue.
+func (l *Limiter) Arrive(now time.Duration, r Request) (Decision, []Notice) {
+	l.out = l.out[:0]
+	if !(r.Weight > 0) {
+		r.Weight = 1
+	}
+	if !(r.Cost > 0) {
+		r.Cost = 1
+	}
+	if d := l.precheck(now, r); d.Verdict == Shed {
+		return d, nil
+	}
+	f := l.queue.flow(r.Customer, r.Weight)
+	if l.queue.length == 0 && l.free(now) > 0 {
+		if l.total() > 0 && now+l.service.likely(r.Cost) > r.Deadline {
+			return l.shed(ReasonDeadline, l.cfg.MinRetryAfter), nil
+		}
+		l.start(now, f, r.ID, r.Cost)
+		return Decision{Verdict: Run}, nil
+	}
+	d := l.enqueue(now, f, r)
+	l.dispatch(now)
+	return l.settle(r.ID, d)
+}
+
+// precheck refuses requests that must not enter the queue at all.
+func (l *Limiter) precheck(now time.Duration, r Request) Decision {
+	if l.draining {
+		return l.shed(ReasonDraining, l.cfg.MinRetryAfter)
+	}
+	if r.Deadline <= now {
+		return l.shed(ReasonDeadline, l.cfg.MinRetryAfter)
+	}
+	if _, ok := l.running[r.ID]; ok || l.queue.has(r.ID) {
+		return l.shed(ReasonDuplicate, l.cfg.MinRetryAfter)
+	}
+	return Decision{}
+}
+
+// settle takes the arrival's own notice, if any, out of the notices.
+func (l *Limiter) settle(id uint64, d Decision) (Decision, []Notice) {
+	for i, n := range l.out {
+		if n.ID == id {
+			l.out = append(l.out[:i], l.out[i+1:]...)
+			return n.Decision, l.out
+		}
+	}
+	return d, l.out
+}
+
+// Done ends a request that ran and returns the waiting requests to start or
+// shed.
+func (l *Limiter) Done(now time.Duration, id uint64, s Sample) []Notice {
+	l.out = l.out[:0]
+	r, ok := l.running[id]
+	if !ok {
+		l.stats.Unknown++
+		return nil
+	}
+	delete(l.running, id)
+	l.stats.Completed++
+	l.queue.settle(r, s)
+	l.learn(now, s)
+	l.dispatch(now)
+	return l.out
+}
+
+// learn feeds a sample to the estimates. The request has left running.
+func (l *Limiter) learn(now time.Duration, s Sample) {
+	switch s.Outcome {
+	case OutcomeOK:
+		limit := l.Limit()
+		inFlight := l.total() + 1
+		l.service.add(s.Latency)
+		cold := l.ramp.progress(s.Latency, limit, l.limits)
+		l.adaptive.sample(now, s.Latency, inFlight, l.limits.Slots, cold, l.cfg)
+		if l.ramp.suspect(l.adaptive.jumped(l.cfg)) {
+			l.coldStart()
+		}
+	case OutcomeShed:
+		l.stats.Refused++
+		l.adaptive.refused(now, l.total()+1, l.service.mean())
+		l.ramp.refused()
+	}
+}
+
+func (l *Limiter) coldStart() {
+	l.ramp.restart()
+	l.adaptive.forgetRecent()
+	l.stats.ColdStarts++
+}
+
+// Cancel takes a waiting request out of the queue. It reports whether the
+// request waited; one that runs is ended with Done.
+func (l *Limiter) Cancel(now time.Duration, id uint64) bool {
+	if !l.queue.remove(id) {
+		l.stats.Unknown++
+		return false
+	}
+	l.stats.Cancelled++
+	return true
+}
+
+// Expire sheds waiting requests that can no longer meet their deadlines and
+// starts those for which there is room. The caller calls it at NextExpiry and
+// whenever the home has not heard of the target for some time.
+func (l *Limiter) Expire(now time.Duration) []Notice {
+	l.out = l.out[:0]
+	l.review(now)
+	l.dispatch(now)
+	return l.out
+}
+
+// NextExpiry returns the time at which Expire has something to do, or false
+// when nothing waits.
+func (l *Limiter) NextExpiry() (time.Duration, bool) {
+	at, ok := l.queue.earliest()
+	if !ok {
+		return 0, false
+	}
+	at -= l.service.likely(1)
+	if l.foreign.count > 0 {
+		at = min(at, l.foreign.until)
+	}
+	return at, true
+}
+
+// Drain sheds all waiting requests with ReasonDraining and refuses new ones.
+// Requests in flight are ended with Done as before.
+func (l *Limiter) Drain(now time.Duration) []Notice {
+	l.out = l.out[:0]
+	l.draining = true
+	l.queue.each(func(f *flow, w waiter) bool {
+		l.notify(w.id, l.shed(ReasonDraining, l.cfg.MinRetryAfter))
+		return false
+	})
+	return l.out
+}
+
+// SetLimits changes the configured limits. It fails with *ConfigError and
+// then changes nothing. Requests in flight above a lower limit are not ended.
+func (l *Limiter) SetLimits(now time.Duration, limits Limits) ([]Notice, error) {
+	limits, err := limits.normalize()
+	if err != nil {
+		return nil, err
+	}
+	l.out = l.out[:0]
+	l.adaptive.resize(l.limits.Slots, limits.Slots)
+	l.limits = limits
+	l.review(now)
+	l.dispatch(now)
+	return l.out, nil
+}
+
+// Observe takes a report of the target into account: it may begin a cold ramp,
+// and it ends the count of the former home's requests.
+func (l *Limiter) Observe(now time.Duration, r Report) []Notice {
+	l.out = l.out[:0]
+	old := 0
+	for _, q := range l.running {
+		if q.started+l.cfg.ReportLag <= now {
+			old++
+		}
+	}
+	l.foreign.observe(r.InFlight - old)
+	if l.ramp.observe(r, l.limits, l.adaptive.jumped(l.cfg)) {
+		l.coldStart()
+		l.review(now)
+	}
+	l.dispatch(now)
+	return l.out
+}
+
+// Limit returns the concurrency limit in force, 1 to Slots.
+func (l *Limiter) Limit() int {
+	return max(1, min(l.limits.Slots, l.adaptive.value(), l.ramp.limit(l.limits)))
+}
+
+// Stats returns a picture of the limiter at now.
+func (l *Limiter) Stats(now time.Duration) Stats {
+	s := l.stats
+	s.Limit, s.Slots = l.Limit(), l.limits.Slots
+	s.Adaptive, s.Ramp = l.adaptive.value(), l.ramp.limit(l.limits)
+	s.InFlight, s.Foreign, s.Queued = len(l.running), l.foreign.count, l.queue.length
+	s.Service = l.service.mean()
+	s.Wait = l.freeWait(now)
+	s.Cold = s.Ramp < s.Slots
+	s.Draining = l.draining
+	return s
+}
+
+func (l *Limiter) total() int { return len(l.running) + l.foreign.count }
+
+// free returns the number of requests that may start now.
+func (l *Limiter) free(now time.Duration) int {
+	l.foreign.expire(now)
+	return l.Limit() - l.total()
+}
+
+func (l *Limiter) start(now time.Duration, f *flow, id uint64, cost float64) {
+	charged := cost * l.service.mean().Seconds()
+	l.queue.charge(f, charged)
+	l.running[id] = running{flow: f, started: now, charged: charged}
+	l.stats.Started++
+}
+
+func (l *Limiter) shed(reason Reason, after time.Duration) Decision {
+	l.stats.ShedTotal++
+	after = min(max(after, l.cfg.MinRetryAfter), l.cfg.MaxRetryAfter)
+	return Decision{Verdict: Shed, Reason: reason, RetryAfter: after}
+}
+
+func (l *Limiter) notify(id uint64, d Decision) {
+	l.out = append(l.out, Notice{ID: id, Decision: d})
+}
--- /dev/null
+++ b/limits/doc.go
@@ -0,0 +1,33 @@
+// Package limits enforces the contracts of customers over all entry hosts
+// together: credential, permitted workloads, body size, rate and concurrency.
+//
+// # Contract
+//
+// Half of a customer's rate is divided evenly among the entry hosts known from
+// configuration. The other half is lent by the customer's lender, one entry
+// host selected by rendezvous hashing, according to the demand that hosts
+// report, with leases of Config.Lease (2 s). Concurrency is divided the same
+// way, in whole requests.
+//
+//   - A Gate runs on each entry host. It admits requests from the host's even
+//     part and what it has borrowed, and says what to borrow from whom.
+//   - A Lender runs on each entry host, for the customers that hash to it. It
+//     lends a share again only after the lease of the former borrower has
+//     lapsed by the lender's clock, or the borrower has given it back.
+//   - A borrower counts a lease from the moment it sent the request; the lender
+//     from the moment it answered, longer by Config.ClockRateBound. A lease
+//     therefore ends at the borrower first.
+//   - A host that is cut off keeps its even part only.
+//
+// Worst overshoot, with N hosts in the configuration, of a customer with rate R,
+// burst B and concurrency C: in any period T all hosts together admit at most
+// R·T + max(B, N) requests (each host may save up at least one request), plus
+// R/2·Lease for each time that the lender changed within T or the Lease before
+// it. At most C requests are in flight, plus one on each host that is cut off
+// from the lender and has no even part, plus, for one Lease after the lender
+// changed, the lent part; a request that was admitted stays until it ends.
+//
+// The package performs no I/O. All times are durations on the boot-time clock
+// of the host, passed in by the caller. Gate and Lender are not safe for
+// concurrent use. Credentials is immutable and safe.
+package limits
--- /dev/null
+++ b/limits/gate.go
@@ -0,0 +1,342 @@
+package limits
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+)
+
+// Gate enforces contracts on one entry host. It is not safe for concurrent use.
+type Gate struct {
+	cfg         Config
+	incarnation string
+	hosts       Hosts
+	majority    bool
+	customers   map[string]*account
+}
+
+// account is a customer at a gate.
+type account struct {
+	contract contract.Contract
+	even     Demand
+	// lender is the present lender, loan what it lent.
+	lender string
+	loan   loan
+	// former is what an earlier lender lent and has not lapsed.
+	former loan
+	// tokens are the requests saved up; at is when they were counted.
+	tokens float64
+	at     time.Duration
+	// lastUse is the last arrival, nextBorrow when to send the next request.
+	lastUse, nextBorrow time.Duration
+	// contact is the last answer of a lender.
+	contact time.Duration
+	urgent  bool
+	used    bool
+	demand  meter
+	stats   GateStats
+}
+
+// loan is a borrowed share.
+type loan struct {
+	number uint64
+	share  Demand
+	until  time.Duration
+}
+
+func (l loan) at(now time.Duration) Demand {
+	if now >= l.until {
+		return Demand{}
+	}
+	return l.share
+}
+
+// meter measures demand: a moving average of arrivals and the highest
+// concurrency asked for lately.
+type meter struct {
+	count      float64
+	since      time.Duration
+	rate       float64
+	concurrent int
+	peak       int
+}
+
+// meterInterval is the time over which arrivals are counted.
+const meterInterval = 250 * time.Millisecond
+
+func (m *meter) advance(now time.Duration) {
+	d := now - m.since
+	if d < meterInterval {
+		return
+	}
+	r := m.count / d.Seconds()
+	if r > m.rate {
+		m.rate = r
+	} else {
+		// Demand that went away is given up over about a second.
+		m.rate += (r - m.rate) * (1 - math.Exp(-d.Seconds()/0.5))
+	}
+	m.count, m.since = 0, now
+	m.peak, m.concurrent = max(m.concurrent, m.peak/2), 0
+}
+
+// NewGate returns a gate without contracts.
+func NewGate(cfg Config, hosts Hosts, incarnation string) *Gate {
+	g := &Gate{cfg: cfg.withDefaults(), incarnation: incarnation, customers: map[string]*account{}}
+	g.hosts, g.majority = hosts, hosts.majority()
+	return g
+}
+
+// SetContracts replaces the contracts. Customers that remain keep their
+// shares, tokens and requests in flight.
+func (g *Gate) SetContracts(now time.Duration, contracts map[string]contract.Contract) {
+	for name, c := range contracts {
+		a, ok := g.customers[name]
+		if !ok {
+			a = &account{at: now, contact: now, lender: LenderOf(name, g.hosts.Live)}
+			g.customers[name] = a
+			a.contract = c
+			a.even = EvenPart(c, len(g.hosts.Configured))
+			a.tokens = g.depth(a)
+			continue
+		}
+		a.refill(now, g.depth(a))
+		a.contract = c
+		a.even = EvenPart(c, len(g.hosts.Configured))
+		a.tokens = min(a.tokens, g.depth(a))
+	}
+	for name, a := range g.customers {
+		if _, ok := contracts[name]; ok {
+			continue
+		}
+		a.contract.Ended = true
+		if a.stats.InFlight == 0 {
+			delete(g.customers, name)
+		}
+	}
+}
+
+// SetHosts replaces what is known of the entry hosts.
+func (g *Gate) SetHosts(now time.Duration, hosts Hosts) {
+	g.hosts, g.majority = hosts, hosts.majority()
+	for name, a := range g.customers {
+		a.refill(now, g.depth(a))
+		a.even = EvenPart(a.contract, len(hosts.Configured))
+		a.tokens = min(a.tokens, g.depth(a))
+		if l := LenderOf(name, hosts.Live); l != a.lender {
+			a.former, a.loan, a.lender = a.loan, loan{}, l
+			a.urgent = a.used
+			a.nextBorrow = now
+		}
+	}
+}
+
+// depth is the number of requests that a host may save up of a customer.
+func (g *Gate) depth(a *account) float64 {
+	return max(1, a.contract.Burst/float64(max(len(g.hosts.Configured), 1)))
+}
+
+// share returns what the host may use now, of both parts.
+func (a *account) share(now time.Duration) Demand {
+	s := a.even
+	for _, d := range []Demand{a.loan.at(now), a.former.at(now)} {
+		s.Rate += d.Rate
+		s.Concurrency += d.Concurrency
+	}
+	return s
+}
+
+// refill adds the tokens since the last call; a loan counts until it lapses.
+func (a *account) refill(now time.Duration, depth float64) {
+	if now <= a.at {
+		return
+	}
+	add := a.even.Rate * (now - a.at).Seconds()
+	for _, l := range []*loan{&a.loan, &a.former} {
+		if end := min(now, l.until); end > a.at {
+			add += l.share.Rate * (end - a.at).Seconds()
+		}
+	}
+	a.tokens = min(depth, a.tokens+add)
+	a.at = now
+}
+
+// Admit decides on a request; an admitted one is ended with Done. bodyBytes is
+// the declared size of the body, or -1 when it is unknown: the caller then
+// limits the body to MaxBody while it reads.
+func (g *Gate) Admit(now time.Duration, customer, workload string, bodyBytes int64) Decision {
+	a, ok := g.customers[customer]
+	if !ok {
+		return Decision{Code: CodeUnknownCustomer}
+	}
+	if code := a.permits(workload, bodyBytes); code != "" {
+		a.stats.Refused++
+		return Decision{Code: code}
+	}
+	a.refill(now, g.depth(a))
+	a.arrived(now)
+	share := a.share(now)
+	limit := g.concurrency(now, a, share)
+	switch {
+	case a.stats.InFlight >= limit:
+		return g.refuse(now, a, CodeConcurrency, g.cfg.MinRetryAfter)
+	case a.tokens < 1:
+		return g.refuse(now, a, CodeRate, wait(1-a.tokens, share.Rate))
+	}
+	a.tokens--
+	a.stats.InFlight++
+	a.stats.Admitted++
+	return Decision{Admitted: true}
+}
+
+func (a *account) permits(workload string, bodyBytes int64) Code {
+	switch {
+	case a.contract.Ended:
+		return CodeEnded
+	case !slices.Contains(a.contract.Workloads, workload):
+		return CodeWorkload
+	case a.contract.MaxBodyBytes > 0 && bodyBytes > a.contract.MaxBodyBytes:
+		return CodeBody
+	}
+	return ""
+}
+
+func (a *account) arrived(now time.Duration) {
+	a.demand.advance(now)
+	a.demand.count++
+	a.demand.concurrent = max(a.demand.concurrent, a.stats.InFlight+1)
+	a.lastUse = now
+	if !a.used {
+		a.used, a.urgent = true, true
+	}
+}
+
+// concurrency returns the limit of requests in flight on this host: the share,
+// or one when the host has had no contact with a lender for a lease.
+func (g *Gate) concurrency(now time.Duration, a *account, share Demand) int {
+	if share.Concurrency == 0 && (!g.majority || now-a.contact >= g.cfg.Lease) {
+		return 1
+	}
+	return share.Concurrency
+}
+
+func (g *Gate) refuse(now time.Duration, a *account, code Code, after time.Duration) Decision {
+	a.stats.Refused++
+	a.urgent = true
+	after = min(max(after, g.cfg.MinRetryAfter), g.cfg.MaxRetryAfter)
+	return Decision{Code: code, RetryAfter: after, Borrow: g.majority && now >= a.nextBorrow-g.cfg.Renew+urgentInterval}
+}
+
+// urgentInterval is the shortest time between two borrow requests of a customer.
+const urgentInterval = 50 * time.Millisecond
+
+func wait(tokens, rate float64) time.Duration {
+	if !(rate > 0) {
+		return math.MaxInt64
+	}
+	return time.Duration(min(tokens/rate, 1e6) * float64(time.Second))
+}
+
+// Done ends an admitted request.
+func (g *Gate) Done(customer string) {
+	if a, ok := g.customers[customer]; ok && a.stats.InFlight > 0 {
+		a.stats.InFlight--
+		if a.contract.Ended && a.stats.InFlight == 0 {
+			delete(g.customers, customer)
+		}
+	}
+}
+
+// MaxBody returns the limit of the body in bytes, or 0 when the contract sets
+// none.
+func (g *Gate) MaxBody(customer string) int64 {
+	if a, ok := g.customers[customer]; ok {
+		return a.contract.MaxBodyBytes
+	}
+	return 0
+}
+
+// Weight returns the weight of the contract, or 1 for an unknown customer.
+func (g *Gate) Weight(customer string) float64 {
+	if a, ok := g.customers[customer]; ok && a.contract.Weight > 0 {
+		return a.contract.Weight
+	}
+	return 1
+}
+
+// Borrows returns the borrow requests that are due. A minority host and an
+// unused customer borrow nothing. The caller sends each to its Lender and
+// hands the answer to Lent; an answer that does not come changes nothing. A
+// loan whose customer is no longer used is dropped here, and the request
+// returns it.
+func (g *Gate) Borrows(now time.Duration) []Borrow {
+	var out []Borrow
+	for name, a := range g.customers {
+		if !a.used || !g.majority || a.lender == "" {
+			continue
+		}
+		due := a.nextBorrow
+		if a.urgent {
+			due = a.nextBorrow - g.cfg.Renew + urgentInterval
+		}
+		if now < due {
+			continue
+		}
+		out = append(out, g.borrow(now, name, a))
+	}
+	return out
+}
+
+func (g *Gate) borrow(now time.Duration, name string, a *account) Borrow {
+	a.refill(now, g.depth(a))
+	a.demand.advance(now)
+	a.urgent = false
+	a.nextBorrow = now + g.cfg.Renew
+	b := Borrow{
+		Customer: name, Host: g.hosts.Self, Incarnation: g.incarnation, Lender: a.lender,
+		Lent: a.loan.number, SentAt: now,
+		InUse: max(0, a.stats.InFlight-a.even.Concurrency),
+	}
+	if now-a.lastUse >= g.cfg.IdleReturn && a.stats.InFlight == 0 {
+		a.used = false
+		a.loan.share, a.former = Demand{}, loan{}
+		return b
+	}
+	rate := max(a.demand.rate, a.demand.count/meterInterval.Seconds())
+	b.Want = Demand{
+		// A quarter more than was seen leaves room for growth.
+		Rate:        max(0, 1.25*rate-a.even.Rate),
+		Concurrency: max(0, max(a.demand.peak, a.demand.concurrent, a.stats.InFlight)+1-a.even.Concurrency),
+	}
+	b.Holds = a.former.at(now)
+	b.HoldsMS = int64(max(0, a.former.until-now) / time.Millisecond)
+	return b
+}
+
+// Lent takes the answer to a borrow request into account.
+func (g *Gate) Lent(now time.Duration, b Borrow, l Loan) {
+	a, ok := g.customers[b.Customer]
+	if !ok || l.Customer != b.Customer || l.Lender != a.lender || b.Lender != a.lender {
+		return
+	}
+	a.contact = now
+	if l.Refused != "" || l.Number <= a.loan.number || !a.used {
+		return
+	}
+	a.refill(now, g.depth(a))
+	lease := min(time.Duration(l.LeaseMS)*time.Millisecond, g.cfg.Lease)
+	a.loan = loan{number: l.Number, share: l.Share, until: b.SentAt + lease}
+}
+
+// Stats returns a picture of a customer, or false when it is unknown.
+func (g *Gate) Stats(now time.Duration, customer string) (GateStats, bool) {
+	a, ok := g.customers[customer]
+	if !ok {
+		return GateStats{}, false
+	}
+	s := a.stats
+	s.Even, s.Lent = a.even, a.loan.at(now)
+	return s, true
+}
--- /dev/null
+++ b/retry/outcome.go
@@ -0,0 +1,68 @@
+package retry
+
+// Outcome says whether a request was run by a target.
+type Outcome string
+
+// Outcomes.
+const (
+	// NotRun: no target has run the request and none will.
+	NotRun Outcome = "not_run"
+	// MayHaveRun: it is unknown whether a target has run the request.
+	MayHaveRun Outcome = "may_have_run"
+	// Ran: a target has run the request.
+	Ran Outcome = "ran"
+)
+
+// Valid reports whether o is one of the outcomes.
+func (o Outcome) Valid() bool { return o == NotRun || o == MayHaveRun || o == Ran }
+
+// Attempt is what is known of one attempt to have a request run.
+type Attempt struct {
+	// Idempotent says that the request may be run more than once.
+	Idempotent bool
+	// Reached says that at least one byte of the request was handed to a
+	// connection to a target, or to another entry host that did not answer.
+	Reached bool
+	// Said is the outcome that the target, or the home on its behalf, gave; it
+	// is empty when there was no answer.
+	Said Outcome
+	// Complete says that a whole response of the target was received.
+	Complete bool
+}
+
+// Outcome returns the outcome of the attempt.
+func (a Attempt) Outcome() Outcome {
+	switch {
+	case a.Complete && a.Said == "":
+		return Ran
+	case a.Said.Valid():
+		return a.Said
+	case !a.Reached:
+		return NotRun
+	}
+	return MayHaveRun
+}
+
+// Retryable reports whether the request may be sent again after the attempt.
+// Budget and deadline are checked apart from this.
+func (a Attempt) Retryable() bool {
+	switch a.Outcome() {
+	case NotRun:
+		return true
+	case Ran:
+		return false
+	}
+	return a.Idempotent
+}
+
+// Join returns the outcome of a request over two successive or parallel
+// attempts: it is not_run only when both are.
+func Join(a, b Outcome) Outcome {
+	switch {
+	case a == Ran || b == Ran:
+		return Ran
+	case a == NotRun && b == NotRun:
+		return NotRun
+	}
+	return MayHaveRun
+}
