Add fault-injecting TCP proxy

Faults are set for a class of connections, named from the remote address, since a target has one address for the callers of all domains. Held bytes are delivered when a cut ends, as TCP does after a partition, so that late answers occur.

--- /dev/null
+++ b/internal/faultproxy/proxy.go
@@ -0,0 +1,298 @@
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+)
+
+const (
+	// chunkBytes is the size of one read.
+	chunkBytes = 16 << 10
+	// queuedChunks limits what a direction of a connection holds: 256 KiB.
+	// When it is full the sender is no longer read, as with a full TCP window.
+	queuedChunks = 16
+	// dialTimeout limits connecting to the server.
+	dialTimeout = 2 * time.Second
+)
+
+type direction int
+
+const (
+	up direction = iota
+	down
+)
+
+// Options describe a proxy.
+type Options struct {
+	// Listen is the address to listen on. Default 127.0.0.1:0.
+	Listen string
+	// Upstream is the address of the server.
+	Upstream string
+	// Classify names the class of a connection by its remote address.
+	Classify func(remote net.Addr) string
+}
+
+// Proxy is one proxy in front of one server.
+type Proxy struct {
+	opts  Options
+	ln    net.Listener
+	table *table
+
+	mu    sync.Mutex
+	pairs map[*pair]struct{}
+	done  bool
+	wg    sync.WaitGroup
+}
+
+// New opens the listener of a proxy. Serve must be called to accept.
+func New(o Options) (*Proxy, error) {
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &Proxy{opts: o, ln: ln, table: newTable(), pairs: map[*pair]struct{}{}}, nil
+}
+
+// Addr returns the address that the proxy listens on.
+func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+
+// String implements fmt.Stringer.
+func (p *Proxy) String() string { return "faultproxy " + p.Addr() + " to " + p.opts.Upstream }
+
+// Faults returns the faults of a class.
+func (p *Proxy) Faults(class string) Faults {
+	f, _ := p.table.get(class)
+	return f
+}
+
+// SetFaults sets the faults of a class. Existing connections see them at once.
+func (p *Proxy) SetFaults(class string, f Faults) {
+	p.table.set(class, f)
+	if f.Cut != CutReset {
+		return
+	}
+	for _, c := range p.matching(func(c *pair) bool { return p.Faults(c.class).Cut == CutReset }) {
+		c.close()
+	}
+}
+
+// Silence makes the existing connections of the classes, or of all, stop
+// carrying bytes for good, and returns their number. They stay open.
+func (p *Proxy) Silence(classes ...string) int {
+	found := p.matching(func(c *pair) bool { return len(classes) == 0 || slices.Contains(classes, c.class) })
+	for _, c := range found {
+		c.silence()
+	}
+	return len(found)
+}
+
+// Connections returns the number of open connections.
+func (p *Proxy) Connections() int { return len(p.matching(func(*pair) bool { return true })) }
+
+func (p *Proxy) matching(match func(*pair) bool) []*pair {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*pair
+	for c := range p.pairs {
+		if match(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Serve implements suture.Service. It closes all connections before it returns.
+func (p *Proxy) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.ln.Close() })
+	defer stop()
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			p.closeAll()
+			return suture.ErrDoNotRestart
+		}
+		p.wg.Go(func() { p.handle(c) })
+	}
+}
+
+func (p *Proxy) closeAll() {
+	p.mu.Lock()
+	p.done = true
+	p.mu.Unlock()
+	for _, c := range p.matching(func(*pair) bool { return true }) {
+		c.close()
+	}
+	p.wg.Wait()
+}
+
+func (p *Proxy) handle(client net.Conn) {
+	class := ""
+	if p.opts.Classify != nil {
+		class = p.opts.Classify(client.RemoteAddr())
+	}
+	if p.Faults(class).Cut == CutReset {
+		reset(client)
+		return
+	}
+	server, err := net.DialTimeout("tcp", p.opts.Upstream, dialTimeout)
+	if err != nil {
+		reset(client)
+		return
+	}
+	c := &pair{p: p, class: class, client: client, server: server, opened: time.Now(), closed: make(chan struct{})}
+	if !p.add(c) {
+		c.close()
+		return
+	}
+	defer p.remove(c)
+	var pumps sync.WaitGroup
+	pumps.Go(func() { c.pump(up, client, server) })
+	pumps.Go(func() { c.pump(down, server, client) })
+	pumps.Wait()
+	c.close()
+}
+
+func (p *Proxy) add(c *pair) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done {
+		return false
+	}
+	p.pairs[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(c *pair) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pairs, c)
+}
+
+// reset closes a connection with RST, so that the client sees an error and not
+// the end of a stream.
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// pair is a connection of a client and the one to the server.
+type pair struct {
+	p              *Proxy
+	class          string
+	client, server net.Conn
+	opened         time.Time
+	silent         atomic.Bool
+	once           sync.Once
+	closed         chan struct{}
+}
+
+func (c *pair) close() {
+	c.once.Do(func() {
+		close(c.closed)
+		reset(c.client)
+		reset(c.server)
+	})
+}
+
+// silence stops both directions. The next check before a write sees it.
+func (c *pair) silence() { c.silent.Store(true) }
+
+// chunk is a piece of a stream and the time when it arrived.
+type chunk struct {
+	data []byte
+	at   time.Time
+	// eof marks the end of the stream.
+	eof bool
+}
+
+func (c *pair) pump(d direction, from, to net.Conn) {
+	queue := make(chan chunk, queuedChunks)
+	go c.read(from, queue)
+	for {
+		select {
+		case <-c.closed:
+			return
+		case x := <-queue:
+			if !c.await(d, x.at) {
+				return
+			}
+			if x.eof {
+				closeWrite(to)
+				return
+			}
+			if d == down && c.p.table.takeLoss(c.class) {
+				c.close()
+				return
+			}
+			if _, err := to.Write(x.data); err != nil {
+				c.close()
+				return
+			}
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.CloseWrite()
+	}
+}
+
+func (c *pair) read(from net.Conn, queue chan<- chunk) {
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := from.Read(buf)
+		x := chunk{data: buf[:n], at: time.Now(), eof: n == 0 && err != nil}
+		if n > 0 || err != nil {
+			select {
+			case queue <- x:
+			case <-c.closed:
+				return
+			}
+		}
+		if x.eof {
+			return
+		}
+	}
+}
+
+// await blocks until a byte that arrived at the given time may be delivered.
+// It returns false when the connection was closed.
+func (c *pair) await(d direction, at time.Time) bool {
+	for {
+		f, changed := c.p.table.get(c.class)
+		if c.silent.Load() {
+			<-c.closed
+			return false
+		}
+		due := at.Add(f.delay(d))
+		if first := c.opened.Add(f.ConnectDelay + f.delay(d)); first.After(due) {
+			due = first
+		}
+		var wait <-chan time.Time
+		if !f.holds(d) {
+			left := time.Until(due)
+			if left <= 0 {
+				return true
+			}
+			wait = time.After(left)
+		}
+		select {
+		case <-wait:
+		case <-changed:
+		case <-c.closed:
+			return false
+		}
+	}
+}
