Start offsets at 1 and add tests of the control plane

Cause: an offset of 0 is used for 'none' in versions made from offsets, and the stand-in log already starts at 1.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/internal/peer"
+	"github.com/boragelock/boragelock/internal/standin"
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// testSystem runs entry hosts' control planes in one process against
+// stand-ins on loopback.
+type testSystem struct {
+	t       *testing.T
+	dep     contract.Deployment
+	log     *standin.Log
+	logAddr string
+	targets map[string]*standin.Target
+	servers map[string]*httptest.Server
+	hosts   map[string]*testHost
+}
+
+type testHost struct {
+	*Control
+	cancel context.CancelFunc
+	done   <-chan error
+	peers  *peer.Client
+}
+
+const testShards = 32
+
+// newTestSystem starts stand-ins for the log and for targets in each domain.
+func newTestSystem(t *testing.T, domains, targetsEach int) *testSystem {
+	t.Helper()
+	s := &testSystem{
+		t: t, log: standin.NewLog(standin.LogConfig{}), targets: map[string]*standin.Target{},
+		servers: map[string]*httptest.Server{}, hosts: map[string]*testHost{},
+	}
+	ls := httptest.NewServer(s.log)
+	t.Cleanup(ls.Close)
+	s.logAddr = ls.Listener.Addr().String()
+	s.dep = contract.Deployment{
+		Name: "test", IsolatedServeMS: -1,
+		Workloads: []contract.Workload{{Name: "lookups", Keyed: true, Shards: testShards, Fencing: true}},
+	}
+	for d := range domains {
+		domain := fmt.Sprintf("d%d", d)
+		s.dep.Domains = append(s.dep.Domains, contract.Domain{Name: domain})
+		for i := range targetsEach {
+			s.addTarget(fmt.Sprintf("%s-t%d", domain, i), domain)
+		}
+	}
+	return s
+}
+
+func (s *testSystem) addTarget(name, domain string) {
+	tg := standin.NewTarget(standin.TargetConfig{
+		Name: name, Workload: "lookups", Domain: domain, Keyed: true, Shards: testShards, Fencing: true,
+	}, standin.NewRecorder(nil, true))
+	srv := httptest.NewServer(tg)
+	s.t.Cleanup(srv.Close)
+	s.targets[name], s.servers[name] = tg, srv
+	s.dep.Targets = append(s.dep.Targets, contract.Target{
+		Name: name, Workload: "lookups", Domain: domain, Addr: srv.Listener.Addr().String(), Slots: 2, Connections: 130,
+	})
+}
+
+// start runs one entry host.
+func (s *testSystem) start(name, domain, incarnation string) *testHost {
+	s.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h := &testHost{peers: &peer.Client{}}
+	h.Control = New(Config{
+		Self:      view.Self{Name: name, Domain: domain, Incarnation: incarnation, HTTPAddr: "127.0.0.1:1"},
+		PeerAddr:  ln.Addr().String(),
+		Bootstrap: &s.dep, Peers: h.peers,
+		Log:    httpplatform.NewLog(s.logAddr, httpplatform.Options{}),
+		Target: func(addr string) platform.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
+	})
+	server := &peer.Server{Listener: ln}
+	h.Register(server)
+	sup := suture.New(name, suture.Spec{EventHook: func(suture.Event) {}})
+	for _, svc := range h.Services() {
+		sup.Add(svc)
+	}
+	sup.Add(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.done = cancel, sup.ServeBackground(ctx)
+	s.hosts[name] = h
+	s.t.Cleanup(func() { s.kill(name) })
+	return h
+}
+
+// kill ends a host without a planned stop.
+func (s *testSystem) kill(name string) {
+	h := s.hosts[name]
+	if h == nil {
+		return
+	}
+	delete(s.hosts, name)
+	h.cancel()
+	<-h.done
+	h.peers.Close()
+}
+
+// killTarget makes a target refuse connections.
+func (s *testSystem) killTarget(name string) {
+	s.servers[name].CloseClientConnections()
+	s.servers[name].Listener.Close()
+}
+
+// eventually waits for a condition and returns how long it took.
+func (s *testSystem) eventually(limit time.Duration, what string, cond func() bool) time.Duration {
+	s.t.Helper()
+	start := time.Now()
+	for time.Since(start) < limit {
+		if cond() {
+			return time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Fatalf("%s: not within %v", what, limit)
+	return 0
+}
+
+// serving reports whether each shard is active at one target that is not
+// among the excluded ones, in the view of a host, and each target has a home
+// with a permit.
+func (s *testSystem) serving(h *testHost, excluded ...string) bool {
+	v := h.View()
+	if v == nil || v.State.Table.Workloads["lookups"] == nil {
+		return false
+	}
+	for _, sh := range v.State.Table.Workloads["lookups"].Shards {
+		if !sh.Active() || contains(excluded, sh.Owner) || !s.permitted(v, sh.Owner) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *testSystem) permitted(v *view.View, target string) bool {
+	home, ok := s.hosts[v.Homes[target].Host]
+	return ok && home.Permit(target) > 0
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *testSystem) startAll(domains, each int) *testHost {
+	var first *testHost
+	for d := range domains {
+		for i := range each {
+			h := s.start(fmt.Sprintf("d%d-e%d", d, i), fmt.Sprintf("d%d", d), "1")
+			if first == nil {
+				first = h
+			}
+		}
+	}
+	s.eventually(10*time.Second, "all shards served", func() bool { return s.serving(first) })
+	return first
+}
+
+// The shards of a target that dies must be served by others within 2 s, and
+// no other shard may move.
+func TestLostTargetIsReplacedWithinTwoSeconds(t *testing.T) {
+	s := newTestSystem(t, 2, 3)
+	h := s.startAll(2, 2)
+	before := h.View().State.Table.Clone()
+	s.killTarget("d0-t1")
+	took := s.eventually(5*time.Second, "shards of the lost target served", func() bool { return s.serving(h, "d0-t1") })
+	t.Logf("served again after %v", took)
+	if took > 2*time.Second {
+		t.Errorf("served again after %v, want at most 2s", took)
+	}
+	after := h.View().State.Table
+	for n, sh := range before.Workloads["lookups"].Shards {
+		if now := after.Workloads["lookups"].Shards[n]; sh.Owner != "d0-t1" && now != sh {
+			t.Errorf("shard %d of a living target moved: %+v to %+v", n, sh, now)
+		}
+	}
+}
+
+// A log that is down must not end the leases of living targets.
+func TestLogOutageKeepsLeases(t *testing.T) {
+	s := newTestSystem(t, 1, 2)
+	s.startAll(1, 3)
+	s.log.SetSwitches(standin.LogSwitches{Down: standin.DownSilent})
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		for name, tg := range s.targets {
+			if !leased(tg) {
+				t.Fatalf("lease of %s ended while the log was down", name)
+			}
+		}
+	}
+}
+
+// The other granters must go on when the first one dies.
+func TestLostGranterKeepsLeases(t *testing.T) {
+	s := newTestSystem(t, 1, 2)
+	s.startAll(1, 4)
+	leader := s.hosts["d0-e1"].View().State.Granters["d0"].Members[0].Host
+	s.kill(leader)
+	var h *testHost
+	for _, x := range s.hosts {
+		h = x
+	}
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		for name, tg := range s.targets {
+			if !leased(tg) {
+				t.Fatalf("lease of %s ended when the leading granter died", name)
+			}
+		}
+	}
+	s.eventually(5*time.Second, "homes moved off the dead host", func() bool { return s.serving(h) })
+}
+
+// leased reports whether a target holds a valid lease on all that it was
+// granted.
+func leased(tg *standin.Target) bool { return tg.Leased() }
--- /dev/null
+++ b/internal/standin/leased.go
@@ -0,0 +1,8 @@
+package standin
+
+// Leased reports whether the target holds shards under a valid lease.
+func (t *Target) Leased() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.fence.held) > 0 && MonoNow() < t.fence.leaseEnd
+}
--- a/journal/state.go
+++ b/journal/state.go
@@ -40,9 +40,14 @@
 	recentSet map[string]bool
 }
 
+// FirstOffset is the offset of the first record of a log. It is not 0, so
+// that 0 can mean "none" in versions made from offsets.
+const FirstOffset = 1
+
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
+		Next:  FirstOffset,
 		Table: ownership.NewTable(), Granters: map[string]Granters{},
 		Entries: map[string]EntryHost{}, TargetVersion: map[string]int64{},
 		recentSet: map[string]bool{},
