--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -44,10 +44,15 @@
 	ln    net.Listener
 	table *table
 
+	carried atomic.Int64
+
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
-	done  bool
-	wg    sync.WaitGroup
+	// closed is set while new connections are refused.
+	closed bool
+	reopen chan struct{}
+	done   bool
+	wg     sync.WaitGroup
 }
 
 // New opens the listener of a proxy. Serve must be called to accept.
@@ -59,11 +64,39 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Proxy{opts: o, ln: ln, table: newTable(), pairs: map[*pair]struct{}{}}, nil
+	o.Listen = ln.Addr().String()
+	return &Proxy{opts: o, ln: ln, table: newTable(), pairs: map[*pair]struct{}{}, reopen: make(chan struct{}, 1)}, nil
 }
 
 // Addr returns the address that the proxy listens on.
-func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+func (p *Proxy) Addr() string { return p.opts.Listen }
+
+// Carried returns the number of bytes delivered in both directions.
+func (p *Proxy) Carried() int64 { return p.carried.Load() }
+
+// Refuse closes the listener, so that new connections are refused as by a host
+// without the server, or opens it again. Existing connections stay.
+func (p *Proxy) Refuse(refuse bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done || p.closed == refuse {
+		return nil
+	}
+	if refuse {
+		p.closed = true
+		return p.ln.Close()
+	}
+	ln, err := net.Listen("tcp", p.opts.Listen)
+	if err != nil {
+		return err
+	}
+	p.ln, p.closed = ln, false
+	select {
+	case p.reopen <- struct{}{}:
+	default:
+	}
+	return nil
+}
 
 // String implements fmt.Stringer.
 func (p *Proxy) String() string { return "faultproxy " + p.Addr() + " to " + p.opts.Upstream }
@@ -112,22 +145,41 @@
 
 // Serve implements suture.Service. It closes all connections before it returns.
 func (p *Proxy) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = p.ln.Close() })
+	stop := context.AfterFunc(ctx, p.stop)
 	defer stop()
 	for {
-		c, err := p.ln.Accept()
-		if err != nil {
+		ln := p.listener()
+		if c, err := ln.Accept(); err == nil {
+			p.wg.Go(func() { p.handle(c) })
+			continue
+		}
+		if ctx.Err() == nil && p.listener() == ln {
+			select {
+			case <-p.reopen:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
 			p.closeAll()
 			return suture.ErrDoNotRestart
 		}
-		p.wg.Go(func() { p.handle(c) })
 	}
 }
 
-func (p *Proxy) closeAll() {
+func (p *Proxy) listener() net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ln
+}
+
+func (p *Proxy) stop() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.done = true
-	p.mu.Unlock()
+	_ = p.ln.Close()
+}
+
+func (p *Proxy) closeAll() {
 	for _, c := range p.matching(func(*pair) bool { return true }) {
 		c.close()
 	}
@@ -239,6 +291,7 @@
 				c.close()
 				return
 			}
+			c.p.carried.Add(int64(len(x.data)))
 		}
 	}
 }
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -98,6 +98,18 @@
 			_, _, err = call()
 			So(err, ShouldBeNil)
 		})
+		Convey("refuses new connections until it is opened again", func() {
+			for range 3 {
+				So(p.Refuse(true), ShouldBeNil)
+				client.CloseIdleConnections()
+				_, took, err := call()
+				So(err, ShouldNotBeNil)
+				So(took, ShouldBeLessThan, 100*time.Millisecond)
+				So(p.Refuse(false), ShouldBeNil)
+				_, _, err = call()
+				So(err, ShouldBeNil)
+			}
+		})
 		Convey("is controlled over HTTP", func() {
 			admin := httptest.NewServer(p.Admin())
 			defer admin.Close()
--- a/internal/httpplatform/client.go
+++ b/internal/httpplatform/client.go
@@ -64,7 +64,10 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &client{base: "http://" + addr, http: &http.Client{
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	return &client{base: strings.TrimSuffix(addr, "/"), http: &http.Client{
 		Transport:     tr,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/internal/httpplatform/platform.go
+++ b/internal/httpplatform/platform.go
@@ -34,7 +34,7 @@
 // Log implements platform.Log.
 type Log struct{ *client }
 
-// NewLog returns the log at addr (host:port).
+// NewLog returns the log at addr (host:port or URL).
 func NewLog(addr string, o Options) *Log { return &Log{newClient(addr, o)} }
 
 // Append implements platform.Log.
@@ -72,7 +72,7 @@
 // HostList implements platform.HostList.
 type HostList struct{ *client }
 
-// NewHostList returns the list of hosts at addr (host:port).
+// NewHostList returns the list of hosts at addr (host:port or URL).
 func NewHostList(addr string, o Options) *HostList { return &HostList{newClient(addr, o)} }
 
 // Hosts implements platform.HostList.
@@ -87,7 +87,7 @@
 // Target implements platform.Target.
 type Target struct{ *client }
 
-// NewTarget returns the control side of the target at addr (host:port).
+// NewTarget returns the control side of the target at addr (host:port or URL).
 func NewTarget(addr string, o Options) *Target { return &Target{newClient(addr, o)} }
 
 // Grant implements platform.Target.
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -48,14 +49,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lag := time.Duration(h.switches.LagMS) * time.Millisecond
-	h.pending = append(h.pending, hostChange{at: MonoNow() + lag, host: host})
+	h.pending = append(h.pending, hostChange{at: boottime.Now() + lag, host: host})
 }
 
 // List returns the hosts as the list shows them now, by name.
 func (h *Hosts) List() []platform.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := MonoNow()
+	now := boottime.Now()
 	for len(h.pending) > 0 && h.pending[0].at <= now {
 		x := h.pending[0].host
 		h.pending = h.pending[1:]
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -157,7 +158,7 @@
 }
 
 func (l *Log) append(data []byte) int64 {
-	l.entries = append(l.entries, logEntry{data: data, at: MonoNow()})
+	l.entries = append(l.entries, logEntry{data: data, at: boottime.Now()})
 	l.expire()
 	l.wake()
 	return l.first + int64(len(l.entries)) - 1
@@ -166,7 +167,7 @@
 // expire drops what exceeds the retention, by count and by age.
 func (l *Log) expire() {
 	n := max(0, len(l.entries)-l.cfg.RetainRecords)
-	oldest := MonoNow() - l.cfg.RetainFor
+	oldest := boottime.Now() - l.cfg.RetainFor
 	for n < len(l.entries) && l.entries[n].at < oldest {
 		n++
 	}
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -87,7 +88,7 @@
 	}
 	out.shard, out.epoch = int32(shard), epoch
 	if h.Get(platform.HeaderDeadlineMS) != "" {
-		out.deadline = MonoNow() + time.Duration(left)*time.Millisecond
+		out.deadline = boottime.Now() + time.Duration(left)*time.Millisecond
 	}
 	return out
 }
@@ -129,7 +130,7 @@
 func (t *Target) begin(x *run) (time.Duration, int, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := MonoNow()
+	now := boottime.Now()
 	switch {
 	case now < t.fallen:
 		return 0, http.StatusServiceUnavailable, platform.RefusalShed
@@ -196,7 +197,7 @@
 func (t *Target) finish(ctx context.Context, x *run, outcome RunOutcome) RunOutcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := MonoNow()
+	now := boottime.Now()
 	if outcome == RunEffect {
 		switch {
 		case ctx.Err() != nil, x.incarnation != t.fence.incarnation:
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -147,7 +148,7 @@
 	if t.fence != nil {
 		session = t.fence.session + 1
 	}
-	t.fence = newFence(fmt.Sprintf("%s-%x", t.cfg.Name, uint64(MonoNow())), t.cfg.Shards)
+	t.fence = newFence(fmt.Sprintf("%s-%x", t.cfg.Name, uint64(boottime.Now())), t.cfg.Shards)
 	t.fence.session = session
 	t.running = map[*run]struct{}{}
 	t.cold, t.warmth, t.fallen = cold, 0, 0
@@ -192,7 +193,7 @@
 
 // event records an event. The mutex is held.
 func (t *Target) event(k EventKind) {
-	now := int64(MonoNow())
+	now := int64(boottime.Now())
 	t.recorder.Add(Record{Target: t.cfg.Name, Incarnation: t.fence.incarnation, Event: k,
 		StartMono: now, EndMono: now, StartWall: time.Now()})
 }
@@ -234,7 +235,7 @@
 	if len(t.history) >= maxLoadSamples {
 		t.history = append(t.history[:0], t.history[maxLoadSamples/2:]...)
 	}
-	t.history = append(t.history, loadSample{at: MonoNow(), load: t.load()})
+	t.history = append(t.history, loadSample{at: boottime.Now(), load: t.load()})
 }
 
 // report returns the load as the target reports it. The mutex is held.
@@ -245,7 +246,7 @@
 	if t.switches.LoadLagMS <= 0 {
 		return t.load()
 	}
-	asOf := MonoNow() - time.Duration(t.switches.LoadLagMS)*time.Millisecond
+	asOf := boottime.Now() - time.Duration(t.switches.LoadLagMS)*time.Millisecond
 	l := t.history[0].load
 	for _, s := range t.history {
 		if s.at > asOf {
@@ -313,7 +314,7 @@
 func (t *Target) Grant(g platform.Grant) (platform.GrantReply, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := MonoNow()
+	now := boottime.Now()
 	if now < t.fallen {
 		return platform.GrantReply{}, false
 	}
@@ -335,7 +336,7 @@
 
 func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
-	l, fallen := t.report(), MonoNow() < t.fallen
+	l, fallen := t.report(), boottime.Now() < t.fallen
 	t.mu.Unlock()
 	if fallen {
 		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
