--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,13 +1,17 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/boragelock/boragelock/contract"
@@ -15,6 +19,7 @@
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/internal/standin"
 	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -35,15 +40,41 @@
 	cancel context.CancelFunc
 	done   <-chan error
 	peers  *peer.Client
+	logCut atomic.Bool
+}
+
+// cuttableLog fails for one host only.
+type cuttableLog struct {
+	platform.Log
+	cut *atomic.Bool
+}
+
+func (l *cuttableLog) Append(ctx context.Context, data []byte) (int64, error) {
+	if l.cut.Load() {
+		return 0, &platform.Error{Op: "log.append", Code: platform.CodeUnavailable, Detail: "cut"}
+	}
+	return l.Log.Append(ctx, data)
+}
+
+func (l *cuttableLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	if l.cut.Load() {
+		return platform.Batch{}, &platform.Error{Op: "log.read", Code: platform.CodeUnavailable, Detail: "cut"}
+	}
+	return l.Log.Read(ctx, from, limit, wait)
 }
 
 const testShards = 32
 
 // newTestSystem starts stand-ins for the log and for targets in each domain.
 func newTestSystem(t *testing.T, domains, targetsEach int) *testSystem {
+	t.Helper()
+	return newTestSystemWithLog(t, domains, targetsEach, standin.LogConfig{})
+}
+
+func newTestSystemWithLog(t *testing.T, domains, targetsEach int, logCfg standin.LogConfig) *testSystem {
 	t.Helper()
 	s := &testSystem{
-		t: t, log: standin.NewLog(standin.LogConfig{}), targets: map[string]*standin.Target{},
+		t: t, log: standin.NewLog(logCfg), targets: map[string]*standin.Target{},
 		servers: map[string]*httptest.Server{}, hosts: map[string]*testHost{},
 	}
 	ls := httptest.NewServer(s.log)
@@ -77,19 +108,26 @@
 
 // start runs one entry host.
 func (s *testSystem) start(name, domain, incarnation string) *testHost {
+	s.t.Helper()
+	return s.startWith(name, domain, incarnation, func(*Config) {})
+}
+
+func (s *testSystem) startWith(name, domain, incarnation string, adjust func(*Config)) *testHost {
 	s.t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	h := &testHost{peers: &peer.Client{}}
-	h.Control = New(Config{
+	cfg := Config{
 		Self:      view.Self{Name: name, Domain: domain, Incarnation: incarnation, HTTPAddr: "127.0.0.1:1"},
 		PeerAddr:  ln.Addr().String(),
-		Bootstrap: &s.dep, Peers: h.peers,
-		Log:    httpplatform.NewLog(s.logAddr, httpplatform.Options{}),
+		Bootstrap: &s.dep, Peers: h.peers, Logger: testLogger(name),
+		Log:    &cuttableLog{Log: httpplatform.NewLog(s.logAddr, httpplatform.Options{}), cut: &h.logCut},
 		Target: func(addr string) platform.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
-	})
+	}
+	adjust(&cfg)
+	h.Control = New(cfg)
 	server := &peer.Server{Listener: ln}
 	h.Register(server)
 	sup := suture.New(name, suture.Spec{EventHook: func(suture.Event) {}})
@@ -104,6 +142,11 @@
 	return h
 }
 
+// testLogger writes to standard error when BORAGELOCK_TEST_LOG names a level.
+func testLogger(name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(cmp.Or(os.Getenv("BORAGELOCK_TEST_LOG"), "off"))})
+}
+
 // kill ends a host without a planned stop.
 func (s *testSystem) kill(name string) {
 	h := s.hosts[name]
@@ -239,3 +282,41 @@
 // leased reports whether a target holds a valid lease on all that it was
 // granted.
 func leased(tg *standin.Target) bool { return tg.Leased() }
+
+// A host that starts after the log has dropped its first records must begin
+// from a snapshot, from the log or from a peer while the log is down.
+func TestNewHostStartsFromSnapshot(t *testing.T) {
+	s := newTestSystemWithLog(t, 1, 2, standin.LogConfig{RetainRecords: 3})
+	h := s.startAll(1, 2)
+	if err := h.writeSnapshot(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	late := s.start("d0-e7", "d0", "1")
+	s.eventually(5*time.Second, "state from the log", func() bool { return s.serving(late) })
+
+	s.log.SetSwitches(standin.LogSwitches{Down: standin.DownRefuse})
+	seeds := []string{h.cfg.PeerAddr}
+	other := s.startWith("d0-e8", "d0", "1", func(c *Config) { c.SeedPeers = seeds })
+	s.eventually(5*time.Second, "state from a peer", func() bool { return s.serving(other) })
+}
+
+// A change that was accepted must not be undone by a host that returns with
+// an older state, and must reach hosts that cannot read the log.
+func TestChangeReachesHostsCutOffFromTheLog(t *testing.T) {
+	s := newTestSystem(t, 2, 1)
+	h := s.startAll(2, 1)
+	other := s.hosts["d1-e0"]
+	other.logCut.Store(true)
+	ch := contract.Change{FromVersion: h.View().State.Config.Version, Operator: "test", Items: []contract.Item{{Isolated: &contract.Isolation{ServeMS: 5000}}}}
+	start := time.Now()
+	res, err := h.Append(context.Background(), journal.KindChange, ch)
+	if err != nil || res.Outcome != journal.Applied {
+		t.Fatalf("change: %v %v", res, err)
+	}
+	s.eventually(4*time.Second, "change in force", func() bool { return other.View().State.Config.IsolatedServeMS == 5000 })
+	t.Logf("in force through a peer after %v", time.Since(start))
+	res, err = h.Append(context.Background(), journal.KindChange, ch)
+	if err != nil || res.Outcome != journal.Refused {
+		t.Fatalf("second change from the same version: %v %v, want refused", res, err)
+	}
+}
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -77,6 +77,7 @@
 	return &Follower{
 		now: now, wait: wait, log: log, state: journal.NewState(),
 		change: make(chan struct{}), results: map[string]journal.Result{},
+		pos: Position{Next: journal.FirstOffset},
 	}
 }
 
--- a/internal/control/sources.go
+++ b/internal/control/sources.go
@@ -73,10 +73,7 @@
 // first returns the oldest offset that the log holds.
 func (s *logSource) first(ctx context.Context) (int64, error) {
 	b, err := s.log.Read(ctx, 0, 1, 0)
-	if err != nil && b.First == 0 {
-		return 0, err
-	}
-	return b.First, nil
+	return b.First, err
 }
 
 func snapshotPart(data []byte) (journal.Snapshot, bool) {
--- a/internal/httpplatform/platform.go
+++ b/internal/httpplatform/platform.go
@@ -56,6 +56,9 @@
 	if err := l.do(ctx, "log.read", http.MethodGet, path, nil, &out); err != nil {
 		return platform.Batch{}, err
 	}
+	if from == 0 {
+		from = out.First
+	}
 	for i, r := range out.Records {
 		if r.Offset != from+int64(i) {
 			return platform.Batch{}, &platform.Error{Op: "log.read", Code: platform.CodeMalformed,
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -233,6 +233,9 @@
 	defer l.mu.Unlock()
 	l.expire()
 	b := platform.Batch{First: l.first, End: l.first + int64(len(l.entries)), Records: []platform.Record{}}
+	if from == 0 {
+		from = l.first
+	}
 	if from < l.first {
 		return b, l.switches.Down, l.changed, false
 	}
@@ -262,7 +265,7 @@
 		case !held:
 			http.Error(w, "expired", http.StatusGone)
 			return
-		case len(b.Records) > 0 || from > b.End || expired:
+		case len(b.Records) > 0 || from > b.End || expired || from == 0:
 			writeJSON(w, b)
 			return
 		}
