Add package membership

Cause: which targets and entry hosts are lost must not follow from one lagging or misleading source, and a fault on our own side must not move a domain. What: a tracker of failures on new and open connections, the platform's list, peers' reports and answers of endpoints known to be good. A node is lost after two failures on new connections, 250 ms after the first one at the earliest, so that a fault of the host's own network shows at most of its nodes before any is declared lost. Returns are damped from 30 s to 10 min.

--- /dev/null
+++ b/membership/tracker_test.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/platform"
+)
+
+const ms = time.Millisecond
+
+func target(name string) Node { return Node{KindTarget, name} }
+
+// watched returns a tracker whose n targets and two peers answered at time 1 ms.
+func watched(n int) *Tracker {
+	t := New(DefaultConfig())
+	w := Watch{Hosts: []string{"h1", "h2"}}
+	for i := range n {
+		w.Targets = append(w.Targets, fmt.Sprint("t", i))
+	}
+	t.Step(1*ms, w)
+	for _, name := range w.Targets {
+		t.Step(1*ms, Answered{Node: target(name), Incarnation: "a"})
+	}
+	for _, name := range w.Hosts {
+		t.Step(1*ms, Answered{Node: Node{KindHost, name}, Incarnation: "a"})
+	}
+	return t
+}
+
+// failTwice lets two attempts on new connections fail and time pass.
+func failTwice(t *Tracker, from time.Duration, names ...string) {
+	for _, at := range []time.Duration{from, from + 100*ms, from + 400*ms} {
+		for _, n := range names {
+			if at < from+400*ms {
+				t.Step(at, Failed{Node: target(n), Fresh: true})
+			}
+		}
+		t.Step(at, Tick{})
+	}
+}
+
+// A connection that went silent must not cost a healthy target its shards.
+func TestDeadConnectionIsNotADeadTarget(t *testing.T) {
+	Convey("failures on an open connection only ask for a new one", t, func() {
+		tr := watched(4)
+		for i := range 5 {
+			got := tr.Step(time.Duration(200+100*i)*ms, Failed{Node: target("t0")})
+			So(got, ShouldContain, Redial{target("t0")})
+		}
+		So(tr.Get(target("t0")).State, ShouldEqual, Suspect)
+		got := tr.Step(700*ms, Answered{Node: target("t0"), Fresh: true, Incarnation: "a"})
+		So(got, ShouldContain, DeadConnection{target("t0")})
+		So(tr.Get(target("t0")).MayReceive(700*ms), ShouldBeTrue)
+	})
+	Convey("two failures on new connections make it lost", t, func() {
+		tr := watched(4)
+		failTwice(tr, 200*ms, "t0")
+		So(tr.Get(target("t0")).State, ShouldEqual, Lost)
+		So(tr.Get(target("t1")).State, ShouldEqual, Fit)
+	})
+}
+
+// A granter that lost its own network must not move its whole domain.
+func TestFaultOnOwnSide(t *testing.T) {
+	Convey("when most targets fail together", t, func() {
+		tr := watched(4)
+		failTwice(tr, 200*ms, "t0", "t1", "t2")
+		So(tr.OwnSideFault(), ShouldBeTrue)
+		So(tr.Get(target("t0")).State, ShouldEqual, Suspect)
+		Convey("another granter's confirmation counts, for that target", func() {
+			tr.Step(650*ms, Reported{Node: target("t0"), By: "h1", At: 640 * ms})
+			So(tr.Get(target("t0")).State, ShouldEqual, Lost)
+			So(tr.Get(target("t1")).State, ShouldEqual, Suspect)
+		})
+		Convey("another granter that reaches the target outweighs a good endpoint", func() {
+			tr.Step(650*ms, Reported{Node: target("t0"), By: "h1", OK: true, At: 640 * ms})
+			tr.Step(660*ms, GoodEndpoint{Start: 650 * ms})
+			So(tr.Get(target("t0")).State, ShouldEqual, Suspect)
+			So(tr.Get(target("t1")).State, ShouldEqual, Lost)
+		})
+		Convey("an answer to a request from before the failures shows nothing", func() {
+			tr.Step(650*ms, GoodEndpoint{Start: 150 * ms})
+			So(tr.Get(target("t1")).State, ShouldEqual, Suspect)
+		})
+	})
+	Convey("when all peers fail together, a target is not blamed", t, func() {
+		tr := watched(4)
+		for _, h := range []string{"h1", "h2"} {
+			tr.Step(200*ms, Failed{Node: Node{KindHost, h}, Fresh: true})
+		}
+		failTwice(tr, 200*ms, "t0")
+		So(tr.Get(target("t0")).State, ShouldEqual, Suspect)
+	})
+}
+
+// The list lags: it must neither kill a healthy node nor delay a leaving one.
+func TestPlatformList(t *testing.T) {
+	Convey("the list alone makes nothing lost, but leaving is believed", t, func() {
+		tr := watched(4)
+		tr.Step(10*ms, Listed{Hosts: []platform.Host{{Name: "t0", State: platform.HostLeaving}}})
+		So(tr.Get(target("t0")).State, ShouldEqual, Leaving)
+		So(tr.Get(target("t1")).State, ShouldEqual, Fit)
+		So(tr.Gone(20*ms, "h1"), ShouldBeFalse)
+		tr.Step(30*ms, SaysLeaving{target("t1")})
+		tr.Step(31*ms, Answered{Node: target("t1"), Incarnation: "a", State: platform.TargetServing})
+		So(tr.Get(target("t1")).State, ShouldEqual, Leaving)
+		tr.Step(40*ms, Answered{Node: target("t1"), Incarnation: "b", State: platform.TargetCold})
+		So(tr.Get(target("t1")).State, ShouldEqual, Fit)
+	})
+}
+
+// A target that comes and goes must not draw shards each time.
+func TestFlapDamping(t *testing.T) {
+	Convey("the delay doubles from 30 s to 10 min and is forgotten in time", t, func() {
+		tr := watched(4)
+		now := time.Second
+		var delays []time.Duration
+		for i := range 7 {
+			tr.Step(now, Answered{Node: target("t0"), Incarnation: fmt.Sprint(i)})
+			delays = append(delays, tr.Get(target("t0")).ReadyAt-now)
+			now += time.Second
+		}
+		s := time.Second
+		So(delays, ShouldResemble, []time.Duration{30 * s, 60 * s, 120 * s, 240 * s, 480 * s, 600 * s, 600 * s})
+		So(tr.Get(target("t0")).MayReceive(now), ShouldBeFalse)
+		now += 20 * time.Minute
+		tr.Step(now, Answered{Node: target("t0"), Incarnation: "x"})
+		So(tr.Get(target("t0")).ReadyAt-now, ShouldEqual, 30*s)
+	})
+}
+
+// A target that stops answering after a grant is lost after two failed
+// attempts on new connections.
+func ExampleTracker() {
+	t := New(DefaultConfig())
+	t.Step(0, Watch{Targets: []string{"t1", "t2", "t3"}})
+	for _, name := range []string{"t1", "t2", "t3"} {
+		t.Step(1*ms, Answered{Node: target(name), Incarnation: "a"})
+	}
+	t.Step(200*ms, Failed{Node: target("t1"), Fresh: true})
+	t.Step(250*ms, Failed{Node: target("t1"), Fresh: true})
+	for _, c := range t.Step(450*ms, Tick{}) {
+		fmt.Printf("%+v\n", c)
+	}
+	// Output:
+	// {Node:{Kind:target Name:t1} From:suspect To:lost Reason:failed_attempts}
+}
