Add the move planner and the compiled routes

Cause: moves, splits and merges must follow from the state by one pure function, and the request path needs a lookup without allocations. What: MakePlan covers the first assignment, lost and leaving targets, balancing above 1.10 and hot keys; Compile and Next build Routes. A shard that waits for its former owner is marked lost only when that owner is the lost one. A random test found that a plan could split a shard and move it by its old epoch; splits now end the plan of a workload.

--- a/ownership/doc.go
+++ b/ownership/doc.go
@@ -9,4 +9,7 @@
 // after a Released value says that the owner before it has stopped. The
 // package does no I/O, reads no clock, and a Table is not safe for concurrent
 // use; publish copies made by Table.Clone.
+//
+// MakePlan proposes the moves, splits and merges that a Table calls for, and
+// Compile turns it into Routes, a lookup that is safe for concurrent use.
 package ownership
--- /dev/null
+++ b/ownership/plan_test.go
@@ -0,0 +1,331 @@
+package ownership
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random tests, so that each run does the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
+	}
+	m.Run()
+}
+
+// fleet returns n ready targets of workload w in three domains.
+func fleet(n int) []PlanTarget {
+	out := make([]PlanTarget, n)
+	for i := range out {
+		out[i] = PlanTarget{Name: fmt.Sprintf("t%04d", i), Workload: "w", Domain: fmt.Sprint("d", i%3), Capacity: 2, Fit: true, Ready: true}
+	}
+	return out
+}
+
+// apply applies the plan and, if release is set, releases all waiting shards.
+func (p Plan) apply(t *Table, release bool) (moved int) {
+	for _, m := range p.Moves {
+		moved += len(m.Shards)
+		if refused := t.ApplyMove(m); len(refused) > 0 {
+			panic(refused[0])
+		}
+	}
+	for _, s := range p.Splits {
+		if r := t.ApplySplit(s); r != nil {
+			panic(r)
+		}
+	}
+	for _, m := range p.Merges {
+		if r := t.ApplyMerge(m); r != nil {
+			panic(r)
+		}
+	}
+	for n, s := range t.Workloads["w"].Shards {
+		if release && s.Waiting != 0 {
+			t.ApplyReleased(Released{Shards: []ReleasedShard{{ID: ID{"w", int32(n)}, Epoch: s.Waiting}}})
+		}
+	}
+	return moved
+}
+
+// assigned returns a table whose shards are spread over the targets.
+func assigned(shards int32, targets []PlanTarget) (*Table, PlanInput) {
+	t := NewTable()
+	t.AddWorkload("w", shards)
+	in := PlanInput{Table: t, Targets: targets}
+	MakePlan(DefaultPlanConfig(), in).apply(t, true)
+	return t, in
+}
+
+// Losing a target must move its shards only, at once, and overload nobody.
+func TestPlanLostTarget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := fleet(rapid.IntRange(4, 30).Draw(rt, "targets"))
+		tab, in := assigned(int32(rapid.IntRange(200, 2000).Draw(rt, "shards")), targets)
+		lost := rapid.IntRange(0, len(targets)-1).Draw(rt, "lost")
+		targets[lost].Fit, targets[lost].Lost = false, true
+		held := len(tab.Held(targets[lost].Name))
+		plan := MakePlan(DefaultPlanConfig(), in)
+		if len(plan.Moves) != 1 || plan.Moves[0].Reason != ReasonLost || len(plan.Moves[0].Shards) != held {
+			rt.Fatalf("%d shards held, plan %v", held, plan)
+		}
+		for _, s := range plan.Moves[0].Shards {
+			if sh, _ := tab.Get(s.ID); sh.Owner != targets[lost].Name || s.To == sh.Owner {
+				rt.Fatalf("shard %v of %s moves to %s", s.ID, sh.Owner, s.To)
+			}
+		}
+		if !reflect.DeepEqual(plan, MakePlan(DefaultPlanConfig(), in)) {
+			rt.Fatal("equal inputs gave different plans")
+		}
+		plan.apply(tab, true)
+		if got := Imbalance(DefaultPlanConfig(), in, "w"); got > 1.5 {
+			rt.Fatalf("imbalance %.2f", got)
+		}
+	})
+}
+
+// Taking a domain out must neither flood a receiver nor use cold ones, and must
+// end.
+func TestPlanLeavingInBatches(t *testing.T) {
+	cfg := DefaultPlanConfig()
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := fleet(rapid.IntRange(6, 30).Draw(rt, "targets"))
+		tab, in := assigned(int32(rapid.IntRange(200, 2000).Draw(rt, "shards")), targets)
+		cold := targets[1].Name
+		for i := range targets {
+			targets[i].Fit = targets[i].Domain != "d0"
+			targets[i].Ready = targets[i].Name != cold
+		}
+		had := len(tab.Held(cold))
+		limit := cfg.ReceiverBatches * newWorkloadPlan(cfg, in, "w").batch()
+		for round := 0; ; round++ {
+			inbound := map[string]int{}
+			plan := MakePlan(cfg, in)
+			moved := plan.apply(tab, false)
+			for _, s := range tab.Workloads["w"].Shards {
+				if s.Waiting != 0 {
+					inbound[s.Owner]++
+				}
+			}
+			for name, n := range inbound {
+				if n > limit || name == cold {
+					rt.Fatalf("%s waits for %d shards, limit %d", name, n, limit)
+				}
+			}
+			Plan{}.apply(tab, true)
+			if moved == 0 {
+				break
+			}
+			if round > 100 {
+				rt.Fatal("no end")
+			}
+		}
+		for _, x := range targets {
+			if x.Domain == "d0" && len(tab.Held(x.Name)) > 0 {
+				rt.Fatalf("%s still holds shards", x.Name)
+			}
+		}
+		if len(tab.Held(cold)) != had {
+			rt.Fatal("the cold target got shards")
+		}
+	})
+}
+
+// Balancing must reach its goal, then stop moving, whatever the loads are.
+func TestPlanRebalance(t *testing.T) {
+	cfg := DefaultPlanConfig()
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := fleet(rapid.IntRange(3, 20).Draw(rt, "targets"))
+		tab, in := assigned(int32(100*len(targets)), targets)
+		in.Load = map[ID]float64{}
+		for n := range tab.Workloads["w"].Shards {
+			in.Load[ID{"w", int32(n)}] = rapid.Float64Range(0, 3).Draw(rt, "load")
+		}
+		for round := 0; ; round++ {
+			moved := MakePlan(cfg, in).apply(tab, true)
+			if moved == 0 {
+				break
+			}
+			if round > 60 {
+				rt.Fatalf("still moving at imbalance %.3f", Imbalance(cfg, in, "w"))
+			}
+		}
+		if got := Imbalance(cfg, in, "w"); got > cfg.Imbalance {
+			rt.Fatalf("stopped at imbalance %.3f", got)
+		}
+	})
+}
+
+// The compiled routes must agree with the table after any changes.
+func TestRoutesFollowTable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := fleet(5)
+		tab, in := assigned(40, targets)
+		r := Compile(tab)
+		for range rapid.IntRange(1, 8).Draw(rt, "steps") {
+			x := &targets[rapid.IntRange(0, 4).Draw(rt, "target")]
+			x.Fit, x.Lost = x.Lost, !x.Lost
+			in.Hot = []KeyLoad{{"w", rapid.StringN(1, 3, 3).Draw(rt, "key"), 1e3}}
+			MakePlan(DefaultPlanConfig(), in).apply(tab, rapid.Bool().Draw(rt, "release"))
+			r = r.Next(tab)
+			if !reflect.DeepEqual(r.workloads["w"].hot, tab.Workloads["w"].Hot) {
+				rt.Fatal("hot keys differ")
+			}
+			for n, s := range tab.Workloads["w"].Shards {
+				got, ok := r.Shard(ID{"w", int32(n)})
+				if want := (Route{s.Owner, int32(n), s.Epoch, s.Active()}); !ok || got != want {
+					rt.Fatalf("shard %d: %v, want %v", n, got, want)
+				}
+			}
+			key := in.Hot[0].Key
+			if got, _ := r.Lookup("w", key); got.Shard != tab.Workloads["w"].Locate(key) {
+				rt.Fatalf("key %q is routed to shard %d", key, got.Shard)
+			}
+		}
+	})
+}
+
+func TestPlanDampsAndEscalates(t *testing.T) {
+	cfg := DefaultPlanConfig()
+	Convey("given a target with all of the load", t, func() {
+		targets := fleet(6)
+		tab, in := assigned(600, targets)
+		in.Load = map[ID]float64{}
+		for _, id := range tab.Held("t0000") {
+			in.Load[id] = 1
+		}
+		Convey("balancing waits for the interval and for moves to complete", func() {
+			in.Rebalanced, in.Now = map[string]time.Duration{"w": 5 * time.Second}, 14*time.Second
+			So(MakePlan(cfg, in).Moves, ShouldBeEmpty)
+			in.Now = 15 * time.Second
+			So(MakePlan(cfg, in).apply(tab, false), ShouldBeGreaterThan, 0)
+			So(MakePlan(cfg, in).Moves, ShouldBeEmpty)
+		})
+		Convey("a former owner that is lost during a planned move is marked, another one is not", func() {
+			targets[0].Fit = false
+			So(MakePlan(cfg, in).apply(tab, false), ShouldBeGreaterThan, 0)
+			targets[0].Lost, targets[3].Fit, targets[3].Lost = true, false, true
+			for range 3 {
+				MakePlan(cfg, in).apply(tab, false)
+			}
+			for _, s := range tab.Workloads["w"].Shards {
+				if s.Waiting != 0 {
+					So(s.Lost, ShouldEqual, s.Previous == "t0000" || s.Previous == "t0003")
+					So(s.Owner, ShouldNotBeIn, []string{"t0000", "t0003"})
+				}
+			}
+		})
+	})
+}
+
+// A key that is hotter than a target's fair share must get a shard of its own,
+// move off a loaded target, and go back once it is cold.
+func TestPlanHotKey(t *testing.T) {
+	cfg := DefaultPlanConfig()
+	Convey("a hot key is split, placed and merged", t, func() {
+		targets := fleet(6)
+		tab, in := assigned(600, targets)
+		w := tab.Workloads["w"]
+		parent := w.HashShard("k")
+		in.Load = map[ID]float64{}
+		for n := range 600 {
+			in.Load[ID{"w", int32(n)}] = 1
+		}
+		in.Hot = []KeyLoad{{Workload: "w", Key: "k", Load: 60}}
+		in.Load[ID{"w", parent}] = 61
+		plan := MakePlan(cfg, in)
+		So(plan.Splits, ShouldHaveLength, 1)
+		plan.apply(tab, true)
+		hot := w.Hot["k"]
+		So(hot, ShouldEqual, 600)
+		in.Load[ID{"w", parent}], in.Load[ID{"w", hot}] = 1, 60
+		for range 20 {
+			MakePlan(cfg, in).apply(tab, true)
+		}
+		So(Imbalance(cfg, in, "w"), ShouldBeLessThanOrEqualTo, cfg.Imbalance)
+		So(w.Hot, ShouldContainKey, "k")
+
+		in.Hot, in.Load[ID{"w", hot}] = nil, 0
+		in.Load[ID{"w", parent}] = 2
+		for range 20 {
+			MakePlan(cfg, in).apply(tab, true)
+		}
+		So(w.Hot, ShouldBeEmpty)
+	})
+}
+
+// design returns a table of the design size.
+func design() (*Table, PlanInput) {
+	t, in := assigned(65536, fleet(1200))
+	for i := range 68 {
+		key := fmt.Sprint("hot", i)
+		w := t.Workloads["w"]
+		t.ApplySplit(Split{Workload: "w", Key: key, FromEpoch: w.Shards[w.HashShard(key)].Epoch})
+	}
+	return t, in
+}
+
+func BenchmarkLookup(b *testing.B) {
+	t, _ := design()
+	r := Compile(t)
+	keys := make([]string, 1<<14)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("customer-%d/item-%d", i%97, i)
+		if i%8 == 0 {
+			keys[i] = fmt.Sprint("hot", i/8%68)
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, ok := r.Lookup("w", keys[i&(len(keys)-1)]); !ok {
+			b.Fatal("no route")
+		}
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	t, _ := design()
+	b.ReportAllocs()
+	for b.Loop() {
+		Compile(t)
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	t, _ := design()
+	r := Compile(t)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Next(t)
+	}
+}
+
+func BenchmarkPlanInitial(b *testing.B) {
+	for b.Loop() {
+		assigned(65536, fleet(1200))
+	}
+}
+
+func BenchmarkPlanLost(b *testing.B) {
+	_, in := design()
+	in.Targets[7].Fit, in.Targets[7].Lost = false, true
+	for b.Loop() {
+		MakePlan(DefaultPlanConfig(), in)
+	}
+}
+
+func BenchmarkPlanNothing(b *testing.B) {
+	_, in := design()
+	for b.Loop() {
+		MakePlan(DefaultPlanConfig(), in)
+	}
+}
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -178,7 +178,11 @@
 
 // HashShard returns the hashed shard of a key, without regard to hot keys.
 func (w *WorkloadTable) HashShard(key string) int32 {
-	return int32(xxhash.Sum64String(key) % uint64(w.Base))
+	return hashShard(key, w.Base)
+}
+
+func hashShard(key string, base int32) int32 {
+	return int32(xxhash.Sum64String(key) % uint64(base))
 }
 
 // Locate returns the shard number of a key. It does not allocate.
@@ -229,7 +233,9 @@
 	if s.Active() {
 		s.Waiting, s.Previous = s.Epoch, s.Owner
 	}
-	if s.Waiting != 0 && why == ReasonLost {
+	// A waiting shard whose new owner is lost waits for Previous as before; a
+	// move to the same owner says that Previous is lost.
+	if why == ReasonLost && (s.Waiting == s.Epoch || to == s.Owner) && s.Waiting != 0 {
 		s.Lost = true
 	}
 	s.Owner = to
