--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -43,10 +43,10 @@
 	pos := f.position(r.Deadline)
 	wait := l.wait(f, pos)
 	if allowed, reason := l.allowed(now, f, r.Deadline, r.Cost); wait > allowed {
-		return l.shed(reason, wait-max(0, allowed))
+		return l.shed(reason, l.refer(now, f, wait-max(0, allowed)))
 	}
 	if l.queue.length >= l.cfg.MaxQueue && !l.evict(now, f) {
-		return l.shed(ReasonQueueFull, wait)
+		return l.shed(ReasonQueueFull, l.refer(now, f, wait/2))
 	}
 	l.queue.insert(f, waiter{id: r.ID, deadline: r.Deadline, arrived: now, cost: r.Cost})
 	return Decision{Verdict: Wait}
@@ -68,10 +68,20 @@
 	last := len(worst.waiters) - 1
 	id, wait := worst.waiters[last].id, l.wait(worst, last)
 	l.queue.removeAt(worst, last)
-	l.notify(id, l.shed(ReasonQueueFull, wait))
+	l.notify(id, l.shed(ReasonQueueFull, l.refer(now, worst, wait/2)))
 	return true
 }
 
+// refer returns the time after which a shed request would be queued, when the
+// queue has room in after. Requests shed one after the other are referred to
+// successive times, at the rate at which the customer's requests are served,
+// so that they do not come back together.
+func (l *Limiter) refer(now time.Duration, f *flow, after time.Duration) time.Duration {
+	at := max(now+after, f.retryAt)
+	f.retryAt = min(at+seconds(l.service.avg/float64(l.Limit())/l.queue.share(f)), now+l.cfg.MaxRetryAfter)
+	return at - now
+}
+
 // dispatch starts waiting requests while there is room.
 func (l *Limiter) dispatch(now time.Duration) {
 	for l.queue.length > 0 && l.free(now) > 0 {
@@ -79,9 +89,8 @@
 		w := f.waiters[0]
 		f.sojourn(now, now-w.arrived, l.overloadWait(), l.cfg.OverloadInterval)
 		if now+l.service.likely(w.cost) > w.deadline && l.total() > 0 || now >= w.deadline {
-			wait := l.wait(f, len(f.waiters)-1)
 			l.queue.removeAt(f, 0)
-			l.notify(w.id, l.shed(ReasonDeadline, wait))
+			l.notify(w.id, l.shed(ReasonDeadline, l.refer(now, f, l.wait(f, len(f.waiters)))))
 			continue
 		}
 		l.start(now, f, w.id, w.cost)
@@ -95,12 +104,18 @@
 func (f *flow) sojourn(now, waited, target, interval time.Duration) {
 	if waited < target {
 		f.shortWait = true
+	}
+	if waited < target/2 {
+		// Half, since arrivals of an overloaded customer are queued up to the
+		// target: the state must not end by its own effect.
 		f.overloaded = false
 	}
 	if now < f.intervalEnd {
 		return
 	}
-	f.overloaded = f.intervalEnd > 0 && !f.shortWait && now < f.intervalEnd+interval
+	if f.intervalEnd > 0 && !f.shortWait && now < f.intervalEnd+interval {
+		f.overloaded = true
+	}
 	f.shortWait = waited < target
 	f.intervalEnd = now + interval
 }
@@ -115,13 +130,12 @@
 			if i == 0 {
 				start = now
 			}
-			if start+l.service.likely(w.cost) <= w.deadline {
+			if start+l.service.likely(w.cost) < w.deadline {
 				i++
 				continue
 			}
-			wait := l.wait(f, len(f.waiters)-1)
 			l.queue.removeAt(f, i)
-			l.notify(w.id, l.shed(ReasonDeadline, wait))
+			l.notify(w.id, l.shed(ReasonDeadline, l.refer(now, f, l.wait(f, len(f.waiters)))))
 		}
 	}
 }
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	adaptive adaptive
 	ramp     ramp
 	foreign  foreign
+	// own is the highest number in flight over the age of a report.
+	own      peak
 	draining bool
 	out      []Notice
 	stats    Stats
@@ -43,7 +46,8 @@
 		queue:   newQueue(),
 		service: newEstimator(cfg.InitialService),
 	}
-	l.adaptive.reset(limits.Slots)
+	l.queue.setService(l.service.avg)
+	l.adaptive.reset(limits.Slots, cfg.ColdSamples)
 	l.ramp.report = start.Report
 	if !start.Warm {
 		l.ramp.restart()
@@ -51,7 +55,10 @@
 	} else {
 		l.ramp.finish()
 	}
-	l.foreign.start(start.InFlight, now+cfg.ForeignTTL)
+	if start.InFlight < 0 {
+		start.InFlight = limits.Slots
+	}
+	l.foreign.start(start.InFlight, now+cfg.ForeignTTL, now+2*cfg.ReportLag)
 	return l, nil
 }
 
@@ -73,6 +80,7 @@
 		if l.total() > 0 && now+l.service.likely(r.Cost) > r.Deadline {
 			return l.shed(ReasonDeadline, l.cfg.MinRetryAfter), nil
 		}
+		f.overloaded, f.intervalEnd = false, 0
 		l.start(now, f, r.ID, r.Cost)
 		return Decision{Verdict: Run}, nil
 	}
@@ -118,6 +126,9 @@
 	delete(l.running, id)
 	l.stats.Completed++
 	l.queue.settle(r, s)
+	if len(l.running) == 0 && l.queue.length == 0 {
+		l.queue.idle()
+	}
 	l.learn(now, s)
 	l.dispatch(now)
 	return l.out
@@ -130,10 +141,12 @@
 		limit := l.Limit()
 		inFlight := l.total() + 1
 		l.service.add(s.Latency)
+		l.queue.setService(l.service.avg)
 		cold := l.ramp.progress(s.Latency, limit, l.limits)
-		l.adaptive.sample(now, s.Latency, inFlight, l.limits.Slots, cold, l.cfg)
-		if l.ramp.suspect(l.adaptive.jumped(l.cfg)) {
+		l.adaptive.sample(s.Latency, inFlight, l.limits.Slots, cold, l.cfg.LatencyTolerance)
+		if !cold && l.ramp.turnedCold(l.adaptive.jumped(l.cfg.ColdFactor), l.limits) {
 			l.coldStart()
+			l.review(now)
 		}
 	case OutcomeShed:
 		l.stats.Refused++
@@ -172,11 +185,15 @@
 // NextExpiry returns the time at which Expire has something to do, or false
 // when nothing waits.
 func (l *Limiter) NextExpiry() (time.Duration, bool) {
-	at, ok := l.queue.earliest()
-	if !ok {
+	if l.queue.length == 0 {
 		return 0, false
 	}
-	at -= l.service.likely(1)
+	at := time.Duration(math.MaxInt64)
+	for _, f := range l.queue.active {
+		for _, w := range f.waiters {
+			at = min(at, w.deadline-l.service.likely(w.cost))
+		}
+	}
 	if l.foreign.count > 0 {
 		at = min(at, l.foreign.until)
 	}
@@ -214,14 +231,12 @@
 // and it ends the count of the former home's requests.
 func (l *Limiter) Observe(now time.Duration, r Report) []Notice {
 	l.out = l.out[:0]
-	old := 0
-	for _, q := range l.running {
-		if q.started+l.cfg.ReportLag <= now {
-			old++
-		}
+	if l.foreign.count > 0 || now < l.foreign.raise {
+		l.observeForeign(now, r.InFlight)
 	}
-	l.foreign.observe(r.InFlight - old)
-	if l.ramp.observe(r, l.limits, l.adaptive.jumped(l.cfg)) {
+	restarted := l.ramp.observe(r)
+	cold := !l.ramp.complete(l.limits)
+	if restarted || !cold && l.ramp.turnedCold(l.adaptive.jumped(l.cfg.ColdFactor), l.limits) {
 		l.coldStart()
 		l.review(now)
 	}
@@ -229,6 +244,20 @@
 	return l.out
 }
 
+// observeForeign corrects the count of the former home's requests. Own
+// requests that have run for longer than the age of the report are part of it;
+// those that ran within that age may be.
+func (l *Limiter) observeForeign(now time.Duration, inFlight int) {
+	old := 0
+	for _, q := range l.running {
+		if q.started+l.cfg.ReportLag <= now {
+			old++
+		}
+	}
+	l.own.add(now, len(l.running), l.cfg.ReportLag)
+	l.foreign.observe(now, inFlight, old, l.own.value(), l.limits.Slots)
+}
+
 // Limit returns the concurrency limit in force, 1 to Slots.
 func (l *Limiter) Limit() int {
 	return max(1, min(l.limits.Slots, l.adaptive.value(), l.ramp.limit(l.limits)))
@@ -259,6 +288,7 @@
 	charged := cost * l.service.mean().Seconds()
 	l.queue.charge(f, charged)
 	l.running[id] = running{flow: f, started: now, charged: charged}
+	l.own.add(now, len(l.running), l.cfg.ReportLag)
 	l.stats.Started++
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,6 +27,8 @@
 	intervalEnd time.Duration
 	shortWait   bool
 	overloaded  bool
+	// retryAt is the latest time to which a shed request was referred.
+	retryAt time.Duration
 }
 
 // queue shares capacity between flows by start-time fair queueing.
@@ -35,7 +37,10 @@
 	active  []*flow
 	where   map[uint64]*flow
 	virtual float64
-	length  int
+	credit  float64
+	// latest is the highest finish tag.
+	latest float64
+	length int
 }
 
 func newQueue() queue {
@@ -51,7 +56,7 @@
 		if len(q.flows) >= maxIdleFlows {
 			q.forgetIdle()
 		}
-		f = &flow{customer: customer, start: q.virtual, finish: q.virtual}
+		f = &flow{customer: customer}
 		q.flows[customer] = f
 	}
 	f.weight = weight
@@ -87,9 +92,20 @@
 	return n
 }
 
+// burstCredit is the service, in mean service times, that a customer which was
+// below its share may get before the others. Without it a customer with a
+// small, uneven load waits for a flood of another one after each of its bursts.
+const burstCredit = 8
+
+// setService sets the mean service time in seconds.
+func (q *queue) setService(mean float64) { q.credit = burstCredit * mean }
+
+// floor returns the lowest start tag of a flow that begins to queue.
+func (q *queue) floor(f *flow) float64 { return max(q.virtual-q.credit/f.weight, f.finish) }
+
 func (q *queue) insert(f *flow, w waiter) {
 	if len(f.waiters) == 0 {
-		f.start = max(q.virtual, f.finish)
+		f.start = q.floor(f)
 		q.active = append(q.active, f)
 	}
 	f.waiters = slices.Insert(f.waiters, f.position(w.deadline), w)
@@ -131,14 +147,19 @@
 func (q *queue) charge(f *flow, cost float64) {
 	start := f.start
 	if len(f.waiters) == 0 {
-		start = max(q.virtual, f.finish)
+		start = q.floor(f)
 	}
 	q.virtual = max(q.virtual, start)
 	f.finish = start + cost/f.weight
 	f.start = f.finish
+	q.latest = max(q.latest, f.finish)
 	f.running++
 }
 
+// idle moves the virtual time on when nothing runs or waits, so that no
+// customer is held to what it used before.
+func (q *queue) idle() { q.virtual = q.latest }
+
 // maxCorrection limits the correction of a charge to a multiple of it, so that
 // one request on a frozen target does not shut its customer out.
 const maxCorrection = 8
@@ -151,7 +172,8 @@
 		diff = -r.charged
 	}
 	r.flow.finish += diff / r.flow.weight
-	r.flow.start = max(r.flow.start+diff/r.flow.weight, q.virtual)
+	r.flow.start = max(r.flow.start+diff/r.flow.weight, q.virtual-q.credit/r.flow.weight)
+	q.latest = max(q.latest, r.flow.finish)
 }
 
 // each calls keep for all waiters and removes those for which it is false.
@@ -166,18 +188,6 @@
 	}
 }
 
-// earliest returns the earliest deadline in the queue.
-func (q *queue) earliest() (time.Duration, bool) {
-	if q.length == 0 {
-		return 0, false
-	}
-	at := q.active[0].waiters[0].deadline
-	for _, f := range q.active[1:] {
-		at = min(at, f.waiters[0].deadline)
-	}
-	return at, true
-}
-
 // share returns the part of the capacity that f gets while the present flows
 // are in use, 0 to 1.
 func (q *queue) share(f *flow) float64 {
--- a/admission/types.go
+++ b/admission/types.go
@@ -58,8 +58,9 @@
 
 // Start says what a new home knows of the target.
 type Start struct {
-	// InFlight is the number of requests that the target reported to run,
-	// sent by the former home.
+	// InFlight is the number of requests that the target reported to run
+	// after the former home's permit had ended; -1 when there is no such
+	// report, which counts as all slots.
 	InFlight int
 	// Warm says that the target is known to be warm. A new home passes false
 	// unless the target has no ramp.
