Add the request path of an entry host

Callers need one address from which each request reaches the target that owns its key, with a true outcome when it fails.

A Server is front, home and identifier issuer. Each attempt knows its connection: writes pass a gate that checks permit and epoch, and a failed attempt is sealed, so that not_run is said only when no byte was handed to the kernel. net/http replays requests on broken kept-alive connections and takes surplus bytes of one response for the next one; both are detected on the connection. Responses up to 64 KiB are read to the end before any of them is passed on, longer ones are aborted when they are cut. A connection without data is tested against a new one, and a home sends interim responses every 50 ms while a request runs, so that a slow request is not taken for a silent connection.

Settings: platform URLs are http://HOST:PORT, since the paths are fixed.

--- /dev/null
+++ b/internal/forward/front.go
@@ -0,0 +1,260 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/limits"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/retry"
+)
+
+// Paths for callers and load balancers.
+const (
+	PathWork    = "/v1/"
+	PathHealthy = "/healthz"
+	PathReady   = "/readyz"
+)
+
+// serveCaller handles all requests of callers. It does not use http.ServeMux,
+// which redirects paths with empty segments, and those occur in keys.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case PathHealthy:
+		writeStatus(w, true)
+		return
+	case PathReady:
+		writeStatus(w, s.ready())
+		return
+	}
+	s.m.requests.Add(1)
+	s.m.inFlight.Add(1)
+	defer s.m.inFlight.Add(-1)
+	start := time.Now()
+	defer addSince(s.m.frontUS, start)
+	if s.unready.Load() {
+		// Callers connect again through the load balancer, which sends them to
+		// another host, so few idle connections remain when this one stops.
+		w.Header().Set("Connection", "close")
+	}
+	id, e := s.serveFront(w, r)
+	if e == nil {
+		s.m.answers.Add(1)
+		s.cfg.Log.Debug("request answered", "request_id", id, "method", r.Method, "duration_ms", time.Since(start).Milliseconds())
+		return
+	}
+	s.m.errors.Add(string(e.Code), 1)
+	s.cfg.Log.Info("request failed", "request_id", id, "customer", r.Header.Get(platform.HeaderCustomer), "method", r.Method,
+		"code", e.Code, "outcome", e.Outcome, "duration_ms", time.Since(start).Milliseconds(), "detail", e.Detail, "error", e.Err)
+	if e.Code == codeAborted {
+		s.m.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	if id != "" {
+		w.Header().Set(platform.HeaderRequestID, id)
+	}
+	writeError(w, e)
+}
+
+func writeStatus(w http.ResponseWriter, ok bool) {
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// codeAborted marks a response that was cut after its header was sent. It is
+// never sent itself: the connection to the caller is aborted.
+const codeAborted retry.Code = "aborted"
+
+// serveFront handles one request. The returned id is empty when the request
+// got none.
+func (s *Server) serveFront(w http.ResponseWriter, r *http.Request) (id string, e *retry.Error) {
+	v := s.cfg.Source.View()
+	if v == nil || v.State == nil || v.State.Config == nil {
+		return "", newError(retry.CodeNotReady).WithRetryAfter(time.Second)
+	}
+	s.sync(v)
+	if headerBytes(r.Header) > s.cfg.MaxHeaderBytes {
+		return "", newError(CodeHeaderTooLarge)
+	}
+	if r.URL.Path == PathRequestIDs {
+		return "", s.serveRequestIDs(w, r, v)
+	}
+	c, e := s.newCall(r, v)
+	if e != nil {
+		return "", e
+	}
+	if e := s.admit(c, r.ContentLength); e != nil {
+		return "", e
+	}
+	defer s.admitted(c)
+	if c.body, e = newBody(w, r, s.maxBody(v, c), s.cfg.BodyPause); e != nil {
+		return "", e
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.left()+2*answerGrace)
+	defer cancel()
+	ctx, span := s.startSpan(ctx, "front", r.Header)
+	ans, e := s.dispatch(ctx, v, c, r.Header.Get(platform.HeaderRequestID))
+	describe(span, c, route{})
+	endSpan(span, e)
+	if e != nil {
+		return c.id, e
+	}
+	copyResponseHeader(w.Header(), ans.header)
+	w.Header()[platform.HeaderRequestID] = []string{c.id}
+	if e := ans.relay(w, s.cfg.BodyPause); e != nil {
+		e.Code = codeAborted
+		return c.id, e
+	}
+	return c.id, nil
+}
+
+// newCall checks a request as far as its header goes.
+func (s *Server) newCall(r *http.Request, v *view.View) (*call, *retry.Error) {
+	customer, e := s.authenticate(r)
+	if e != nil {
+		return nil, e
+	}
+	workload, key, ok := splitPath(r.URL.Path)
+	if !ok {
+		return nil, newError(retry.CodeUnknownWorkload)
+	}
+	wl, known := v.State.Config.Workloads[workload]
+	switch {
+	case !known:
+		return nil, newError(retry.CodeUnknownWorkload)
+	case len(key) > s.cfg.MaxKeyBytes:
+		return nil, newError(CodeKeyTooLong)
+	case wl.Keyed && key == "":
+		return nil, badRequest("the path has no key")
+	}
+	deadline, e := s.deadline(r, wl)
+	if e != nil {
+		return nil, e
+	}
+	now := boottime.Now()
+	c := &call{
+		customer: customer, weight: v.State.Config.Contracts[customer].Weight,
+		workload: workload, keyed: wl.Keyed, fencing: wl.Fencing, key: key,
+		method: r.Method, query: r.URL.RawQuery, header: make(http.Header, len(r.Header)),
+		idempotent: isIdempotent(wl, r.Method),
+		deadline:   now + deadline, holdUntil: now + min(deadline, s.cfg.Hold),
+	}
+	copyRequestHeader(c.header, r.Header)
+	if c.keyed && s.cfg.Hot != nil {
+		s.cfg.Hot.Observe(workload, key)
+	}
+	return c, nil
+}
+
+func badRequest(message string) *retry.Error {
+	e := newError(retry.CodeBadRequest)
+	e.Message = message
+	return e
+}
+
+// splitPath splits /v1/{workload}/{key...}. The key is the unescaped rest of
+// the path and may contain slashes.
+func splitPath(path string) (workload, key string, ok bool) {
+	rest, ok := strings.CutPrefix(path, PathWork)
+	if !ok {
+		return "", "", false
+	}
+	workload, key, _ = strings.Cut(rest, "/")
+	return workload, key, workload != ""
+}
+
+// authenticate returns the customer of a request.
+func (s *Server) authenticate(r *http.Request) (string, *retry.Error) {
+	customer := r.Header.Get(platform.HeaderCustomer)
+	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !s.creds.Load().Check(customer, credential) || !ok || customer == "" {
+		return "", newError(retry.CodeUnauthenticated)
+	}
+	return customer, nil
+}
+
+func (s *Server) deadline(r *http.Request, wl contract.Workload) (time.Duration, *retry.Error) {
+	text := r.Header.Get(platform.HeaderDeadlineMS)
+	if text == "" {
+		if wl.DeadlineMS > 0 {
+			return min(time.Duration(wl.DeadlineMS)*time.Millisecond, s.cfg.MaxDeadline), nil
+		}
+		return s.cfg.Deadline, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 {
+		return 0, badRequest(platform.HeaderDeadlineMS + " is not a whole number of milliseconds from 1")
+	}
+	return time.Duration(min(ms, s.cfg.MaxDeadline.Milliseconds())) * time.Millisecond, nil
+}
+
+var gateCodes = map[limits.Code]retry.Code{
+	limits.CodeUnknownCustomer: retry.CodeUnauthenticated, limits.CodeEnded: CodeContractEnded,
+	limits.CodeWorkload: retry.CodeForbiddenWorkload, limits.CodeBody: retry.CodeBodyTooLarge,
+	limits.CodeRate: retry.CodeRateLimited, limits.CodeConcurrency: retry.CodeConcurrency,
+}
+
+// admit applies the customer's contract. An admitted call ends with admitted.
+func (s *Server) admit(c *call, bodyBytes int64) *retry.Error {
+	s.gateMu.Lock()
+	d := s.gate.Admit(boottime.Now(), c.customer, c.workload, bodyBytes)
+	s.gateMu.Unlock()
+	if d.Admitted {
+		return nil
+	}
+	return newError(gateCodes[d.Code]).WithRetryAfter(d.RetryAfter)
+}
+
+func (s *Server) admitted(c *call) {
+	s.gateMu.Lock()
+	s.gate.Done(c.customer)
+	s.gateMu.Unlock()
+}
+
+// maxBody returns the limit of a call's body in bytes.
+func (s *Server) maxBody(v *view.View, c *call) int64 {
+	limit := s.cfg.MaxBodyBytes
+	if n := v.State.Config.Workloads[c.workload].MaxBodyBytes; n > 0 {
+		limit = n
+	}
+	if n := v.State.Config.Contracts[c.customer].MaxBodyBytes; n > 0 {
+		limit = min(limit, n)
+	}
+	return limit
+}
+
+// dispatch runs a call: at once when it is idempotent, else under its
+// identifier.
+func (s *Server) dispatch(ctx context.Context, v *view.View, c *call, given string) (*answer, *retry.Error) {
+	if !c.idempotent {
+		return s.once(ctx, v.Self, c, given)
+	}
+	c.id = given
+	if !plainID(given) {
+		c.id = v.Self.Name + "-" + v.Self.Incarnation + "-" + strconv.FormatUint(s.sequence.Add(1), 10)
+	}
+	return s.run(ctx, c)
+}
+
+// plainID accepts identifiers that callers chose for idempotent requests: they
+// appear in logs and headers only.
+func plainID(id string) bool {
+	if id == "" || len(id) > retry.MaxIDLength {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/forward/peer.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/retry"
+)
+
+// Paths between entry hosts.
+const (
+	// PathForward is followed by the key; the sender acts as front.
+	PathForward = "/internal/v1/forward/"
+	// PathIssued is followed by the key; the receiver issued the request's
+	// identifier and acts as front.
+	PathIssued = "/internal/v1/issued/"
+	// PathPing answers 200 at once.
+	PathPing = "/internal/v1/ping"
+)
+
+const (
+	// hopMargin is how much earlier the next hop gives up, so that its answer,
+	// which knows the outcome, arrives before this host gives up.
+	hopMargin = 5 * time.Millisecond
+	// answerGrace is how long after the deadline this host waits for the next
+	// hop's answer with the outcome.
+	answerGrace = 50 * time.Millisecond
+	// peerSilent is the time without data after which a connection to an entry
+	// host is tested; the other side sends an interim response every
+	// heartbeat.
+	peerSilent = 150 * time.Millisecond
+	heartbeat  = 50 * time.Millisecond
+)
+
+// peerPool returns the connections to another entry host.
+func (s *Server) peerPool(addr string) *pool {
+	s.peersMu.RLock()
+	p := s.peers[addr]
+	s.peersMu.RUnlock()
+	if p != nil {
+		return p
+	}
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	if p = s.peers[addr]; p == nil {
+		p = newPool(poolConfig{
+			addr: addr, limit: s.cfg.PeerConnections, dials: 4 * s.cfg.MaxDials,
+			timeout: s.cfg.Dial, tls: s.cfg.PeerTLS, probePath: PathPing,
+		}, s.m)
+		s.peers[addr] = p
+	}
+	return p
+}
+
+// sendPeer sends a request to another entry host. prefix is PathForward or
+// PathIssued.
+func (s *Server) sendPeer(ctx context.Context, c *call, r route, prefix string) (*answer, *retry.Error) {
+	left := c.left()
+	if left <= 0 {
+		return nil, newError(retry.CodeDeadline)
+	}
+	p := s.peerPool(r.home)
+	attemptCtx, cancel := context.WithTimeout(ctx, left+answerGrace)
+	req, ok := c.request(attemptCtx, r.home, prefix, r, left-min(hopMargin, left/10))
+	if !ok {
+		cancel()
+		return nil, newError(CodePeerDown).WithCause("body cannot be sent again", nil)
+	}
+	req.Header[headerTarget] = []string{r.target}
+	req.Header[headerWeight] = []string{strconv.FormatFloat(c.weight, 'g', -1, 64)}
+	if c.idempotent {
+		req.Header[headerIdempotent] = []string{"1"}
+	}
+	a := &attempt{
+		ctx: attemptCtx, cancel: cancel, silentAfter: peerSilent, giveUpUnreachable: c.idempotent, m: s.m,
+		probe: func(ctx context.Context) error { _, err := p.probe(ctx); return err },
+	}
+	resp, failure := a.roundTrip(p.tr, req)
+	if failure != nil {
+		return nil, s.peerFailure(ctx, attemptCtx, c, r, failure)
+	}
+	return s.peerAnswer(ctx, c, resp, a)
+}
+
+// peerFailure turns the failure of an attempt to reach an entry host into an
+// error.
+func (s *Server) peerFailure(ctx, attemptCtx context.Context, c *call, r route, f *attemptError) *retry.Error {
+	if e := c.body.fault(); e != nil {
+		return e.WithOutcome(outcomeOf(f.wrote))
+	}
+	for _, x := range []context.Context{ctx, attemptCtx} {
+		if e := ended(x, f.wrote); e != nil && (x == ctx || errors.Is(f.err, context.DeadlineExceeded)) {
+			return e.WithCause("home", f.err)
+		}
+	}
+	if f.dial || f.err == errPeerSilent {
+		s.cfg.Source.Report(view.Event{Kind: view.EventPeerDown, Host: r.homeHost})
+	}
+	if !f.wrote {
+		return newError(CodePeerDown).WithCause("home", f.err)
+	}
+	if f.err == errSilent {
+		s.m.silent.Add(1)
+	}
+	return newError(retry.CodeResponseLost).WithCause("home", f.err)
+}
+
+// peerAnswer reads the response of an entry host: the target's, or an error.
+func (s *Server) peerAnswer(ctx context.Context, c *call, resp *http.Response, a *attempt) (*answer, *retry.Error) {
+	hop := resp.Header.Get(headerHop)
+	if hop == hopError {
+		return nil, peerError(resp, a)
+	}
+	if hop != hopTarget || resp.Header.Get(platform.HeaderRequestID) != c.id {
+		a.end(errCrossed)
+		_ = resp.Body.Close()
+		s.m.crossed.Add(1)
+		return nil, newError(retry.CodeResponseLost).WithCause("home", errCrossed)
+	}
+	ans, err := newAnswer(c.method, resp, a)
+	if err != nil {
+		return nil, s.cutAnswer(ctx, err)
+	}
+	ans.load, ans.loaded = hintFrom(resp.Header)
+	return ans, nil
+}
+
+func hintFrom(h http.Header) (loadHint, bool) {
+	queued, err1 := strconv.Atoi(h.Get(headerQueued))
+	us, err2 := strconv.ParseInt(h.Get(headerLatencyUS), 10, 64)
+	return loadHint{queued: queued, latency: time.Duration(us) * time.Microsecond}, err1 == nil && err2 == nil
+}
+
+// maxErrorBytes limits the body of an error.
+const maxErrorBytes = 4 << 10
+
+// peerError returns the error that an entry host answered with. A HEAD request
+// has no body, so the header holds the code as well.
+func peerError(resp *http.Response, a *attempt) *retry.Error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	_ = resp.Body.Close()
+	a.finish(err == nil)
+	if e, ok := retry.ParseError(data); ok && err == nil {
+		return e
+	}
+	e := newError(retry.Code(resp.Header.Get(HeaderCode)))
+	if o := retry.Outcome(resp.Header.Get(HeaderOutcome)); o.Valid() {
+		e.Outcome = o
+	}
+	return e
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,7 +12,7 @@
 
 const minimal = `{"name":"a1","domain":"a","http":{"listen":"127.0.0.1:8080","forward_listen":"127.0.0.1:8081"},
 "peer":{"listen":"127.0.0.1:8082"},"operator":{"listen":"127.0.0.1:8083"},
-"log_urls":["http://127.0.0.1:9000"],"host_list_url":"http://127.0.0.1:9001/hosts"`
+"log_urls":["http://127.0.0.1:9000"],"host_list_url":"http://127.0.0.1:9001"`
 
 func TestParse(t *testing.T) {
 	Convey("a minimal file gets the defaults", t, func() {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -110,8 +110,8 @@
 
 func validURL(path, value string) error {
 	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		return &InvalidError{Field: path, Value: quoted(value), Allowed: "a URL with http or https (required)"}
+	if err != nil || u.Scheme != "http" || u.Hostname() == "" || u.Port() == "" || u.Path != "" || u.RawQuery != "" {
+		return &InvalidError{Field: path, Value: quoted(value), Allowed: "http://HOST:PORT (required)"}
 	}
 	return nil
 }
