Judge targets by package membership and plan by package ownership

Cause: the control plane used a simple count of failures and a greedy planner of its own. The planner's spill limit of 1.25 was above the imbalance of 1.10 from which shards are balanced, so that the loss of one target was followed by moves between living ones (seen in TestLostTargetIsReplacedWithinTwoSeconds). Change: the limit is 1.10, and a loss puts balancing off by 10 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/membership"
 )
 
 // Control is the control plane of one entry host. Create it with New, add
@@ -24,6 +25,7 @@
 	homes    *homeTable
 	leader   *leader
 	hosts    *hostTable
+	loads    *loadTable
 	stopping atomic.Bool
 
 	current atomic.Pointer[journal.State]
@@ -57,6 +59,7 @@
 	c.homes = newHomeTable(cfg)
 	c.leader = newLeader()
 	c.hosts = newHostTable()
+	c.loads = newLoadTable()
 	c.domains = newDomainSet(c)
 	return c
 }
@@ -70,6 +73,7 @@
 		service{"hosts", c.serveHosts},
 		service{"planner", c.servePlanner},
 		service{"snapshots", c.serveSnapshots},
+		service{"host_list", c.serveHostList},
 		service{"events", c.serveEvents},
 	}
 }
@@ -107,7 +111,11 @@
 
 // onLogRead takes the proof that the log was read to its end.
 func (c *Control) onLogRead(asOf time.Duration) {
-	c.domains.logRead(asOf, c.follower.Position().Next)
+	pos := c.follower.Position()
+	if pos.LogReachable {
+		c.domains.fitness.step(membership.GoodEndpoint{Start: asOf})
+	}
+	c.domains.logRead(asOf, pos.Next)
 }
 
 // publish builds a new view for the request path.
--- a/internal/control/fitness.go
+++ b/internal/control/fitness.go
@@ -4,72 +4,119 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/membership"
 	"github.com/boragelock/boragelock/platform"
 )
 
-// Limits of the fitness judgement.
-const (
-	// lostAfterFailures is the number of failed grants in a row, each on a
-	// connection of its own, after which a target counts as lost.
-	lostAfterFailures = 2
-	// lostAfter is the shortest time without an answer before that.
-	lostAfter = 350 * time.Millisecond
-)
-
-// fitness judges the targets of the own domain by their answers to grants.
+// fitness judges the targets and granters of the own domain. It makes the
+// tracker safe for concurrent use and keeps the last answer of each target.
 type fitness struct {
 	now func() time.Duration
-	mu  sync.Mutex
-	m   map[string]*targetFitness
-}
+	log hclog.Logger
 
-type targetFitness struct {
-	lastOK, firstSeen time.Duration
-	failures          int
-	reply             platform.GrantReply
+	mu      sync.Mutex
+	tracker *membership.Tracker
+	replies map[string]platform.GrantReply
 }
 
 func newFitness(cfg Config) *fitness {
-	return &fitness{now: cfg.Now, m: map[string]*targetFitness{}}
+	return &fitness{
+		now: cfg.Now, log: cfg.Logger.Named("membership"),
+		tracker: membership.New(membership.DefaultConfig()), replies: map[string]platform.GrantReply{},
+	}
 }
 
-func (f *fitness) get(target string) *targetFitness {
-	t := f.m[target]
-	if t == nil {
-		t = &targetFitness{}
-		f.m[target] = t
+// step gives an observation to the tracker and logs what changed.
+func (f *fitness) step(o membership.Observation) {
+	f.mu.Lock()
+	changes := f.tracker.Step(f.now(), o)
+	f.mu.Unlock()
+	for _, ch := range changes {
+		switch e := ch.(type) {
+		case membership.Judged:
+			f.log.Info("state changed", "kind", e.Kind, "name", e.Name, "from", e.From, "to", e.To, "reason", e.Reason)
+		case membership.OwnSide:
+			f.log.Warn("fault on own side", "assumed", e.Assumed)
+		case membership.DeadConnection:
+			f.log.Info("dead connection replaced", "kind", e.Kind, "name", e.Name)
+		}
 	}
-	return t
 }
 
-func (f *fitness) failed(target string, _ bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.get(target).failures++
+func targetNode(name string) membership.Node {
+	return membership.Node{Kind: membership.KindTarget, Name: name}
 }
 
-func (f *fitness) answered(target string, r platform.GrantReply) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.get(target)
-	if t.reply.Incarnation != r.Incarnation {
-		t.firstSeen = f.now()
+func hostNode(name string) membership.Node {
+	return membership.Node{Kind: membership.KindHost, Name: name}
+}
+
+// watch sets the nodes to judge from the state in force.
+func (f *fitness) watch(st *journal.State, self view.Self) {
+	w := membership.Watch{Targets: sortedTargets(st, self.Domain)}
+	for _, m := range st.Granters[self.Domain].Members {
+		if m.Host != self.Name {
+			w.Hosts = append(w.Hosts, m.Host)
+		}
 	}
-	t.lastOK, t.failures, t.reply = f.now(), 0, r
+	f.step(w)
+}
+
+// answered takes a target's answer to a grant.
+func (f *fitness) answered(target string, fresh bool, r platform.GrantReply) {
+	f.mu.Lock()
+	f.replies[target] = r
+	f.mu.Unlock()
+	f.step(membership.Answered{Node: targetNode(target), Fresh: fresh, Incarnation: r.Incarnation, State: r.Load.State})
 }
 
 // target returns what is known of a target.
 func (f *fitness) target(name string) view.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := f.m[name]
-	if t == nil || t.lastOK == 0 {
+	fit := f.tracker.Get(targetNode(name))
+	if fit.LastOK == 0 {
 		return view.Target{}
 	}
-	lost := t.failures >= lostAfterFailures && f.now()-t.lastOK > lostAfter
-	return view.Target{
-		Fit: !lost, State: t.reply.Load.State, Load: t.reply.Load,
-		Incarnation: t.reply.Incarnation, Since: t.firstSeen,
+	r := f.replies[name]
+	out := view.Target{
+		Fit:   fit.State == membership.Fit || fit.State == membership.Suspect,
+		State: r.Load.State, Load: r.Load, Incarnation: fit.Incarnation, Since: fit.IncarnationAt,
+		Ready: fit.MayReceive(f.now()) && r.Load.State != platform.TargetCold,
 	}
+	if fit.State == membership.Leaving {
+		out.State = platform.TargetLeaving
+	}
+	return out
+}
+
+// lost reports whether a target's shards are to be taken over.
+func (f *fitness) lost(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Get(targetNode(name)).State == membership.Lost
+}
+
+// failing lists the targets whose last attempt failed, for the other granters.
+func (f *fitness) failing(names []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, name := range names {
+		if s := f.tracker.Get(targetNode(name)).State; s == membership.Lost || s == membership.Suspect {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// gone reports whether an entry host may be declared gone.
+func (f *fitness) gone(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Gone(f.now(), host)
 }
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -9,6 +9,7 @@
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/membership"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -90,6 +91,9 @@
 // publish hands a state to the cores. Other domains are observed only by the
 // host that leads its own domain.
 func (d *domainSet) publish(st *journal.State) {
+	if st.Config != nil {
+		d.fitness.watch(st, d.c.cfg.Self)
+	}
 	d.step(d.c.cfg.Self.Domain, lease.Published{State: st})
 	if st.Config == nil || !d.c.leads(st) {
 		return
@@ -132,6 +136,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
+			c.domains.fitness.step(membership.Tick{})
 			for _, name := range c.domains.all() {
 				c.domains.step(name, lease.Tick{})
 			}
@@ -233,6 +238,9 @@
 type grantWorker struct {
 	addr   string
 	client platform.Target
+	// open says that the last grant was answered, so that the next one goes
+	// over the same connection.
+	open bool
 	// queue holds at most one grant; a new one is refused while it is full,
 	// since a renewal that has waited is of no use.
 	queue chan domainGrant
@@ -289,25 +297,20 @@
 		d.step(g.domain, lease.GrantFailed{Target: g.grant.Target, Seq: g.grant.Seq})
 		return
 	}
+	fresh := !w.open
 	reply, err := w.client.Grant(ctx, g.grant.Grant)
+	w.open = err == nil
 	if err != nil {
 		grantsTotal.Add("failed", 1)
-		d.fitness.failed(g.grant.Target, refusedConnection(err))
+		d.fitness.step(membership.Failed{Node: targetNode(g.grant.Target), Fresh: fresh})
 		d.step(g.domain, lease.GrantFailed{Target: g.grant.Target, Seq: g.grant.Seq})
 		return
 	}
 	grantsTotal.Add(string(reply.Result), 1)
-	d.fitness.answered(g.grant.Target, reply)
+	d.fitness.answered(g.grant.Target, fresh, reply)
 	d.step(g.domain, lease.GrantAnswer{Target: g.grant.Target, Seq: g.grant.Seq, Reply: reply})
 }
 
-// refusedConnection reports whether the failure proves that the grant did not
-// arrive.
-func refusedConnection(err error) bool {
-	var pe *platform.Error
-	return errors.As(err, &pe) && pe.Code == platform.CodeUnavailable
-}
-
 // isRefused reports whether a peer call was refused by the host's kernel.
 func isRefused(err error) bool {
 	var ce *peer.CallError
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -284,12 +284,15 @@
 	callers map[string]caller
 	view    DomainView
 	remote  map[string]DomainView
+	// remoteAt is when each other domain's leader last answered.
+	remoteAt map[string]time.Duration
 }
 
 func newLeader() *leader {
 	return &leader{
 		homes: map[string]view.Home{}, expires: map[string]time.Duration{},
 		callers: map[string]caller{}, remote: map[string]DomainView{},
+		remoteAt: map[string]time.Duration{},
 	}
 }
 
@@ -522,7 +525,7 @@
 // every grant and which homes report to the request path themselves.
 func sameView(a, b DomainView) bool {
 	sameTarget := func(x, y view.Target) bool {
-		return x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears
+		return x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears && x.Ready == y.Ready
 	}
 	return b.Version != 0 && maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -9,6 +9,7 @@
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/membership"
 )
 
 // Intervals of the duty that watches the other hosts.
@@ -155,16 +156,30 @@
 		}
 	})
 	if err != nil {
+		c.domains.fitness.step(membership.Failed{Node: hostNode(e.Name), Fresh: true})
 		if isRefused(err) {
 			c.homes.suspect(e.Name)
 		}
 		return
 	}
+	c.noteHello(e.Name, sent, rep)
 	c.domains.step(c.cfg.Self.Domain, lease.PeerSeen{
 		Host: rep.Host.Name, Incarnation: rep.Host.Incarnation, SentAt: sent, Next: rep.Next, Renewed: rep.renewed(),
 	})
 }
 
+// noteHello passes on what a granter says of itself and of the targets.
+func (c *Control) noteHello(host string, sent time.Duration, rep HelloReply) {
+	f := c.domains.fitness
+	f.step(membership.Answered{Node: hostNode(host), Incarnation: rep.Host.Incarnation})
+	for t, age := range rep.renewed() {
+		f.step(membership.Reported{Node: targetNode(t), By: host, OK: true, At: sent - age})
+	}
+	for _, t := range rep.Failing {
+		f.step(membership.Reported{Node: targetNode(t), By: host, At: sent})
+	}
+}
+
 // silent reports whether a granter no longer does its work.
 func (c *Control) silent(st *journal.State, m journal.Member, now time.Duration) bool {
 	if m.Host == c.cfg.Self.Name {
@@ -329,15 +344,85 @@
 		if err != nil || !rep.Leader {
 			continue
 		}
+		l.mu.Lock()
 		if v, ok := rep.Domains[domain]; ok {
-			l.mu.Lock()
 			l.remote[domain] = v
-			l.mu.Unlock()
 		}
+		l.remoteAt[domain] = c.cfg.Now()
+		l.mu.Unlock()
 		return
 	}
 }
 
+// listInterval is the interval at which granters read the platform's list of hosts.
+const listInterval = time.Second
+
+// serveHostList reads the platform's list of hosts while this host is a granter.
+func (c *Control) serveHostList(ctx context.Context) error {
+	tick := time.NewTicker(listInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		st := c.state()
+		if st == nil || st.Config == nil || c.cfg.HostList == nil || !c.isGranter(st) {
+			continue
+		}
+		c.readHostList(ctx)
+		if c.leads(st) {
+			c.dropGone(ctx, st)
+		}
+	}
+}
+
+func (c *Control) readHostList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listInterval)
+	defer cancel()
+	start := c.cfg.Now()
+	hosts, err := c.cfg.HostList.Hosts(ctx)
+	if err != nil {
+		c.log.Debug("list of hosts not read", "error", err)
+		return
+	}
+	c.domains.fitness.step(membership.GoodEndpoint{Start: start})
+	c.domains.fitness.step(membership.Listed{Hosts: hosts})
+}
+
+// dropGone records the hosts of this domain that have gone for good.
+func (c *Control) dropGone(ctx context.Context, st *journal.State) {
+	for _, name := range c.domainHosts(st) {
+		if name == c.cfg.Self.Name || !c.domains.fitness.gone(name) {
+			continue
+		}
+		e := st.Entries[name]
+		e.Gone = true
+		if _, err := c.Append(ctx, journal.KindEntryHost, e); err != nil {
+			c.log.Warn("host not recorded as gone", "host", name, "error", err)
+		}
+	}
+}
+
+// isGranter reports whether this host is a granter of its domain.
+func (c *Control) isGranter(st *journal.State) bool {
+	return slices.ContainsFunc(st.Granters[c.cfg.Self.Domain].Members, func(m journal.Member) bool {
+		return m.Host == c.cfg.Self.Name && m.Incarnation == c.cfg.Self.Incarnation
+	})
+}
+
+func (c *Control) takeEvent(e view.Event) {
+	switch e.Kind {
+	case view.EventPeerDown:
+		if e.Host != "" {
+			c.homes.suspect(e.Host)
+		}
+	case view.EventLeaving:
+		c.domains.fitness.step(membership.SaysLeaving{Node: targetNode(e.Target)})
+	}
+}
+
 // serveEvents takes the reports of the request path.
 func (c *Control) serveEvents(ctx context.Context) error {
 	for {
@@ -345,9 +430,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-c.events:
-			if e.Kind == view.EventPeerDown && e.Host != "" {
-				c.homes.suspect(e.Host)
-			}
+			c.takeEvent(e)
 		}
 	}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -60,6 +60,8 @@
 	LogReachable bool `json:"log_reachable"`
 	// RenewedMS maps targets to the age of the peer's last renewal, in milliseconds.
 	RenewedMS map[string]int64 `json:"renewed_ms,omitempty"`
+	// Failing lists the targets that the peer cannot reach.
+	Failing []string `json:"failing,omitempty"`
 	// Stopping says that the peer is about to exit.
 	Stopping bool `json:"stopping,omitempty"`
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -5,79 +5,168 @@
 	"slices"
 	"time"
 
+	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
 	"github.com/boragelock/boragelock/platform"
 )
 
-// maxMovesPerRecord keeps one record well below the size limits of logs.
-const maxMovesPerRecord = 2048
+const (
+	// maxMovesPerRecord keeps one record well below the size limits of logs.
+	maxMovesPerRecord = 2048
+	// firstPlanWait is how long the first assignment waits for the targets of
+	// all domains, so that the shards are spread over all of them at once.
+	firstPlanWait = 3 * time.Second
+	// domainSilentAfter is how long the leader of another domain must have
+	// been silent before the coordinator plans for it.
+	domainSilentAfter = 3 * time.Second
+)
+
+// planner is the state of the planning duty.
+type planner struct {
+	since      time.Duration
+	rebalanced map[string]time.Duration
+	loads      *loadTable
+}
 
 // servePlanner plans moves while this host leads its domain.
 func (c *Control) servePlanner(ctx context.Context) error {
 	tick := time.NewTicker(c.cfg.Timing.PlanInterval)
 	defer tick.Stop()
+	p := &planner{rebalanced: map[string]time.Duration{}, loads: c.loads}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			st := c.state()
-			if st != nil && st.Config != nil && c.leads(st) {
-				c.plan(ctx, st)
-			}
 		}
+		st := c.state()
+		if st == nil || st.Config == nil || !c.leads(st) || c.stopping.Load() {
+			p.since = 0
+			continue
+		}
+		if p.since == 0 {
+			p.since = c.cfg.Now()
+		}
+		c.plan(ctx, st, p)
 	}
 }
 
-// plan proposes the moves that the state and the fitness of targets call for.
-func (c *Control) plan(ctx context.Context, st *journal.State) {
-	for _, m := range c.planMoves(st) {
-		if len(m.Shards) == 0 {
-			continue
+// plan proposes what the state and the fitness of targets call for. The
+// leader of each domain moves the shards of its own targets; the coordinator,
+// which is the leader of the first domain that has one, does the rest. Two
+// proposers at once are harmless, since a move names the epoch it replaces.
+func (c *Control) plan(ctx context.Context, st *journal.State, p *planner) {
+	in := ownership.PlanInput{Table: st.Table, Targets: c.planTargets(st), Now: c.cfg.Now(), Rebalanced: p.rebalanced}
+	in.Load, in.Hot = p.loads.plan()
+	plan := ownership.MakePlan(ownership.DefaultPlanConfig(), in)
+	coordinator := c.isFirstDomain(st)
+	for _, m := range plan.Moves {
+		m = c.ownPart(st, m, coordinator, p)
+		for _, part := range splitMove(m) {
+			if !c.appendPlan(ctx, journal.KindMove, part, "reason", m.Reason, "shards", len(part.Shards)) {
+				return
+			}
 		}
-		res, err := c.Append(ctx, journal.KindMove, m)
-		if err != nil {
-			c.log.Warn("moves not written", "reason", m.Reason, "error", err)
-			return
+		// A loss also puts balancing off, so that one loss is not followed by
+		// moves between targets that it did not touch.
+		if (m.Reason == ownership.ReasonRebalance || m.Reason == ownership.ReasonLost) && len(m.Shards) > 0 {
+			p.rebalanced[m.Shards[0].Workload] = c.cfg.Now()
 		}
-		c.log.Info("moves written", "reason", m.Reason, "shards", len(m.Shards), "outcome", res.Outcome)
+	}
+	if !coordinator {
+		return
+	}
+	for _, s := range plan.Splits {
+		c.appendPlan(ctx, journal.KindSplit, s, "workload", s.Workload)
+	}
+	for _, m := range plan.Merges {
+		c.appendPlan(ctx, journal.KindMerge, m, "workload", m.Workload)
 	}
 }
 
-// planMoves assigns the shards that nobody owns and those of lost targets.
-func (c *Control) planMoves(st *journal.State) []journal.Move {
-	var out []journal.Move
-	for name, w := range st.Table.Workloads {
-		fit := c.fitTargets(st, name)
-		if len(fit) == 0 {
-			continue
+func (c *Control) appendPlan(ctx context.Context, kind journal.Kind, body any, fields ...any) bool {
+	res, err := c.Append(ctx, kind, body)
+	if err != nil {
+		c.log.Warn("plan not written", append(fields, "kind", kind, "error", err)...)
+		return false
+	}
+	c.log.Info("plan written", append(fields, "kind", kind, "outcome", res.Outcome)...)
+	return true
+}
+
+// ownPart returns the entries of a move that this host proposes.
+func (c *Control) ownPart(st *journal.State, m journal.Move, coordinator bool, p *planner) journal.Move {
+	m.Shards = slices.DeleteFunc(slices.Clone(m.Shards), func(e ownership.MoveShard) bool {
+		s, _ := st.Table.Get(e.ID)
+		switch {
+		case s.Owner == "":
+			return !coordinator || !c.allKnown(st, p)
+		case m.Reason == ownership.ReasonHot || m.Reason == ownership.ReasonRebalance:
+			return !coordinator
 		}
-		counts := map[string]int{}
-		for _, s := range w.Shards {
-			counts[s.Owner]++
+		holder := s.Owner
+		if s.Waiting != 0 && m.Reason == ownership.ReasonLost {
+			holder = s.Previous
 		}
-		initial := journal.Move{Reason: ownership.ReasonInitial}
-		lost := journal.Move{Reason: ownership.ReasonLost}
-		for n, s := range w.Shards {
-			id := ownership.ID{Workload: name, Shard: int32(n)}
-			switch {
-			case s.Owner == "" && s.Epoch == 0 && c.isFirstDomain(st):
-				initial.Shards = append(initial.Shards, moveTo(id, s, fit, counts))
-			case s.Owner != "" && c.isLost(st, s.Owner):
-				lost.Shards = append(lost.Shards, moveTo(id, s, fit, counts))
-			}
+		d := st.Config.Targets[holder].Domain
+		return d != c.cfg.Self.Domain && !(coordinator && c.actsFor(st, d))
+	})
+	return m
+}
+
+// allKnown reports whether the targets of all domains are known, or have had
+// their time.
+func (c *Control) allKnown(st *journal.State, p *planner) bool {
+	if c.cfg.Now()-p.since > firstPlanWait {
+		return true
+	}
+	for name, t := range st.Config.Targets {
+		if st.Config.TargetIn(name) && c.knownTarget(name, t.Domain).Incarnation == "" {
+			return false
 		}
-		out = append(out, splitMove(initial)...)
-		out = append(out, splitMove(lost)...)
 	}
-	return out
+	return true
+}
+
+// actsFor reports whether the coordinator plans for a domain whose own leader
+// does not: the domain is lost, or has been silent and may not serve without
+// end.
+func (c *Control) actsFor(st *journal.State, domain string) bool {
+	if st.Config.Domains[domain].State == contract.StateLost {
+		return true
+	}
+	return st.Config.IsolatedServeMS >= 0 && c.domainSilent(domain)
+}
+
+func (c *Control) domainSilent(domain string) bool {
+	c.leader.mu.Lock()
+	defer c.leader.mu.Unlock()
+	last, ok := c.leader.remoteAt[domain]
+	return ok && c.cfg.Now()-last > domainSilentAfter
 }
 
-func moveTo(id ownership.ID, s ownership.Shard, fit []string, counts map[string]int) ownership.MoveShard {
-	to := slices.MinFunc(fit, func(a, b string) int { return counts[a] - counts[b] })
-	counts[to]++
-	return ownership.MoveShard{ID: id, FromEpoch: s.Epoch, To: to}
+// planTargets describes all targets to the planner.
+func (c *Control) planTargets(st *journal.State) []ownership.PlanTarget {
+	out := make([]ownership.PlanTarget, 0, len(st.Config.Targets))
+	for name, t := range st.Config.Targets {
+		known := c.knownTarget(name, t.Domain)
+		own := t.Domain == c.cfg.Self.Domain
+		lost := own && c.domains.fitness.lost(name) || !own && c.actsFor(st, t.Domain)
+		heard := known.Incarnation != ""
+		fit := st.Config.TargetIn(name) && known.State != platform.TargetLeaving && (known.Fit || !heard && !own) && !lost
+		out = append(out, ownership.PlanTarget{
+			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots),
+			Fit: fit, Ready: known.Ready, Lost: lost,
+		})
+	}
+	slices.SortFunc(out, func(a, b ownership.PlanTarget) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
 }
 
 // splitMove cuts a move into records of a bearable size.
@@ -89,40 +178,13 @@
 	return out
 }
 
-// isFirstDomain reports whether this domain makes the first assignment.
+// isFirstDomain reports whether this host's domain is the first one that is in
+// service and has granters. Its leader is the coordinator.
 func (c *Control) isFirstDomain(st *journal.State) bool {
 	for _, d := range st.Config.DomainOrder {
-		if st.Config.Domains[d].State.In() && len(st.Granters[d].Members) > 0 {
+		if st.Config.Domains[d].State.In() && len(st.Granters[d].Members) > 0 && (d == c.cfg.Self.Domain || !c.domainSilent(d)) {
 			return d == c.cfg.Self.Domain
 		}
 	}
 	return false
 }
-
-// isLost reports whether a target of this domain has answered before and no
-// longer does.
-func (c *Control) isLost(st *journal.State, target string) bool {
-	t, ok := st.Config.Targets[target]
-	if !ok || t.Domain != c.cfg.Self.Domain {
-		return false
-	}
-	f := c.domains.fitness.target(target)
-	return f.Incarnation != "" && !f.Fit
-}
-
-// fitTargets lists the targets of a workload that can take shards.
-func (c *Control) fitTargets(st *journal.State, workload string) []string {
-	var out []string
-	for name, t := range st.Config.Targets {
-		if t.Workload != workload || !st.Config.TargetIn(name) || c.isLost(st, name) {
-			continue
-		}
-		f := c.knownTarget(name, t.Domain)
-		if f.Incarnation != "" && (!f.Fit || f.State == platform.TargetLeaving) {
-			continue
-		}
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -72,6 +72,7 @@
 		rep.RenewedMS[t] = age.Milliseconds() + 1
 	}
 	if st := c.state(); st != nil && st.Config != nil {
+		rep.Failing = c.domains.fitness.failing(sortedTargets(st, c.cfg.Self.Domain))
 		rep.ConfigVersion = st.Config.Version
 	}
 	return rep, nil
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -40,6 +40,9 @@
 	// Since is when the target's present incarnation was first seen, on the
 	// boot-time clock; zero when unknown.
 	Since time.Duration
+	// Ready says that shards may be moved to the target: it is not cold and
+	// has not returned lately.
+	Ready bool
 }
 
 // Peer is another entry host.
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -22,7 +22,8 @@
 	// not start again at once. Default 1.05.
 	ImbalanceGoal float64
 	// Spill is the load relative to the mean up to which targets of the same
-	// domain take over the shards of a lost one. Default 1.25.
+	// domain take over the shards of a lost one. It does not exceed Imbalance,
+	// or the loss would be followed by moves that balance. Default 1.10.
 	Spill float64
 	// RebalanceEvery is the shortest time between two plans that balance the
 	// same workload. Default 10 s.
@@ -42,7 +43,7 @@
 // DefaultPlanConfig returns the defaults.
 func DefaultPlanConfig() PlanConfig {
 	return PlanConfig{
-		BatchesPerTarget: 8, ReceiverBatches: 2, Imbalance: 1.10, ImbalanceGoal: 1.05, Spill: 1.25,
+		BatchesPerTarget: 8, ReceiverBatches: 2, Imbalance: 1.10, ImbalanceGoal: 1.05, Spill: 1.10,
 		RebalanceEvery: 10 * time.Second, HotShare: 0.2, ColdShare: 0.05, HotMoves: 4,
 	}
 }
