Find hot keys and measure the load of shards at the homes

Cause: the planner splits hot keys and balances by load, but nothing measured either. Counting at the entry host a caller reached would let each host report all shards; the home of a target sees only that target's shards, so a report grows with the targets of a host, not with the deployment. HotKeyObserver is called by the home instead of the front.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,7 +59,7 @@
 	c.homes = newHomeTable(cfg)
 	c.leader = newLeader()
 	c.hosts = newHostTable()
-	c.loads = newLoadTable()
+	c.loads = newLoadTable(cfg.Now)
 	c.domains = newDomainSet(c)
 	return c
 }
@@ -74,6 +74,7 @@
 		service{"planner", c.servePlanner},
 		service{"snapshots", c.serveSnapshots},
 		service{"host_list", c.serveHostList},
+		service{"loads", c.serveLoads},
 		service{"events", c.serveEvents},
 	}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -16,6 +16,7 @@
 	methodConsent  = "lease.consent"
 	methodBack     = "lease.back"
 	methodStop     = "lease.stop_renew"
+	methodHot      = "hot.report"
 )
 
 // RecordsRequest asks for records from an offset on.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -181,10 +181,15 @@
 // isFirstDomain reports whether this host's domain is the first one that is in
 // service and has granters. Its leader is the coordinator.
 func (c *Control) isFirstDomain(st *journal.State) bool {
+	return c.coordinatorDomain(st) == c.cfg.Self.Domain
+}
+
+// coordinatorDomain returns the domain whose leader is the coordinator, or "".
+func (c *Control) coordinatorDomain(st *journal.State) string {
 	for _, d := range st.Config.DomainOrder {
 		if st.Config.Domains[d].State.In() && len(st.Granters[d].Members) > 0 && (d == c.cfg.Self.Domain || !c.domainSilent(d)) {
-			return d == c.cfg.Self.Domain
+			return d
 		}
 	}
-	return false
+	return ""
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -16,6 +16,7 @@
 	s.Handle(methodHome, peer.Typed(c.homeView))
 	s.Handle(methodConsent, peer.Typed(c.consent))
 	s.Handle(methodBack, peer.Typed(c.back))
+	s.Handle(methodHot, peer.Typed(c.hotReport))
 	s.Handle(methodStop, peer.Typed(c.stopRenew))
 }
 
--- a/internal/forward/front.go
+++ b/internal/forward/front.go
@@ -149,9 +149,6 @@
 		deadline:   now + deadline, holdUntil: now + min(deadline, s.cfg.Hold),
 	}
 	copyRequestHeader(c.header, r.Header)
-	if c.keyed && s.cfg.Hot != nil {
-		s.cfg.Hot.Observe(workload, key)
-	}
 	return c, nil
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -59,6 +59,9 @@
 	if h == nil {
 		return nil, newError(retry.CodeNotHome)
 	}
+	if c.keyed && s.cfg.Hot != nil {
+		s.cfg.Hot.Observe(c.workload, c.key, r.shard)
+	}
 	slot, err := h.acquire(ctx, c)
 	if err != nil {
 		return nil, err
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -111,7 +111,8 @@
 	Report(Event)
 }
 
-// HotKeyObserver counts keys to find hot ones. Observe never blocks.
+// HotKeyObserver counts the requests that a home handles, to find hot keys and
+// balance the load of targets. Observe never waits for I/O.
 type HotKeyObserver interface {
-	Observe(workload, key string)
+	Observe(workload, key string, shard int32)
 }
