Tell the granters for which version a home has drained a target

Cause: shards of targets that do not check fences can be released in a planned move only when the home has ended its requests for them; nothing said so, and such a release waited for the permits to end.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,6 +35,9 @@
 	change chan struct{}
 
 	events chan view.Event
+
+	// drained is set before the duties start; see SetDrained.
+	drained func(target string, version uint64) uint64
 }
 
 // eventBuffer bounds the reports of the request path; when it is full the
@@ -173,6 +176,12 @@
 	}
 }
 
+// SetDrained sets how the control plane learns for which version of a target
+// the request path has ended all requests for shards that the target has lost.
+// Call it before the services are started. Without it, shards of targets that
+// do not check fences are released only after their permits have ended.
+func (c *Control) SetDrained(f func(target string, version uint64) uint64) { c.drained = f }
+
 // Append writes a record and returns what it did; see Writer.Append.
 func (c *Control) Append(ctx context.Context, kind journal.Kind, body any) (journal.Result, error) {
 	return c.writer.Append(ctx, kind, body)
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -241,12 +241,19 @@
 
 // askHomes asks the granters of the own domain in order until one answers.
 func (c *Control) askHomes(ctx context.Context) {
-	st := c.state()
-	if st == nil || st.Config == nil {
+	v := c.View()
+	if v == nil {
 		return
 	}
+	// The request path works by the published view, so its state counts.
+	st := v.State
 	for _, m := range st.Granters[c.cfg.Self.Domain].Members {
 		req := c.homes.request(st)
+		if c.drained != nil {
+			for t, version := range req.Versions {
+				req.Drained[t] = c.drained(t, version)
+			}
+		}
 		sent := c.cfg.Now()
 		rep, err := c.callHome(ctx, st, m.Host, req)
 		if err != nil {
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -31,6 +31,9 @@
 	report  admission.Report
 	polled  time.Time
 	polling bool
+	// versions counts the requests in progress by the target's version in the
+	// view with which they began.
+	versions map[uint64]int
 }
 
 // latencyEstimate is a moving mean and mean deviation of response times, with
@@ -60,7 +63,7 @@
 }
 
 func (s *Server) newHome(t contract.Target, seen view.Target, before int) (*home, error) {
-	h := &home{target: t, m: s.m, waits: map[uint64]chan admission.Decision{}, report: reportOf(seen)}
+	h := &home{target: t, m: s.m, waits: map[uint64]chan admission.Decision{}, versions: map[uint64]int{}, report: reportOf(seen)}
 	limits := admission.Limits{Slots: t.Slots, ColdSlots: t.ColdSlots, Ramp: time.Duration(t.RampMS) * time.Millisecond}
 	start := admission.Start{InFlight: max(seen.Load.InFlight, before), Warm: t.RampMS == 0, Report: h.report}
 	lim, err := admission.New(admission.Config{MaxQueue: s.cfg.MaxQueue}, limits, boottime.Now(), start)
@@ -273,6 +276,42 @@
 	return l.State == platform.TargetLeaving
 }
 
+// enter counts a request that begins with a version of the target; leave ends it.
+func (h *home) enter(version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions[version]++
+}
+
+func (h *home) leave(version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.versions[version]--; h.versions[version] == 0 {
+		delete(h.versions, version)
+	}
+}
+
+// Drained returns the highest version of a target, up to the given one, such
+// that no request in progress here began with a lower one. Requests for shards
+// that the target lost up to that version have therefore ended; one that
+// begins later with an older view is stopped by the check before the write.
+func (s *Server) Drained(target string, version uint64) uint64 {
+	s.homesMu.RLock()
+	homes := [2]*home{s.homes[target], s.leaving[target]}
+	s.homesMu.RUnlock()
+	for _, h := range homes {
+		if h == nil {
+			continue
+		}
+		h.mu.Lock()
+		for v := range h.versions {
+			version = min(version, v)
+		}
+		h.mu.Unlock()
+	}
+	return version
+}
+
 // drain sheds the queue and refuses new requests.
 func (h *home) drain() {
 	h.mu.Lock()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -62,8 +62,11 @@
 	if c.keyed && s.cfg.Hot != nil {
 		s.cfg.Hot.Observe(c.workload, c.key, r.shard)
 	}
+	version := uint64(s.cfg.Source.View().State.TargetVersion[r.target])
+	h.enter(version)
 	slot, err := h.acquire(ctx, c)
 	if err != nil {
+		h.leave(version)
 		return nil, err
 	}
 	start := time.Now()
@@ -73,6 +76,7 @@
 		if err == nil {
 			ans.load, ans.loaded = h.hint(), true
 			ans.then(func(bool) {
+				h.leave(version)
 				h.release(slot, admission.Sample{Latency: latency(), Outcome: admission.OutcomeOK})
 			})
 			return ans, nil
@@ -80,6 +84,7 @@
 		if n < maxSends && s.sendAgain(c, h, err) {
 			continue
 		}
+		h.leave(version)
 		h.release(slot, admission.Sample{Latency: latency(), Outcome: sampleOf(err)})
 		return nil, err
 	}
