Probe targets that get no grants; test domain moves, leaving and hot keys

Cause: targets of unkeyed workloads and those that do not check fences get no grants, so they were never judged: a domain with fencing=false could not be taken out (shards not handed over within 15 s), and unkeyed work had no fit target. Change: the leader asks them for their load every 200 ms; load reports carry the incarnation; a new leader keeps the former one's word until it has its own. A host states the drained version for all such targets of its domain, also before it is their home, or it would never get a permit.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -77,6 +77,7 @@
 		service{"planner", c.servePlanner},
 		service{"snapshots", c.serveSnapshots},
 		service{"host_list", c.serveHostList},
+		service{"probes", c.serveProbes},
 		service{"loads", c.serveLoads},
 		service{"events", c.serveEvents},
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -33,6 +33,7 @@
 	targets map[string]*standin.Target
 	servers map[string]*httptest.Server
 	hosts   map[string]*testHost
+	fencing bool
 }
 
 type testHost struct {
@@ -72,17 +73,22 @@
 }
 
 func newTestSystemWithLog(t *testing.T, domains, targetsEach int, logCfg standin.LogConfig) *testSystem {
+	t.Helper()
+	return newSystem(t, domains, targetsEach, logCfg, true)
+}
+
+func newSystem(t *testing.T, domains, targetsEach int, logCfg standin.LogConfig, fencing bool) *testSystem {
 	t.Helper()
 	s := &testSystem{
 		t: t, log: standin.NewLog(logCfg), targets: map[string]*standin.Target{},
-		servers: map[string]*httptest.Server{}, hosts: map[string]*testHost{},
+		servers: map[string]*httptest.Server{}, hosts: map[string]*testHost{}, fencing: fencing,
 	}
 	ls := httptest.NewServer(s.log)
 	t.Cleanup(ls.Close)
 	s.logAddr = ls.Listener.Addr().String()
 	s.dep = contract.Deployment{
 		Name: "test", IsolatedServeMS: -1,
-		Workloads: []contract.Workload{{Name: "lookups", Keyed: true, Shards: testShards, Fencing: true}},
+		Workloads: []contract.Workload{{Name: "lookups", Keyed: true, Shards: testShards, Fencing: fencing}},
 	}
 	for d := range domains {
 		domain := fmt.Sprintf("d%d", d)
@@ -96,7 +102,7 @@
 
 func (s *testSystem) addTarget(name, domain string) {
 	tg := standin.NewTarget(standin.TargetConfig{
-		Name: name, Workload: "lookups", Domain: domain, Keyed: true, Shards: testShards, Fencing: true,
+		Name: name, Workload: "lookups", Domain: domain, Keyed: true, Shards: testShards, Fencing: s.fencing,
 	}, standin.NewRecorder(nil, true))
 	srv := httptest.NewServer(tg)
 	s.t.Cleanup(srv.Close)
@@ -128,6 +134,8 @@
 	}
 	adjust(&cfg)
 	h.Control = New(cfg)
+	// There is no request path here, so nothing is ever in progress.
+	h.SetDrained(func(_ string, version uint64) uint64 { return version })
 	server := &peer.Server{Listener: ln}
 	h.Register(server)
 	sup := suture.New(name, suture.Spec{EventHook: func(suture.Event) {}})
@@ -320,3 +328,103 @@
 		t.Fatalf("second change from the same version: %v %v, want refused", res, err)
 	}
 }
+
+// change appends a configuration change made from the version in force.
+func (s *testSystem) change(h *testHost, items ...contract.Item) {
+	s.t.Helper()
+	ch := contract.Change{FromVersion: h.View().State.Config.Version, Operator: "test", Items: items}
+	res, err := h.Append(context.Background(), journal.KindChange, ch)
+	if err != nil || res.Outcome != journal.Applied {
+		s.t.Fatalf("change: %+v %v", res, err)
+	}
+}
+
+func (s *testSystem) targetsOf(domain string) []string {
+	var out []string
+	for _, t := range s.dep.Targets {
+		if t.Domain == domain {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
+
+// A domain that operators take out must hand all its shards over while its
+// targets still answer, and get shards again after it is brought back.
+func TestDomainOutHandsShardsOver(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing=%v", fencing), func(t *testing.T) {
+			s := newSystem(t, 2, 2, standin.LogConfig{}, fencing)
+			h := s.startAll(2, 2)
+			s.change(h, contract.Item{Domain: &contract.SetState{Name: "d1", State: contract.StateOut}})
+			out := s.targetsOf("d1")
+			took := s.eventually(15*time.Second, "shards handed over", func() bool { return s.serving(h, out...) })
+			t.Logf("handed over after %v", took)
+		})
+	}
+}
+
+// A domain that has died as a whole is taken over only on the operators' word.
+func TestLostDomainIsTakenOverOnRequest(t *testing.T) {
+	s := newTestSystem(t, 2, 2)
+	h := s.startAll(2, 1)
+	s.kill("d1-e0")
+	dead := s.targetsOf("d1")
+	for _, name := range dead {
+		s.killTarget(name)
+	}
+	time.Sleep(2 * time.Second)
+	for _, sh := range h.View().State.Table.Workloads["lookups"].Shards {
+		if contains(dead, sh.Owner) && sh.Epoch > 1 {
+			t.Fatalf("shard of a silent domain was moved without the operators' word: %+v", sh)
+		}
+	}
+	s.change(h, contract.Item{Domain: &contract.SetState{Name: "d1", State: contract.StateLost}})
+	took := s.eventually(5*time.Second, "shards taken over", func() bool { return s.serving(h, dead...) })
+	t.Logf("taken over after %v", took)
+}
+
+// A domain that may not serve in isolation must be taken over by itself.
+func TestSilentDomainIsTakenOverWhenIsolationIsLimited(t *testing.T) {
+	s := newTestSystem(t, 2, 2)
+	s.dep.IsolatedServeMS = 0
+	h := s.startAll(2, 1)
+	s.kill("d1-e0")
+	dead := s.targetsOf("d1")
+	for _, name := range dead {
+		s.killTarget(name)
+	}
+	took := s.eventually(10*time.Second, "shards taken over", func() bool { return s.serving(h, dead...) })
+	t.Logf("taken over after %v", took)
+}
+
+// A target that says it leaves must lose its shards while it still serves.
+func TestLeavingTargetIsDrained(t *testing.T) {
+	s := newTestSystem(t, 1, 3)
+	h := s.startAll(1, 2)
+	s.targets["d0-t1"].SetSwitches(standin.TargetSwitches{Leaving: true})
+	took := s.eventually(15*time.Second, "shards handed over", func() bool { return s.serving(h, "d0-t1") })
+	t.Logf("handed over after %v", took)
+}
+
+// A hot key must get a shard of its own, and may then move without its
+// former neighbours.
+func TestHotKeyIsSplit(t *testing.T) {
+	s := newTestSystem(t, 1, 3)
+	h := s.startAll(1, 2)
+	stop := time.Now().Add(10 * time.Second)
+	for time.Now().Before(stop) {
+		for i := range 20 {
+			h.Observe("lookups", "hot", h.View().State.Table.Workloads["lookups"].Locate("hot"))
+			if i%4 == 0 {
+				key := fmt.Sprintf("cold-%d", time.Now().UnixNano()%1000)
+				h.Observe("lookups", key, h.View().State.Table.Workloads["lookups"].Locate(key))
+			}
+		}
+		if _, ok := h.View().State.Table.Workloads["lookups"].Hot["hot"]; ok {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("hot key has no shard of its own")
+}
--- a/internal/control/fitness.go
+++ b/internal/control/fitness.go
@@ -84,6 +84,7 @@
 	}
 	r := f.replies[name]
 	out := view.Target{
+		Known: true,
 		Fit:   fit.State == membership.Fit || fit.State == membership.Suspect,
 		State: r.Load.State, Load: r.Load, Incarnation: fit.Incarnation, Since: fit.IncarnationAt,
 		Ready: fit.MayReceive(f.now()) && r.Load.State != platform.TargetCold,
@@ -94,6 +95,11 @@
 	return out
 }
 
+// reported takes the load report of a target that gets no grants.
+func (f *fitness) reported(target string, fresh bool, l platform.LoadReport) {
+	f.answered(target, fresh, platform.GrantReply{Incarnation: l.Incarnation, Load: l})
+}
+
 // lost reports whether a target's shards are to be taken over.
 func (f *fitness) lost(name string) bool {
 	f.mu.Lock()
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -24,9 +24,10 @@
 	Domain string `json:"domain"`
 	// Holds maps the targets that the host is the home of to the home's epoch.
 	Holds map[string]uint64 `json:"holds,omitempty"`
-	// Versions maps the same targets to their version in the host's state, and
-	// Drained to the version for which it has ended the requests for shards
-	// that the target lost.
+	// Versions maps the domain's targets that do not check fences to their
+	// version in the host's state, and Drained to the version for which it has
+	// ended the requests for shards that the target lost. They are needed for
+	// targets that the host is not yet the home of, too.
 	Versions map[string]uint64 `json:"versions,omitempty"`
 	Drained  map[string]uint64 `json:"drained,omitempty"`
 	// Known maps domains to the versions that the caller has.
@@ -159,6 +160,10 @@
 		}
 		if p.until > now {
 			req.Holds[t] = p.epoch
+		}
+	}
+	for t, cfg := range st.Config.Targets {
+		if cfg.Domain == h.self.Domain && !st.Config.Workloads[cfg.Workload].Fencing {
 			req.Versions[t] = uint64(st.TargetVersion[t])
 		}
 	}
@@ -417,9 +422,7 @@
 		if l.callers[req.Host].incarnation != req.Incarnation {
 			continue
 		}
-		r := req
-		r.Versions = map[string]uint64{t: uint64(st.TargetVersion[t])}
-		if ms := c.permitFor(st, t, r); ms > 0 {
+		if ms := c.permitFor(st, t, req); ms > 0 {
 			l.expires[t] = max(l.expires[t], now+c.stretched(ms))
 			rep.PermitMS[t] = ms
 		}
@@ -519,7 +522,10 @@
 func (c *Control) rebuild(l *leader, st *journal.State, alive []string) {
 	next := DomainView{Homes: maps.Clone(l.homes), Targets: map[string]view.Target{}, Alive: alive}
 	for _, t := range sortedTargets(st, c.cfg.Self.Domain) {
-		next.Targets[t] = c.domains.fitness.target(t)
+		if next.Targets[t] = c.domains.fitness.target(t); !next.Targets[t].Known {
+			// A new leader keeps the word of the one before until it has its own.
+			next.Targets[t] = l.view.Targets[t]
+		}
 	}
 	if sameView(next, l.view) {
 		return
@@ -532,7 +538,7 @@
 // every grant and which homes report to the request path themselves.
 func sameView(a, b DomainView) bool {
 	sameTarget := func(x, y view.Target) bool {
-		return x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears && x.Ready == y.Ready
+		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears && x.Ready == y.Ready
 	}
 	return b.Version != 0 && maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -122,7 +122,7 @@
 		return true
 	}
 	for name, t := range st.Config.Targets {
-		if st.Config.TargetIn(name) && c.knownTarget(name, t.Domain).Incarnation == "" {
+		if st.Config.TargetIn(name) && !c.knownTarget(name, t.Domain).Known {
 			return false
 		}
 	}
@@ -153,8 +153,7 @@
 		known := c.knownTarget(name, t.Domain)
 		own := t.Domain == c.cfg.Self.Domain
 		lost := own && c.domains.fitness.lost(name) || !own && c.actsFor(st, t.Domain)
-		heard := known.Incarnation != ""
-		fit := st.Config.TargetIn(name) && known.State != platform.TargetLeaving && (known.Fit || !heard && !own) && !lost
+		fit := st.Config.TargetIn(name) && known.State != platform.TargetLeaving && (known.Fit || !known.Known && !own) && !lost
 		out = append(out, ownership.PlanTarget{
 			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots),
 			Fit: fit, Ready: known.Ready, Lost: lost,
--- /dev/null
+++ b/internal/control/probes.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/membership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// probeInterval is the interval at which the leader asks targets that get no
+// grants for their load. It equals that of grants, so that all kinds of targets
+// are judged alike.
+const probeInterval = DefaultRenew
+
+// prober asks one target for its load.
+type prober struct {
+	addr   string
+	cancel context.CancelFunc
+}
+
+// serveProbes watches the domain's targets that get no grants: those of
+// unkeyed workloads and those that do not check fences.
+func (c *Control) serveProbes(ctx context.Context) error {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	running := map[string]prober{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		want := map[string]contract.Target{}
+		if st := c.state(); st != nil && st.Config != nil && c.leads(st) {
+			want = c.probed(st)
+		}
+		for name, p := range running {
+			if want[name].Addr != p.addr {
+				p.cancel()
+				delete(running, name)
+			}
+		}
+		for name, t := range want {
+			if _, ok := running[name]; ok {
+				continue
+			}
+			pctx, cancel := context.WithCancel(ctx)
+			running[name] = prober{addr: t.Addr, cancel: cancel}
+			go c.probe(pctx, name, c.cfg.Target(t.Addr))
+		}
+	}
+}
+
+func (c *Control) probed(st *journal.State) map[string]contract.Target {
+	out := map[string]contract.Target{}
+	for name, t := range st.Config.Targets {
+		w := st.Config.Workloads[t.Workload]
+		if t.Domain == c.cfg.Self.Domain && !(w.Keyed && w.Fencing) {
+			out[name] = t
+		}
+	}
+	return out
+}
+
+// probe asks one target for its load until the context ends.
+func (c *Control) probe(ctx context.Context, name string, client platform.Target) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	open := false
+	for {
+		load, err := loadWithin(ctx, client, c.cfg.Timing.GrantTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			c.domains.fitness.step(membership.Failed{Node: targetNode(name), Fresh: !open})
+		} else {
+			c.domains.fitness.reported(name, !open, load)
+		}
+		open = err == nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func loadWithin(ctx context.Context, client platform.Target, limit time.Duration) (platform.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return client.Load(ctx)
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -220,7 +220,7 @@
 
 // load returns the true load. The mutex is held.
 func (t *Target) load() platform.LoadReport {
-	l := platform.LoadReport{State: platform.TargetServing, InFlight: len(t.running), Bears: t.bears()}
+	l := platform.LoadReport{State: platform.TargetServing, Incarnation: t.fence.incarnation, InFlight: len(t.running), Bears: t.bears()}
 	switch {
 	case t.switches.Leaving:
 		l.State = platform.TargetLeaving
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -31,6 +31,8 @@
 
 // Target is what is known of a target.
 type Target struct {
+	// Known says that the target has answered since its leader watches it.
+	Known bool
 	// Fit says that the target answers its granter.
 	Fit bool
 	// State, Load and Incarnation are the target's own words and may lag.
