--- /dev/null
+++ b/internal/embedded/embedded.go
@@ -0,0 +1,280 @@
+package embedded
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/examples"
+	"github.com/boragelock/boragelock/internal/entry"
+	"github.com/boragelock/boragelock/internal/settings"
+	"github.com/boragelock/boragelock/internal/standin"
+	"github.com/boragelock/boragelock/platform"
+)
+
+const (
+	// domains is the number of failure domains, each with one entry host.
+	domains = 2
+	// serviceMS and sigmaLog describe the service time of the targets.
+	serviceMS = 5
+	sigmaLog  = 0.3
+	// hostLag is how long the list of hosts lags.
+	hostLag = 2 * time.Second
+
+	anyPort = "127.0.0.1:0"
+)
+
+// Config is what a System needs.
+type Config struct {
+	// Deployment is cut down to its first two domains; the addresses of its
+	// targets are replaced by those of stand-ins.
+	Deployment contract.Deployment
+	// Logger receives all lines. Default: no log.
+	Logger hclog.Logger
+	// Change amends the settings of each entry host. Default: none.
+	Change func(*settings.Settings)
+	// Target amends the configuration of each target. Default: none.
+	Target func(*standin.TargetConfig)
+}
+
+// System is a running system.
+type System struct {
+	cfg     Config
+	sup     *suture.Supervisor
+	Log     *standin.Log
+	Targets map[string]*standin.Target
+	Hosts   []*entry.Host
+
+	deployment contract.Deployment
+}
+
+// New assembles a system. It listens, but serves only after Serve.
+func New(cfg Config) (*System, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	s := &System{cfg: cfg, Log: standin.NewLog(standin.LogConfig{}), Targets: map[string]*standin.Target{}}
+	s.sup = suture.New("embedded", suture.Spec{EventHook: entry.LogEvents(cfg.Logger)})
+	s.deployment = cut(cfg.Deployment)
+	for i := range s.deployment.Targets {
+		if err := s.addTarget(&s.deployment.Targets[i]); err != nil {
+			return nil, err
+		}
+	}
+	logAddr, err := s.serve("log", s.Log, nil)
+	if err != nil {
+		return nil, err
+	}
+	listAddr, err := s.serve("hosts", standin.NewHosts(hostLag, s.listed()...), nil)
+	if err != nil {
+		return nil, err
+	}
+	for i, d := range s.deployment.Domains {
+		if err := s.addHost(fmt.Sprintf("entry-%d", i+1), d.Name, logAddr, listAddr); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// cut returns the deployment with its first two domains and their targets.
+func cut(d contract.Deployment) contract.Deployment {
+	d.Domains = slices.Clone(d.Domains[:min(domains, len(d.Domains))])
+	var targets []contract.Target
+	for _, t := range d.Targets {
+		if slices.ContainsFunc(d.Domains, func(x contract.Domain) bool { return x.Name == t.Domain }) {
+			targets = append(targets, t)
+		}
+	}
+	d.Targets = targets
+	return d
+}
+
+func (s *System) addTarget(t *contract.Target) error {
+	w := s.workload(t.Workload)
+	cfg := standin.TargetConfig{
+		Name: t.Name, Workload: t.Workload, Domain: t.Domain, Keyed: w.Keyed, Shards: w.Shards, Fencing: w.Fencing,
+		Slots: t.Slots, Connections: t.Connections, ServiceMS: serviceMS, SigmaLog: sigmaLog,
+		ColdSlots: t.ColdSlots, RampMS: t.RampMS,
+	}
+	if s.cfg.Target != nil {
+		s.cfg.Target(&cfg)
+	}
+	x := standin.NewTarget(cfg, standin.NewRecorder(nil, true))
+	addr, err := s.serve(t.Name, x, x.Listener)
+	if err != nil {
+		return err
+	}
+	t.Addr = addr
+	s.Targets[t.Name] = x
+	return nil
+}
+
+func (s *System) workload(name string) contract.Workload {
+	i := slices.IndexFunc(s.deployment.Workloads, func(w contract.Workload) bool { return w.Name == name })
+	if i < 0 {
+		return contract.Workload{}
+	}
+	return s.deployment.Workloads[i]
+}
+
+// serve adds a stand-in on a port of its own and returns its address.
+func (s *System) serve(name string, h http.Handler, wrap func(net.Listener) net.Listener) (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", err
+	}
+	addr := ln.Addr().String()
+	if wrap != nil {
+		ln = wrap(ln)
+	}
+	s.sup.Add(&standin.Server{Name: name, Listener: ln, Handler: h})
+	return addr, nil
+}
+
+func (s *System) listed() []platform.Host {
+	var out []platform.Host
+	for i, d := range s.deployment.Domains {
+		out = append(out, platform.Host{Name: fmt.Sprintf("entry-%d", i+1), Domain: d.Name, State: platform.HostLive})
+	}
+	for _, t := range s.deployment.Targets {
+		out = append(out, platform.Host{Name: t.Name, Domain: t.Domain, State: platform.HostLive})
+	}
+	return out
+}
+
+func (s *System) addHost(name, domain, logAddr, listAddr string) error {
+	set := settings.Default()
+	set.Name, set.Domain = name, domain
+	set.HTTP = settings.HTTP{Listen: anyPort, ForwardListen: anyPort}
+	set.Peer.Listen, set.Operator.Listen = anyPort, anyPort
+	set.LogURLs, set.HostListURL = []string{"http://" + logAddr}, "http://"+listAddr
+	// No load balancer stands in front of an embedded system.
+	set.Timings.BalancerDelayMS = 0
+	for _, h := range s.Hosts {
+		set.SeedPeers = append(set.SeedPeers, h.PeerAddr())
+	}
+	if s.cfg.Change != nil {
+		s.cfg.Change(&set)
+	}
+	h, err := entry.New(entry.Config{Settings: set, Bootstrap: &s.deployment, Logger: s.cfg.Logger})
+	if err != nil {
+		return err
+	}
+	s.Hosts = append(s.Hosts, h)
+	s.sup.Add(h)
+	return nil
+}
+
+// Serve runs the system until ctx ends.
+func (s *System) Serve(ctx context.Context) error {
+	err := s.sup.Serve(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Stop stops all entry hosts as planned, side by side.
+func (s *System) Stop(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, h := range s.Hosts {
+		wg.Go(func() { h.Stop(ctx) })
+	}
+	wg.Wait()
+}
+
+// Ready waits until the entry hosts have homes for all targets, each shard is
+// active, and each target holds its shards. It returns false when ctx ends first.
+func (s *System) Ready(ctx context.Context) bool {
+	for !s.ready() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return true
+}
+
+func (s *System) ready() bool {
+	for _, h := range s.Hosts {
+		v := h.Control().View()
+		if v == nil || v.State.Config == nil || len(v.Homes) < len(s.deployment.Targets) {
+			return false
+		}
+		for _, w := range v.State.Table.Workloads {
+			for _, sh := range w.Shards[:w.Base] {
+				if !sh.Active() || h.Control().Permit(sh.Owner) <= 0 && v.Homes[sh.Owner].Host == v.Self.Name {
+					return false
+				}
+			}
+		}
+	}
+	for _, t := range s.deployment.Targets {
+		if w := s.workload(t.Workload); w.Keyed && w.Fencing && !s.Targets[t.Name].Leased() {
+			return false
+		}
+	}
+	return true
+}
+
+// Print writes the addresses and a command line for a read and a write.
+func (s *System) Print(w io.Writer) error {
+	for i, h := range s.Hosts {
+		if _, err := fmt.Fprintf(w, "entry host %s: callers http://%s, operators http://%s\n",
+			s.deployment.Domains[i].Name, h.CallerAddr(), h.OperatorAddr()); err != nil {
+			return err
+		}
+	}
+	for _, c := range s.commands() {
+		if _, err := fmt.Fprintln(w, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// commands returns a GET and a POST of the first keyed workloads.
+func (s *System) commands() []string {
+	if len(s.deployment.Contracts) == 0 {
+		return nil
+	}
+	c := s.deployment.Contracts[0]
+	head := fmt.Sprintf("curl -sS -H 'Boragelock-Customer: %s' -H 'Authorization: Bearer %s'", c.Customer, token(c))
+	var out []string
+	for _, name := range c.Workloads {
+		if !s.workload(name).Keyed {
+			continue
+		}
+		url := fmt.Sprintf("http://%s/v1/%s/example-key", s.Hosts[0].CallerAddr(), name)
+		if len(out) == 0 {
+			out = append(out, fmt.Sprintf("%s %s", head, url))
+			continue
+		}
+		return append(out, fmt.Sprintf("%s -X POST -d 'example body' %s", head, url))
+	}
+	return out
+}
+
+// token returns the example token of a customer, or a placeholder when the
+// deployment uses another one.
+func token(c contract.Contract) string {
+	t := examples.TokenPrefix + c.Customer
+	sum := sha256.Sum256([]byte(t))
+	if slices.Contains(c.CredentialHashes, hex.EncodeToString(sum[:])) {
+		return t
+	}
+	return "TOKEN"
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,338 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"expvar"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/control"
+	"github.com/boragelock/boragelock/internal/forward"
+	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/internal/peer"
+	"github.com/boragelock/boragelock/internal/settings"
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/limits"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// MethodBorrow is the peer method by which a host borrows a share of a
+// contract from the customer's lender.
+const MethodBorrow = "limits.borrow"
+
+// hostVars holds the counters of the request path by host name. Several hosts
+// run in one process in embedded mode.
+var hostVars = expvar.NewMap("forward")
+
+// Config is what a Host needs. Settings is required.
+type Config struct {
+	Settings settings.Settings
+	// Bootstrap is written to an empty log. Default: none.
+	Bootstrap *contract.Deployment
+	// Logger receives all lines. Default: no log.
+	Logger hclog.Logger
+	// Tracer records spans. Default: none.
+	Tracer trace.Tracer
+	// Operator builds the handler of the operator interface; /debug/vars is
+	// served next to it. Default: none.
+	Operator func(*control.Control) http.Handler
+}
+
+// Host is one entry host.
+type Host struct {
+	cfg      Config
+	log      hclog.Logger
+	self     view.Self
+	control  *control.Control
+	forward  *forward.Server
+	peers    *peer.Client
+	sup      *suture.Supervisor
+	tls      *tlsConfigs
+	listen   listeners
+	callers  *httpService
+	inner    *httpService
+	operator *httpService
+}
+
+// listeners are the open sockets of a host.
+type listeners struct{ callers, inner, peers, operator net.Listener }
+
+// ListenError says that an address cannot be listened on.
+type ListenError struct {
+	Field, Addr string
+	Err         error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return e.Field + " " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// New opens the listeners and assembles a host. It fails with *ListenError,
+// *TLSError or *URLError.
+func New(cfg Config) (*Host, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	h := &Host{cfg: cfg, log: cfg.Logger.Named(cfg.Settings.Name)}
+	var err error
+	if h.tls, err = loadTLS(cfg.Settings.TLS); err != nil {
+		return nil, err
+	}
+	if err := h.open(); err != nil {
+		h.closeListeners()
+		return nil, err
+	}
+	if err := h.assemble(); err != nil {
+		h.closeListeners()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) open() error {
+	s := h.cfg.Settings
+	for _, l := range []struct {
+		field, addr string
+		into        *net.Listener
+	}{
+		{"http.listen", s.HTTP.Listen, &h.listen.callers}, {"http.forward_listen", s.HTTP.ForwardListen, &h.listen.inner},
+		{"peer.listen", s.Peer.Listen, &h.listen.peers}, {"operator.listen", s.Operator.Listen, &h.listen.operator},
+	} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return &ListenError{Field: l.field, Addr: l.addr, Err: err}
+		}
+		*l.into = ln
+	}
+	return nil
+}
+
+func (h *Host) closeListeners() {
+	for _, l := range []net.Listener{h.listen.callers, h.listen.inner, h.listen.peers, h.listen.operator} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// advertised returns the address that others use: the configured one, or that
+// of the listener when the configured port is 0.
+func advertised(configured string, l net.Listener) string {
+	if _, port, err := net.SplitHostPort(configured); err == nil && port != "0" {
+		return configured
+	}
+	return l.Addr().String()
+}
+
+func (h *Host) assemble() error {
+	s := h.cfg.Settings
+	logs, err := newLogs(s.LogURLs)
+	if err != nil {
+		return err
+	}
+	hostList, err := hostOf(s.HostListURL)
+	if err != nil {
+		return err
+	}
+	h.self = view.Self{
+		Name: s.Name, Domain: s.Domain, Incarnation: newIncarnation(),
+		HTTPAddr: advertised(s.HTTP.Advertise, h.listen.inner),
+	}
+	h.peers = &peer.Client{TLS: h.tls.client}
+	h.control = control.New(control.Config{
+		Self: h.self, PeerAddr: advertised(s.Peer.Advertise, h.listen.peers), SeedPeers: s.SeedPeers,
+		Bootstrap: h.cfg.Bootstrap, Timing: controlTiming(s.Timings),
+		Log: logs, HostList: httpplatform.NewHostList(hostList, httpplatform.Options{}),
+		Target: func(addr string) platform.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
+		Peers:  h.peers, Logger: h.log, SkipLeaseWait: s.Disabled(settings.SafeguardLeaseWait),
+	})
+	h.forward = forward.New(h.forwardConfig())
+	h.control.SetDrained(h.forward.Drained)
+	hostVars.Set(s.Name, h.forward.Vars())
+	h.servers()
+	h.supervise()
+	return nil
+}
+
+func controlTiming(t settings.Timings) control.Timing {
+	return control.Timing{
+		Lease: settings.MS(t.LeaseMS), Renew: settings.MS(t.RenewMS),
+		Authority: settings.MS(t.AuthorityMS), Permit: settings.MS(t.PermitMS),
+	}
+}
+
+func (h *Host) forwardConfig() forward.Config {
+	s := h.cfg.Settings
+	t, l := s.Timings, s.Limits
+	return forward.Config{
+		Source: h.control, Hot: h.control, Log: h.log.Named("forward"), Tracer: h.cfg.Tracer, Borrow: h.borrow, PeerTLS: h.tls.client,
+		Deadline: settings.MS(t.DeadlineMS), MaxDeadline: settings.MS(t.MaxDeadlineMS), Hold: settings.MS(t.HoldMS),
+		Dial: settings.MS(t.DialMS), BodyPause: settings.MS(t.ReadBodyMS), SilentMin: settings.MS(t.SilentMinMS),
+		MaxKeyBytes: l.MaxKeyBytes, MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes,
+		MaxHeld: l.MaxHeld, MaxDials: l.MaxDials, Warm: l.WarmConnections, MaxQueue: l.MaxQueue,
+		PeerConnections:   l.PeerConnections,
+		DisableFence:      s.Disabled(settings.SafeguardFence),
+		DisableRetryRule:  s.Disabled(settings.SafeguardRetryRule),
+		DisableLimitShare: s.Disabled(settings.SafeguardLimitShare),
+	}
+}
+
+// borrow asks the lender for a share of a contract.
+func (h *Host) borrow(ctx context.Context, b limits.Borrow) (limits.Loan, error) {
+	var loan limits.Loan
+	v := h.control.View()
+	if v == nil {
+		return loan, &NoHostError{Name: b.Lender}
+	}
+	e, ok := v.State.Entries[b.Lender]
+	if !ok || e.Gone {
+		return loan, &NoHostError{Name: b.Lender}
+	}
+	return loan, h.peers.Call(ctx, e.PeerAddr, MethodBorrow, b, &loan)
+}
+
+// NoHostError says that an entry host is not known.
+type NoHostError struct{ Name string }
+
+// Error implements error.
+func (e *NoHostError) Error() string { return "no entry host " + strconv.Quote(e.Name) }
+
+// serverIdle is above the idle timeout of package forward's connections, so
+// that the side that sends requests closes first.
+const serverIdle = 120 * time.Second
+
+func (h *Host) servers() {
+	s := h.cfg.Settings
+	quiet := h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	server := func(name string, ln net.Listener, handler http.Handler, idle time.Duration) *httpService {
+		return newHTTPService(name, ln, &http.Server{
+			Handler: handler, ErrorLog: quiet, IdleTimeout: idle,
+			ReadHeaderTimeout: settings.MS(s.Timings.ReadHeaderMS),
+			// The handler refuses a header above the limit with a typed error;
+			// net/http itself only one that is much larger.
+			MaxHeaderBytes: 2 * s.Limits.MaxHeaderBytes,
+		})
+	}
+	inner := h.listen.inner
+	if h.tls.server != nil {
+		inner = tls.NewListener(inner, h.tls.server)
+	}
+	h.callers = server("callers", h.listen.callers, h.forward.Callers(), settings.MS(s.Timings.IdleMS))
+	h.inner = server("inner", inner, h.forward.Peers(), serverIdle)
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	if h.cfg.Operator != nil {
+		mux.Handle("/", h.cfg.Operator(h.control))
+	}
+	h.operator = server("operator", h.listen.operator, mux, serverIdle)
+}
+
+func (h *Host) supervise() {
+	h.sup = suture.New(h.cfg.Settings.Name, suture.Spec{EventHook: LogEvents(h.log)})
+	rpc := &peer.Server{Listener: h.listen.peers, TLS: h.tls.server}
+	h.control.Register(rpc)
+	rpc.Handle(MethodBorrow, peer.Typed(func(_ context.Context, b limits.Borrow) (limits.Loan, error) {
+		return h.forward.Lend(b), nil
+	}))
+	for _, svc := range h.control.Services() {
+		h.sup.Add(svc)
+	}
+	h.sup.Add(rpc)
+	h.sup.Add(h.forward.Upkeep())
+	h.sup.Add(h.forward.Borrower())
+	h.sup.Add(h.callers)
+	h.sup.Add(h.inner)
+	h.sup.Add(h.operator)
+}
+
+// String names the host in the supervisor's log.
+func (h *Host) String() string { return h.cfg.Settings.Name }
+
+// LogEvents returns a hook that writes one line for each event of a supervisor.
+func LogEvents(log hclog.Logger) suture.EventHook {
+	return func(event suture.Event) {
+		switch e := event.(type) {
+		case suture.EventServicePanic:
+			log.Error("duty panicked", "duty", e.ServiceName, "restarting", e.Restarting, "panic", e.PanicMsg, "stack", e.Stacktrace)
+		case suture.EventServiceTerminate:
+			log.Error("duty failed", "duty", e.ServiceName, "restarting", e.Restarting, "error", e.Err)
+		case suture.EventStopTimeout:
+			log.Error("duty did not stop", "duty", e.ServiceName)
+		case suture.EventBackoff:
+			log.Error("duties fail too often", "supervisor", e.SupervisorName)
+		case suture.EventResume:
+			log.Info("duties are restarted", "supervisor", e.SupervisorName)
+		}
+	}
+}
+
+// Serve runs the host until ctx ends, then closes everything at once.
+func (h *Host) Serve(ctx context.Context) error {
+	h.log.Info("entry host started", "incarnation", h.self.Incarnation, "domain", h.self.Domain, "http", h.CallerAddr(),
+		"forward", h.self.HTTPAddr, "peer", h.listen.peers.Addr().String(), "operator", h.OperatorAddr())
+	err := h.sup.Serve(ctx)
+	h.peers.Close()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// CallerAddr returns the address for callers.
+func (h *Host) CallerAddr() string { return h.listen.callers.Addr().String() }
+
+// OperatorAddr returns the address for operators.
+func (h *Host) OperatorAddr() string { return h.listen.operator.Addr().String() }
+
+// PeerAddr returns the address for JSON-RPC.
+func (h *Host) PeerAddr() string { return h.listen.peers.Addr().String() }
+
+// Control returns the control plane.
+func (h *Host) Control() *control.Control { return h.control }
+
+// Stop is the planned stop. The host becomes unready and goes on serving for
+// the load balancer's delay. Then it finishes the requests of its callers while
+// it is still the home of its targets, gives up homes and duties, and finishes
+// the requests of other hosts. Stop returns when nothing is in flight or ctx
+// ends; the caller then ends the context of Serve.
+func (h *Host) Stop(ctx context.Context) {
+	h.log.Info("planned stop began")
+	h.forward.SetUnready()
+	select {
+	case <-time.After(settings.MS(h.cfg.Settings.Timings.BalancerDelayMS)):
+	case <-ctx.Done():
+	}
+	err := h.callers.finish(ctx)
+	h.control.Stop(ctx)
+	h.log.Info("homes given up", "requests_in_flight", h.forward.InFlight())
+	if err == nil {
+		err = h.inner.finish(ctx)
+	}
+	if err != nil {
+		h.log.Warn("planned stop cut requests", "requests_in_flight", h.forward.InFlight(), "error", err)
+		return
+	}
+	h.log.Info("planned stop complete")
+}
+
+// incarnationBytes makes two starts of a host differ with certainty enough:
+// 1 in 2^48 for each pair.
+const incarnationBytes = 6
+
+func newIncarnation() string {
+	b := make([]byte, incarnationBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -297,12 +298,12 @@
 // begins later with an older view is stopped by the check before the write.
 func (s *Server) Drained(target string, version uint64) uint64 {
 	s.homesMu.RLock()
-	homes := [2]*home{s.homes[target], s.leaving[target]}
+	homes := slices.Clone(s.leaving[target])
+	if h := s.homes[target]; h != nil {
+		homes = append(homes, h)
+	}
 	s.homesMu.RUnlock()
 	for _, h := range homes {
-		if h == nil {
-			continue
-		}
 		h.mu.Lock()
 		for v := range h.versions {
 			version = min(version, v)
@@ -346,8 +347,8 @@
 		return h
 	}
 	before := 0
-	if old := s.leaving[target]; old != nil {
-		before = old.running()
+	for _, old := range s.leaving[target] {
+		before += old.running()
 	}
 	h, err := s.newHome(t, v.Targets[target], before)
 	if err != nil {
--- a/internal/forward/locate.go
+++ b/internal/forward/locate.go
@@ -8,6 +8,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -72,7 +73,7 @@
 	c := &candidates{v: v, near: map[string][]string{}, far: map[string][]string{}}
 	for name, t := range v.State.Config.Targets {
 		_, hasHome := v.Homes[name]
-		if v.State.Config.Workloads[t.Workload].Keyed || !hasHome || !v.Targets[name].Fit || !v.State.Config.TargetIn(name) {
+		if v.State.Config.Workloads[t.Workload].Keyed || !hasHome || !takesWork(v.Targets[name]) || !v.State.Config.TargetIn(name) {
 			continue
 		}
 		if t.Domain == v.Self.Domain {
@@ -85,6 +86,14 @@
 	return c
 }
 
+// takesWork reports whether new work may be sent to a target of an unkeyed
+// workload. One that has never been judged may be used: granters send no grants
+// to targets without shards.
+func takesWork(t view.Target) bool {
+	judged := t.Incarnation != ""
+	return (t.Fit || !judged) && t.State != platform.TargetLeaving
+}
+
 // chooseTarget takes the better of two random targets of the own domain, or of
 // the others when the own domain has none or both are full.
 func (s *Server) chooseTarget(v *view.View, c *call, avoid string) (route, retry.Code) {
@@ -103,6 +112,10 @@
 	return withHome(v, route{target: far})
 }
 
+// avoidScore is the score of a target that failed lately: it is chosen only
+// when there is no other.
+const avoidScore = 1e9
+
 // slotsPerSecond is the number of busy slots that a second of mean latency
 // counts as when targets are compared.
 const slotsPerSecond = 2.5
@@ -147,6 +160,9 @@
 	}
 	slots := float64(max(v.State.Config.Targets[name].Slots, 1))
 	l := s.loadOf(name)
+	if sinceStart() < l.avoidUntil.Load() {
+		return avoidScore
+	}
 	hint := l.hint.Load()
 	if hint == nil || time.Since(hint.at) > hintLife {
 		return float64(l.sent.Load()) / slots
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -19,6 +19,9 @@
 	// without a newer view, for example when a late renewal arrives.
 	rerouteWait    = 10 * time.Millisecond
 	maxRerouteWait = 160 * time.Millisecond
+	// avoidFor is how long an unkeyed target is avoided after a request could
+	// not be sent to it.
+	avoidFor = time.Second
 	// hintLife is how long the word of a home about its queue is used.
 	hintLife = time.Second
 )
@@ -27,6 +30,9 @@
 type targetLoad struct {
 	sent atomic.Int64
 	hint atomic.Pointer[timedHint]
+	// avoidUntil is when a target that failed is chosen again, in nanoseconds
+	// since the start of the process.
+	avoidUntil atomic.Int64
 }
 
 type timedHint struct {
@@ -155,6 +161,9 @@
 	if e == nil && ans.loaded {
 		l.hint.Store(&timedHint{ans.load, time.Now()})
 	}
+	if e != nil && !c.keyed && (e.Code == retry.CodeConnection || e.Code == CodePeerDown || e.Code == retry.CodeLeaving) {
+		l.avoidUntil.Store(sinceStart() + int64(avoidFor))
+	}
 	if e != nil && e.Code == retry.CodeNotHome {
 		s.cfg.Source.Report(view.Event{Kind: view.EventNotHome, Target: r.target, Host: r.homeHost})
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -24,7 +24,7 @@
 
 	homesMu sync.RWMutex
 	homes   map[string]*home
-	leaving map[string]*home // homes that were given up with requests in flight
+	leaving map[string][]*home // homes that were given up with requests in flight
 
 	peersMu sync.RWMutex
 	peers   map[string]*pool
@@ -60,7 +60,7 @@
 func New(cfg Config) *Server {
 	return &Server{
 		cfg: cfg.withDefaults(), m: newMetrics(),
-		homes: map[string]*home{}, leaving: map[string]*home{}, peers: map[string]*pool{},
+		homes: map[string]*home{}, leaving: map[string][]*home{}, peers: map[string]*pool{},
 		budget: retry.NewBudget(retry.BudgetConfig{}, boottime.Now()), hedgers: map[string]*retry.Hedger{},
 		borrows: make(chan struct{}, maxBorrows),
 	}
@@ -177,9 +177,7 @@
 		s.m.borrowsFailed.Add(1)
 		return
 	}
-	s.gateMu.Lock()
-	defer s.gateMu.Unlock()
-	s.gate.Lent(boottime.Now(), b, loan)
+	s.lent(b, loan)
 }
 
 // hedger returns the hedging policy of a workload; s.hedgeMu is held.
--- a/internal/forward/upkeep.go
+++ b/internal/forward/upkeep.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/boragelock/boragelock/admission"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/limits"
 )
 
 const (
@@ -73,7 +75,7 @@
 		if lost || t.Addr != h.target.Addr || t.Connections != h.target.Connections {
 			h.drain()
 			delete(s.homes, target)
-			s.leaving[target] = h
+			s.leaving[target] = append(s.leaving[target], h)
 			s.cfg.Log.Info("home closed", "target", target, "in_flight", h.running())
 			continue
 		}
@@ -83,9 +85,15 @@
 			h.target = t
 		}
 	}
-	for target, h := range s.leaving {
-		if h.running() == 0 {
+	for target, homes := range s.leaving {
+		homes = slices.DeleteFunc(homes, func(h *home) bool {
+			if h.running() > 0 {
+				return false
+			}
 			h.pool.close()
+			return true
+		})
+		if s.leaving[target] = homes; len(homes) == 0 {
 			delete(s.leaving, target)
 		}
 	}
@@ -150,18 +158,30 @@
 	}
 }
 
-// round sends the due requests one after another to each lender.
+// due returns the borrow requests to send now.
+func (s *Server) due() (due []limits.Borrow, self string) {
+	s.gateMu.Lock()
+	defer s.gateMu.Unlock()
+	if s.gate == nil {
+		return nil, ""
+	}
+	return s.gate.Borrows(boottime.Now()), s.gateHosts.Self
+}
+
+// lent passes the answer to a borrow request on.
+func (s *Server) lent(b limits.Borrow, l limits.Loan) {
+	s.gateMu.Lock()
+	defer s.gateMu.Unlock()
+	s.gate.Lent(boottime.Now(), b, l)
+}
+
+// round sends the due requests side by side.
 func (b *Borrower) round(ctx context.Context) {
 	s := b.s
-	s.gateMu.Lock()
-	due := s.gate.Borrows(boottime.Now())
-	s.gateMu.Unlock()
+	due, self := s.due()
 	for _, req := range due {
-		if req.Lender == s.gateHosts.Self {
-			loan := s.Lend(req)
-			s.gateMu.Lock()
-			s.gate.Lent(boottime.Now(), req, loan)
-			s.gateMu.Unlock()
+		if req.Lender == self {
+			s.lent(req, s.Lend(req))
 			continue
 		}
 		if s.cfg.Borrow == nil {
