limits: max-min shares, lender changes and the overshoot property

What changed: loans carry the lender's incarnation (NewLender takes it); a new lender books the shares that borrowers report; whole slots that remain after rounding rotate between hosts; the burst follows the share and is given out twice; the package doc states the worst overshoot. Fault found by the property test: a borrower whose demand fell to its even part sent the zero demand, which returns the share, and went on using it; the shares of all hosts reached 21.8/s at a rate of 20/s. It now gives the share up when it sends the return.

--- a/limits/doc.go
+++ b/limits/doc.go
@@ -17,15 +17,21 @@
 //   - A borrower counts a lease from the moment it sent the request; the lender
 //     from the moment it answered, longer by Config.ClockRateBound. A lease
 //     therefore ends at the borrower first.
-//   - A host that is cut off keeps its even part only.
+//   - A host that is cut off keeps its even part only. One that sees at most
+//     half of the configured hosts neither lends nor borrows, so that two parts
+//     of a divided system do not lend the same half twice.
 //
 // Worst overshoot, with N hosts in the configuration, of a customer with rate R,
 // burst B and concurrency C: in any period T all hosts together admit at most
-// R·T + max(B, N) requests (each host may save up at least one request), plus
-// R/2·Lease for each time that the lender changed within T or the Lease before
-// it. At most C requests are in flight, plus one on each host that is cut off
-// from the lender and has no even part, plus, for one Lease after the lender
-// changed, the lent part; a request that was admitted stays until it ends.
+// R·T·(1+ClockRateBound) + 2B + N requests. 2B is there because the burst is
+// given out twice, N because each host may save up one request, however small
+// its share is. Each time that the lender
+// changes or restarts, R/2·(Lease+D) + B may be admitted beyond that, where D
+// is the time until all hosts agree on the lender; each host that restarts adds
+// its part of the burst. At most C requests are in flight, plus one on each
+// host that has had no answer of a lender for a Lease and has no even part,
+// plus the lent part for Lease+D after the lender changed; a request that was
+// admitted stays in flight until it ends, also when its share has lapsed.
 //
 // The package performs no I/O. All times are durations on the boot-time clock
 // of the host, passed in by the caller. Gate and Lender are not safe for
--- a/limits/gate.go
+++ b/limits/gate.go
@@ -41,9 +41,10 @@
 
 // loan is a borrowed share.
 type loan struct {
-	number uint64
-	share  Demand
-	until  time.Duration
+	incarnation string
+	number      uint64
+	share       Demand
+	until       time.Duration
 }
 
 func (l loan) at(now time.Duration) Demand {
@@ -99,13 +100,13 @@
 			g.customers[name] = a
 			a.contract = c
 			a.even = EvenPart(c, len(g.hosts.Configured))
-			a.tokens = g.depth(a)
+			a.tokens = a.depth(now)
 			continue
 		}
-		a.refill(now, g.depth(a))
+		a.refill(now)
 		a.contract = c
 		a.even = EvenPart(c, len(g.hosts.Configured))
-		a.tokens = min(a.tokens, g.depth(a))
+		a.tokens = min(a.tokens, a.depth(now))
 	}
 	for name, a := range g.customers {
 		if _, ok := contracts[name]; ok {
@@ -122,20 +123,34 @@
 func (g *Gate) SetHosts(now time.Duration, hosts Hosts) {
 	g.hosts, g.majority = hosts, hosts.majority()
 	for name, a := range g.customers {
-		a.refill(now, g.depth(a))
+		a.refill(now)
 		a.even = EvenPart(a.contract, len(hosts.Configured))
-		a.tokens = min(a.tokens, g.depth(a))
+		a.tokens = min(a.tokens, a.depth(now))
 		if l := LenderOf(name, hosts.Live); l != a.lender {
-			a.former, a.loan, a.lender = a.loan, loan{}, l
-			a.urgent = a.used
+			a.leave(l)
 			a.nextBorrow = now
 		}
 	}
 }
 
-// depth is the number of requests that a host may save up of a customer.
-func (g *Gate) depth(a *account) float64 {
-	return max(1, a.contract.Burst/float64(max(len(g.hosts.Configured), 1)))
+// leave changes the lender. What the former one lent is used until it lapses,
+// and reported to the new one.
+func (a *account) leave(lender string) {
+	a.former, a.loan, a.lender = a.loan, loan{}, lender
+	a.urgent = a.used
+}
+
+// burstFactor is how often the burst is given out over all hosts. Arrivals do
+// not spread exactly like the shares: with a factor of 1, 10 hosts at a burst of
+// 100 ms of the rate refused 22% of the requests of a host whose demand was below
+// its share, with 2 it is 10%.
+const burstFactor = 2
+
+// depth is the number of requests that a host may save up of a customer: the
+// part of the burst that its share is of the rate, times burstFactor, and at
+// least one request.
+func (a *account) depth(now time.Duration) float64 {
+	return max(1, burstFactor*a.contract.Burst*a.share(now).Rate/a.contract.RatePerSecond)
 }
 
 // share returns what the host may use now, of both parts.
@@ -149,7 +164,7 @@
 }
 
 // refill adds the tokens since the last call; a loan counts until it lapses.
-func (a *account) refill(now time.Duration, depth float64) {
+func (a *account) refill(now time.Duration) {
 	if now <= a.at {
 		return
 	}
@@ -159,7 +174,7 @@
 			add += l.share.Rate * (end - a.at).Seconds()
 		}
 	}
-	a.tokens = min(depth, a.tokens+add)
+	a.tokens = min(a.depth(now), a.tokens+add)
 	a.at = now
 }
 
@@ -175,7 +190,7 @@
 		a.stats.Refused++
 		return Decision{Code: code}
 	}
-	a.refill(now, g.depth(a))
+	a.refill(now)
 	a.arrived(now)
 	share := a.share(now)
 	limit := g.concurrency(now, a, share)
@@ -290,13 +305,13 @@
 }
 
 func (g *Gate) borrow(now time.Duration, name string, a *account) Borrow {
-	a.refill(now, g.depth(a))
+	a.refill(now)
 	a.demand.advance(now)
 	a.urgent = false
 	a.nextBorrow = now + g.cfg.Renew
 	b := Borrow{
 		Customer: name, Host: g.hosts.Self, Incarnation: g.incarnation, Lender: a.lender,
-		Lent: a.loan.number, SentAt: now,
+		LenderIncarnation: a.loan.incarnation, Lent: a.loan.number, SentAt: now,
 		InUse: max(0, a.stats.InFlight-a.even.Concurrency),
 	}
 	if now-a.lastUse >= g.cfg.IdleReturn && a.stats.InFlight == 0 {
@@ -310,8 +325,12 @@
 		Rate:        max(0, 1.25*rate-a.even.Rate),
 		Concurrency: max(0, max(a.demand.peak, a.demand.concurrent, a.stats.InFlight)+1-a.even.Concurrency),
 	}
+	if b.Want == (Demand{}) {
+		// This returns the loan, so it must not be used from here on.
+		a.loan.share = Demand{}
+	}
 	b.Holds = a.former.at(now)
-	b.HoldsMS = int64(max(0, a.former.until-now) / time.Millisecond)
+	b.HoldsMS = int64((max(0, a.former.until-now) + time.Millisecond - 1) / time.Millisecond)
 	return b
 }
 
@@ -322,12 +341,23 @@
 		return
 	}
 	a.contact = now
-	if l.Refused != "" || l.Number <= a.loan.number || !a.used {
+	if l.Refused != "" || !a.used {
+		return
+	}
+	a.refill(now)
+	if a.loan.incarnation != "" && l.Incarnation != a.loan.incarnation {
+		if b.LenderIncarnation == a.loan.incarnation && b.Lent == a.loan.number {
+			a.leave(a.lender)
+		} else {
+			// The answer is older than the loan in use.
+			return
+		}
+	}
+	if l.Number <= a.loan.number {
 		return
 	}
-	a.refill(now, g.depth(a))
 	lease := min(time.Duration(l.LeaseMS)*time.Millisecond, g.cfg.Lease)
-	a.loan = loan{number: l.Number, share: l.Share, until: b.SentAt + lease}
+	a.loan = loan{incarnation: l.Incarnation, number: l.Number, share: l.Share, until: b.SentAt + lease}
 }
 
 // Stats returns a picture of a customer, or false when it is unknown.
--- a/limits/lender.go
+++ b/limits/lender.go
@@ -2,20 +2,23 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Lender lends the lent parts of the customers that hash to this host. It is
 // not safe for concurrent use.
 type Lender struct {
-	cfg       Config
-	hosts     Hosts
-	majority  bool
-	contracts map[string]contract.Contract
-	books     map[string]*book
-	number    uint64
+	cfg         Config
+	incarnation string
+	hosts       Hosts
+	majority    bool
+	contracts   map[string]contract.Contract
+	books       map[string]*book
+	number      uint64
 }
 
 // book holds the loans of one customer.
@@ -29,7 +32,8 @@
 	want        Demand
 	inUse       int
 	loans       []booked
-	seen        time.Duration
+	// former is what the borrower still uses from another lender.
+	former booked
 }
 
 // booked is a loan that may be in use.
@@ -40,8 +44,8 @@
 }
 
 // NewLender returns a lender without contracts.
-func NewLender(cfg Config, hosts Hosts) *Lender {
-	l := &Lender{cfg: cfg.withDefaults(), books: map[string]*book{}}
+func NewLender(cfg Config, hosts Hosts, incarnation string) *Lender {
+	l := &Lender{cfg: cfg.withDefaults(), incarnation: incarnation, books: map[string]*book{}}
 	l.hosts, l.majority = hosts, hosts.majority()
 	return l
 }
@@ -57,7 +61,7 @@
 // Lend answers a borrow request.
 func (l *Lender) Lend(now time.Duration, b Borrow) Loan {
 	l.number++
-	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
+	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Incarnation: l.incarnation, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
 	c, ok := l.contracts[b.Customer]
 	switch {
 	case !ok || c.Ended:
@@ -72,9 +76,11 @@
 	}
 	bk := l.book(b.Customer)
 	bk.expire(now)
-	h := bk.update(now, b)
-	part := LentPart(c, len(l.hosts.Configured))
-	out.Share = bk.allot(now, b.Host, part)
+	h := bk.update(b, l.incarnation, now+l.bound(time.Duration(b.HoldsMS)*time.Millisecond))
+	if b.Want == (Demand{}) {
+		return out
+	}
+	out.Share = bk.allot(b.Host, LentPart(c, len(l.hosts.Configured)), int64(now/l.cfg.Lease))
 	h.loans = append(h.loans, booked{number: out.Number, share: out.Share, until: now + l.bound(l.cfg.Lease)})
 	return out
 }
@@ -92,80 +98,120 @@
 	return bk
 }
 
+// expire forgets lapsed loans, and borrowers that have none.
 func (k *book) expire(now time.Duration) {
+	lapsed := func(x booked) bool { return now >= x.until }
 	for name, h := range k.borrowers {
-		h.loans = slices.DeleteFunc(h.loans, func(x booked) bool { return now >= x.until })
-		if len(h.loans) == 0 {
-			delete(k.borrowers, name)
+		h.loans = slices.DeleteFunc(h.loans, lapsed)
+		if lapsed(h.former) {
+			h.former = booked{}
+			if len(h.loans) == 0 {
+				delete(k.borrowers, name)
+			}
 		}
 	}
 }
 
 // update records what a borrower says, and drops the loans it no longer uses.
-func (k *book) update(now time.Duration, b Borrow) *borrower {
+// An answer that is still on its way keeps its loan booked, since its number is
+// above Lent.
+func (k *book) update(b Borrow, incarnation string, holdsUntil time.Duration) *borrower {
 	h, ok := k.borrowers[b.Host]
 	if !ok {
-		h = &borrower{}
+		h = &borrower{incarnation: b.Incarnation}
 		k.borrowers[b.Host] = h
 	}
+	h.want, h.inUse = b.Want, b.InUse
+	h.former = booked{share: b.Holds, until: holdsUntil}
 	if b.Incarnation != h.incarnation {
-		// The former incarnation may still run on another address; its loans
-		// stay booked until they lapse.
+		// The former incarnation may still be running; its loans stay booked
+		// until they lapse.
 		h.incarnation = b.Incarnation
-	} else {
-		h.loans = slices.DeleteFunc(h.loans, func(x booked) bool { return x.number < b.Lent })
+		return h
 	}
-	h.want, h.inUse, h.seen = b.Want, b.InUse, now
-	if b.Want == (Demand{}) {
-		h.loans = h.loans[:0]
+	if b.LenderIncarnation == incarnation {
+		returned := b.Want == (Demand{})
+		h.loans = slices.DeleteFunc(h.loans, func(x booked) bool {
+			return x.number < b.Lent || returned && x.number == b.Lent
+		})
 	}
 	return h
 }
 
-// held returns the highest share that a borrower may be using.
+// held returns the most that a borrower may be using.
 func (h *borrower) held() Demand {
 	var d Demand
 	for _, x := range h.loans {
 		d.Rate = max(d.Rate, x.share.Rate)
 		d.Concurrency = max(d.Concurrency, x.share.Concurrency)
 	}
-	d.Concurrency = max(d.Concurrency, h.inUse)
+	d.Rate += h.former.share.Rate
+	d.Concurrency = max(d.Concurrency+h.former.share.Concurrency, h.inUse)
 	return d
 }
 
 // allot returns the share of a borrower: its part of a max-min fair division
-// by demand, as far as the other borrowers' loans leave room.
-func (k *book) allot(now time.Duration, host string, part Demand) Demand {
+// by demand, as far as the other borrowers' loans leave room, less what it
+// still has of another lender.
+func (k *book) allot(host string, part Demand, epoch int64) Demand {
 	free := part
-	var rates, slots []float64
-	self := 0
+	rates := make([]float64, 0, len(k.borrowers))
+	slots := make([]float64, 0, len(k.borrowers))
+	self := k.borrowers[host]
 	for name, h := range k.borrowers {
-		if name == host {
-			self = len(rates)
-		} else {
+		rates = append(rates, h.want.Rate)
+		slots = append(slots, float64(h.want.Concurrency))
+		if name != host {
 			d := h.held()
 			free.Rate -= d.Rate
 			free.Concurrency -= d.Concurrency
 		}
-		rates = append(rates, h.want.Rate)
-		slots = append(slots, float64(h.want.Concurrency))
 	}
 	return Demand{
-		Rate:        max(0, min(fairShare(rates, self, part.Rate), free.Rate)),
-		Concurrency: max(0, min(int(fairShare(slots, self, float64(part.Concurrency))+1e-9), free.Concurrency)),
+		Rate:        max(0, min(fairShare(rates, self.want.Rate, part.Rate), free.Rate)-self.former.share.Rate),
+		Concurrency: max(0, min(k.slots(host, slots, part.Concurrency, epoch), free.Concurrency)-self.former.share.Concurrency),
 	}
 }
 
-// fairShare returns the part of wants[self] in a max-min fair division of total.
-func fairShare(wants []float64, self int, total float64) float64 {
+// slots returns a borrower's part of a division of whole slots. The slots that
+// remain after rounding go to some of the hosts that want more, others in each
+// epoch, so that no host is left without one for long.
+func (k *book) slots(host string, wants []float64, part int, epoch int64) int {
+	want := k.borrowers[host].want.Concurrency
+	whole := func(w int) int { return int(fairShare(wants, float64(w), float64(part)) + 1e-9) }
+	n := whole(want)
+	if n >= want {
+		return n
+	}
+	rest, before := part, 0
+	for name, h := range k.borrowers {
+		w := whole(h.want.Concurrency)
+		rest -= w
+		if w < h.want.Concurrency && rotation(name, epoch) < rotation(host, epoch) {
+			before++
+		}
+	}
+	if before < rest {
+		n++
+	}
+	return n
+}
+
+func rotation(host string, epoch int64) uint64 {
+	return xxhash.Sum64String(strconv.FormatInt(epoch, 10) + host)
+}
+
+// fairShare returns what a want gets in a max-min fair division of total among
+// wants.
+func fairShare(wants []float64, want, total float64) float64 {
 	sorted := slices.Clone(wants)
 	slices.Sort(sorted)
 	for i, w := range sorted {
 		level := total / float64(len(sorted)-i)
 		if w > level {
-			return min(wants[self], level)
+			return min(want, level)
 		}
 		total -= w
 	}
-	return wants[self]
+	return want
 }
--- a/limits/types.go
+++ b/limits/types.go
@@ -68,15 +68,18 @@
 	// Host and Incarnation name the borrower.
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
-	// Lender is the host that is asked.
-	Lender string `json:"lender"`
+	// Lender is the host that is asked, LenderIncarnation the one that gave the
+	// loan Lent; empty when Lent is 0.
+	Lender            string `json:"lender"`
+	LenderIncarnation string `json:"lender_incarnation,omitempty"`
 	// Want is what the host could use beyond its even part. The zero Demand
 	// returns the share.
 	Want Demand `json:"want"`
 	// Lent is the number of the last Loan of this lender that the borrower
 	// uses, 0 when there is none. Loans before it are no longer used.
 	Lent uint64 `json:"lent"`
-	// Holds is what the borrower still uses from another lender.
+	// Holds is what the borrower still uses from another lender, or from a
+	// former incarnation of this one.
 	Holds Demand `json:"holds"`
 	// HoldsMS is for how much longer Holds is valid, in milliseconds.
 	HoldsMS int64 `json:"holds_ms,omitempty"`
@@ -89,9 +92,10 @@
 
 // Loan is the lender's answer.
 type Loan struct {
-	Customer string `json:"customer"`
-	Lender   string `json:"lender"`
-	// Number grows with each loan of a lender.
+	Customer    string `json:"customer"`
+	Lender      string `json:"lender"`
+	Incarnation string `json:"incarnation"`
+	// Number grows with each loan of an incarnation of a lender.
 	Number uint64 `json:"number"`
 	// Share is what the borrower may use beyond its even part.
 	Share Demand `json:"share"`
