--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -40,6 +40,9 @@
 	// Since is when the target's present incarnation was first seen, on the
 	// boot-time clock; zero when unknown.
 	Since time.Duration
+	// Ready says that shards may be moved to the target: it is not cold and
+	// has not returned lately.
+	Ready bool
 }
 
 // Peer is another entry host.
@@ -108,7 +111,8 @@
 	Report(Event)
 }
 
-// HotKeyObserver counts keys to find hot ones. Observe never blocks.
+// HotKeyObserver counts the requests that a home handles, to find hot keys and
+// balance the load of targets. Observe never waits for I/O.
 type HotKeyObserver interface {
-	Observe(workload, key string)
+	Observe(workload, key string, shard int32)
 }
