--- a/retry/budget.go
+++ b/retry/budget.go
@@ -97,12 +97,15 @@
 	c.refill(now, b.cfg.CustomerMinimum, b.cfg.CustomerMax)
 }
 
+// one is a whole retry or hedge, less the rounding error of adding up parts.
+const one = 1 - 1e-9
+
 // Take takes one retry from the budgets of the host and the customer, or from
 // neither when one of them is empty.
 func (b *Budget) Take(now time.Duration, customer string) bool {
 	c := b.customer(now, customer)
 	b.refill(now, c)
-	if b.host.tokens < 1 || c.tokens < 1 {
+	if b.host.tokens < one || c.tokens < one {
 		return false
 	}
 	b.host.tokens--
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
 
 // HedgeConfig holds the settings of a Hedger. A zero field takes its default.
 type HedgeConfig struct {
@@ -22,5 +26,98 @@
 	MinDelay, MaxDelay time.Duration
 }
 
+// Hedger decides when a second attempt of an idempotent request is sent. One
+// Hedger serves one workload. It is not safe for concurrent use.
+type Hedger struct {
+	cfg     HedgeConfig
+	current *hdrhistogram.Histogram
+	last    *hdrhistogram.Histogram
+	rotate  time.Duration
+	tokens  float64
+	delay   time.Duration
+	dirty   int
+}
+
 // NewHedger returns the hedging policy of one workload.
-func NewHedger(cfg HedgeConfig) *Hedger { return newHedger(cfg) }
+func NewHedger(cfg HedgeConfig) *Hedger {
+	if !(cfg.Quantile > 0 && cfg.Quantile < 100) {
+		cfg.Quantile = 95
+	}
+	if !(cfg.Ratio > 0) {
+		cfg.Ratio = 0.05
+	}
+	if !(cfg.MaxSaved > 0) {
+		cfg.MaxSaved = 10
+	}
+	if cfg.MinSamples <= 0 {
+		cfg.MinSamples = 50
+	}
+	if cfg.Window <= 0 {
+		cfg.Window = 10 * time.Second
+	}
+	if cfg.MinDelay <= 0 {
+		cfg.MinDelay = time.Millisecond
+	}
+	if cfg.MaxDelay <= 0 {
+		cfg.MaxDelay = 10 * time.Second
+	}
+	// Microseconds with two significant digits: about 20 KiB a histogram.
+	limit := max(int64(cfg.MaxDelay/time.Microsecond), 2)
+	return &Hedger{cfg: cfg, current: hdrhistogram.New(1, limit, 2), last: hdrhistogram.New(1, limit, 2)}
+}
+
+// Observe records the latency of an attempt that got its response.
+func (h *Hedger) Observe(now, latency time.Duration) {
+	if now >= h.rotate {
+		h.current, h.last = h.last, h.current
+		h.current.Reset()
+		if now >= h.rotate+h.cfg.Window {
+			h.last.Reset()
+		}
+		h.rotate = now + h.cfg.Window
+		h.dirty = 0
+	}
+	us := min(max(int64(latency/time.Microsecond), 1), h.current.HighestTrackableValue())
+	// The value is within the histogram's range, so recording cannot fail.
+	_ = h.current.RecordValue(us)
+	if h.dirty--; h.dirty <= 0 {
+		h.update()
+	}
+}
+
+// updateEvery is the number of samples between two computations of the
+// quantile, which takes some microseconds.
+const updateEvery = 32
+
+func (h *Hedger) update() {
+	h.dirty = updateEvery
+	a, b := h.current.TotalCount(), h.last.TotalCount()
+	h.delay = 0
+	if a+b < h.cfg.MinSamples {
+		return
+	}
+	// The present window counts as soon as it has enough samples of its own.
+	src := h.current
+	if a < h.cfg.MinSamples {
+		src = h.last
+	}
+	d := time.Duration(src.ValueAtQuantile(h.cfg.Quantile)) * time.Microsecond
+	h.delay = min(max(d, h.cfg.MinDelay), h.cfg.MaxDelay)
+}
+
+// Request counts a first attempt and returns the delay after which it may be
+// hedged, or false when there are too few samples.
+func (h *Hedger) Request() (time.Duration, bool) {
+	h.tokens = min(h.cfg.MaxSaved, h.tokens+h.cfg.Ratio)
+	return h.delay, h.delay > 0
+}
+
+// Take takes one hedge from the budget; it is called when the delay has passed
+// and the hedge is about to be sent.
+func (h *Hedger) Take() bool {
+	if h.tokens < one {
+		return false
+	}
+	h.tokens--
+	return true
+}
