Add the benchmark: scenarios, runner, checker and baseline

Scenarios are tables of timed steps that one runner plays against real entry host processes behind fault proxies.

--- /dev/null
+++ b/cmd/boragelock-bench/main.go
@@ -0,0 +1,196 @@
+// Command boragelock-bench plays a fault scenario against real entry hosts and
+// judges what happened. docs/testing.md describes scenarios and results.
+//
+// It exits with 0 when nothing was violated, with 1 when a violation was
+// counted for boragelock itself, and with 2 when the run failed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/boragelock/boragelock/internal/bench"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitViolated = 1
+	exitFailed   = 2
+)
+
+// breakable are the safeguards that -break can switch off.
+var breakable = []string{"fence", "lease-wait", "retry-rule", "limit-share"}
+
+// UsageError says which flag has a wrong value.
+type UsageError struct{ Flag, Value, Allowed string }
+
+// Error implements error.
+func (e *UsageError) Error() string {
+	return fmt.Sprintf("-%s is %q; allowed: %s", e.Flag, e.Value, e.Allowed)
+}
+
+type config struct {
+	opts     bench.Options
+	compare  bool
+	only     bool
+	json     string
+	baseline string
+	verbose  bool
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code, err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) (int, error) {
+	cfg, err := parse(args, stderr)
+	if err != nil {
+		return exitFailed, err
+	}
+	if cfg.baseline != "" {
+		if err := bench.RunBaseline(ctx, cfg.baseline); err != nil {
+			return exitFailed, err
+		}
+		return exitOK, nil
+	}
+	level := hclog.Warn
+	if cfg.verbose {
+		level = hclog.Info
+	}
+	cfg.opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "bench", Output: stderr, Level: level})
+	results, err := play(ctx, cfg)
+	if err != nil {
+		return exitFailed, err
+	}
+	if err := write(cfg, results, stdout); err != nil {
+		return exitFailed, err
+	}
+	if results[0].Violated() {
+		return exitViolated, nil
+	}
+	return exitOK, nil
+}
+
+func parse(args []string, stderr io.Writer) (config, error) {
+	var cfg config
+	fs := flag.NewFlagSet("boragelock-bench", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	o := &cfg.opts
+	fs.StringVar(&o.Deployment, "deployment", "andaimes", "andaimes or toise")
+	fs.StringVar(&o.Scenario, "scenario", "steady", "name of the scenario")
+	fs.Uint64Var(&o.Seed, "seed", 1, "seed of all random numbers")
+	fs.DurationVar(&o.Duration, "duration", 60*time.Second, "length of the load")
+	fs.Float64Var(&o.Scale, "scale", 1, "part of the deployment's size, above 0 and at most 1")
+	fs.StringVar(&o.Break, "break", "", "safeguard to switch off: fence, lease-wait, retry-rule or limit-share")
+	fs.StringVar(&o.KeepDir, "keep", "", "directory in which logs and records are kept")
+	fs.BoolVar(&cfg.compare, "compare", false, "also run the baseline policies")
+	fs.BoolVar(&cfg.only, "baseline-only", false, "run the baseline policies only")
+	fs.StringVar(&cfg.json, "json", "", "file for the results as JSON; - is standard output")
+	fs.BoolVar(&cfg.verbose, "verbose", false, "log the steps")
+	fs.StringVar(&cfg.baseline, "baseline-router", "", "run as a baseline router with this configuration (used by the bench itself)")
+	if err := fs.Parse(args); err != nil {
+		return cfg, err
+	}
+	return cfg, cfg.validate()
+}
+
+func (c config) validate() error {
+	o := c.opts
+	switch {
+	case c.baseline != "":
+		return nil
+	case o.Deployment != "andaimes" && o.Deployment != "toise":
+		return &UsageError{Flag: "deployment", Value: o.Deployment, Allowed: "andaimes, toise"}
+	case !(o.Scale > 0 && o.Scale <= 1):
+		return &UsageError{Flag: "scale", Value: fmt.Sprint(o.Scale), Allowed: "above 0, at most 1"}
+	case o.Duration < 5*time.Second:
+		return &UsageError{Flag: "duration", Value: o.Duration.String(), Allowed: "5s or more"}
+	case o.Break != "" && !slices.Contains(breakable, o.Break):
+		return &UsageError{Flag: "break", Value: o.Break, Allowed: fmt.Sprint(breakable)}
+	}
+	if _, ok := bench.Scenarios[o.Scenario]; !ok {
+		return &bench.UnknownScenarioError{Name: o.Scenario}
+	}
+	return nil
+}
+
+// play runs the scenario under each policy, ours first.
+func play(ctx context.Context, cfg config) ([]bench.Result, error) {
+	dir, err := os.MkdirTemp("", "boragelock-bench-")
+	if err != nil {
+		return nil, &bench.RunError{Op: "make a directory", Err: err}
+	}
+	defer os.RemoveAll(dir)
+	if cfg.opts.Binaries, err = bench.FindBinaries(ctx, dir); err != nil {
+		return nil, err
+	}
+	policies := []bench.Policy{bench.PolicyOwn}
+	if cfg.compare {
+		policies = append(policies, bench.PolicyBaseline)
+	}
+	if cfg.only {
+		policies = []bench.Policy{bench.PolicyBaseline}
+	}
+	var out []bench.Result
+	for _, p := range policies {
+		res, err := bench.Play(ctx, cfg.opts, p)
+		if err != nil {
+			return nil, &bench.RunError{Op: "policy " + string(p), Err: err}
+		}
+		out = append(out, res)
+	}
+	return out, nil
+}
+
+// write writes the results as JSON or, without -json, as a table.
+func write(cfg config, results []bench.Result, stdout io.Writer) error {
+	raw, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	raw = append(raw, '\n')
+	switch cfg.json {
+	case "":
+		return table(results, stdout)
+	case "-":
+		_, err = stdout.Write(raw)
+		return err
+	}
+	if err := os.WriteFile(cfg.json, raw, 0o644); err != nil {
+		return &bench.RunError{Op: "write results", Err: err}
+	}
+	return table(results, stdout)
+}
+
+func table(results []bench.Result, w io.Writer) error {
+	for _, r := range results {
+		if _, err := fmt.Fprintf(w, "%s %s %s: requests=%d ok=%d not_run=%d (limited %d) may_have_run=%d p50=%.1f ms p99=%.1f ms violations=%v\n",
+			r.Deployment, r.Scenario, r.Policy, r.Requests, r.OK, r.NotRun, r.Limited, r.MayHaveRun, r.P50, r.P99, r.Violations); err != nil {
+			return err
+		}
+		for _, x := range r.Examples {
+			if _, err := fmt.Fprintln(w, "  "+x); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,328 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/standin"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/retry"
+)
+
+const (
+	// pathRequestIDs issues identifiers for non-idempotent requests.
+	pathRequestIDs = "/v1/request-ids"
+	// idBatch is how many identifiers a caller fetches at once.
+	idBatch = 32
+	// callTries limits the attempts of one call.
+	callTries = 3
+	// callPause is the pause before a repetition.
+	callPause = 100 * time.Millisecond
+	// callSlack is how much longer than its deadline a caller waits.
+	callSlack = 500 * time.Millisecond
+	// dialLimit limits a caller's opening of a connection.
+	dialLimit = 500 * time.Millisecond
+)
+
+// deadlines of callers by role.
+var deadlines = map[Role]time.Duration{RoleRead: 2 * time.Second, RoleWrite: 3 * time.Second, RolePlain: 3 * time.Second}
+
+// repeatCodes are answers after which a request is repeated with the same
+// identifier: its outcome is known later.
+var repeatCodes = map[string]bool{string(retry.CodeDuplicate): true, "issuer_unreachable": true}
+
+// routerError is the body of an error of the caller interface.
+type routerError struct {
+	Code         string `json:"code"`
+	Outcome      string `json:"outcome"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// idsRequest and idsAnswer are the bodies of a request for identifiers.
+type idsRequest struct {
+	Count int `json:"count"`
+}
+
+type idsAnswer struct {
+	IDs []string `json:"request_ids"`
+}
+
+// attempt is the result of sending a request once.
+type attempt struct {
+	outcome CallOutcome
+	code    string
+	status  int
+	fault   string
+	target  string
+	// unsent says that no connection could be opened; lost that no whole
+	// answer was received.
+	unsent, lost bool
+	cut          *CutAttempt
+}
+
+// caller sends requests as the customers do.
+type caller struct {
+	plan     *Plan
+	balancer *balancer
+	client   *http.Client
+
+	mu  sync.Mutex
+	ids map[string][]string
+	// owners maps workload and shard to the target of the last answer.
+	owners map[shardName]string
+}
+
+type shardName struct {
+	workload string
+	shard    int32
+}
+
+func newCaller(p *Plan, b *balancer) *caller {
+	return &caller{plan: p, balancer: b, ids: map[string][]string{}, owners: map[shardName]string{},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext, MaxIdleConnsPerHost: 512, DisableCompression: true,
+		}},
+	}
+}
+
+// request is one logical request to make.
+type request struct {
+	tag, key, method string
+	workload         WorkloadPlan
+	customer         CustomerPlan
+	body             string
+	due              time.Duration
+}
+
+// call makes a request and repeats it where a caller safely can.
+func (c *caller) call(ctx context.Context, r request) Call {
+	out := Call{
+		Tag: r.tag, Workload: r.workload.Name, Key: r.key, Method: r.method, Customer: r.customer.Customer,
+		Idempotent: r.workload.Idempotent(r.method), Due: r.due,
+	}
+	if r.workload.Keyed {
+		out.Shard = int32(xxhash.Sum64String(r.key) % uint64(r.workload.Shards))
+	}
+	id := ""
+	if !out.Idempotent {
+		id = c.takeID(ctx, r.customer)
+	}
+	// An attempt whose answer was lost is followed by others with the same
+	// identifier; the request is not_run only when no attempt was lost.
+	lostBefore := false
+	for out.Attempts < callTries {
+		out.Attempts++
+		h := c.balancer.pick()
+		a := c.attempt(ctx, h, r, id)
+		out.Entry, out.Code, out.Status, out.Outcome = h.name, a.code, a.status, a.outcome
+		out.AnswerFault, out.AnswerTarget = a.fault, a.target
+		if a.cut != nil {
+			out.Cuts = append(out.Cuts, *a.cut)
+		}
+		if a.code == string(retry.CodeIssuerGone) && !lostBefore {
+			// The issuer of the identifier is gone; nothing was run under it.
+			c.dropIDs(r.customer)
+			id = c.takeID(ctx, r.customer)
+			continue
+		}
+		lostBefore = lostBefore || a.lost
+		again := a.unsent || (!out.Idempotent && id != "" && (a.lost || repeatCodes[a.code]))
+		if !again {
+			break
+		}
+		if !a.unsent {
+			time.Sleep(callPause)
+		}
+	}
+	if lostBefore && out.Code == codeNoConnection {
+		out.Outcome = CallMayHaveRun
+	}
+	out.End = boottime.Now()
+	c.remember(out)
+	return out
+}
+
+func (c *caller) remember(out Call) {
+	if out.Outcome != CallOK || out.AnswerTarget == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owners[shardName{out.Workload, out.Shard}] = out.AnswerTarget
+}
+
+// ownersSeen returns the target that last answered for each shard.
+func (c *caller) ownersSeen() map[shardName]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[shardName]string, len(c.owners))
+	for k, v := range c.owners {
+		out[k] = v
+	}
+	return out
+}
+
+// attempt sends a request once to one entry host.
+func (c *caller) attempt(ctx context.Context, h *balancedHost, r request, id string) attempt {
+	limit := deadlines[r.workload.Role]
+	ctx, cancel := context.WithTimeout(ctx, limit+callSlack)
+	defer cancel()
+	target := "http://" + h.addr + "/v1/" + r.workload.Name + "/" + url.PathEscape(r.key) + "?tag=" + url.QueryEscape(r.tag)
+	var body io.Reader
+	if r.body != "" {
+		body = strings.NewReader(r.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, target, body)
+	if err != nil {
+		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
+	}
+	authorize(req, r.customer.Customer, r.customer.Token)
+	req.Header.Set(platform.HeaderDeadlineMS, strconv.FormatInt(limit.Milliseconds(), 10))
+	if id != "" {
+		req.Header.Set(platform.HeaderRequestID, id)
+	}
+	started := boottime.Now()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return failedAttempt(h.name, started, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return failedAttempt(h.name, started, err)
+	}
+	return judgeAnswer(r, resp.StatusCode, data)
+}
+
+func authorize(req *http.Request, customer, token string) {
+	req.Header.Set(platform.HeaderCustomer, customer)
+	req.Header.Set("Authorization", "Bearer "+token)
+}
+
+// failedAttempt classifies an attempt without a whole answer.
+func failedAttempt(entry string, started time.Duration, err error) attempt {
+	if isDialError(err) {
+		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return attempt{outcome: CallMayHaveRun, code: codeTimeout, lost: true}
+	}
+	return attempt{outcome: CallMayHaveRun, code: codeLost, lost: true,
+		cut: &CutAttempt{Entry: entry, Started: started, Ended: boottime.Now()}}
+}
+
+// isDialError reports whether no connection could be opened, so that nothing
+// was sent.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// judgeAnswer classifies a whole answer.
+func judgeAnswer(r request, status int, data []byte) attempt {
+	if status >= 200 && status < 300 {
+		fault, target := verifyAnswer(r, data)
+		return attempt{outcome: CallOK, status: status, fault: fault, target: target}
+	}
+	var e routerError
+	if err := json.Unmarshal(data, &e); err != nil || e.Outcome == "" {
+		return attempt{outcome: CallMayHaveRun, status: status, code: "status_" + strconv.Itoa(status), fault: "error answer without an outcome"}
+	}
+	a := attempt{outcome: CallOutcome(e.Outcome), code: e.Code, status: status}
+	if e.Outcome == string(retry.Ran) {
+		a.outcome = CallOK
+	}
+	return a
+}
+
+// verifyAnswer compares an answer of success with the request.
+func verifyAnswer(r request, data []byte) (fault, target string) {
+	var a standin.Answer
+	if err := json.Unmarshal(data, &a); err != nil || a.End != "end" {
+		return "answer was cut", ""
+	}
+	switch {
+	case a.Tag != r.tag:
+		return "answer to " + a.Tag, a.Target
+	case a.Workload != r.workload.Name || a.Key != r.key:
+		return "answer for " + a.Workload + "/" + a.Key, a.Target
+	case a.BodyBytes != len(r.body) || a.BodyHash != strconv.FormatUint(xxhash.Sum64String(r.body), 16):
+		return "the target got another body", a.Target
+	}
+	return "", a.Target
+}
+
+// takeID returns an identifier, or "" when none can be had.
+func (c *caller) takeID(ctx context.Context, cu CustomerPlan) string {
+	c.mu.Lock()
+	if list := c.ids[cu.Customer]; len(list) > 0 {
+		c.ids[cu.Customer] = list[1:]
+		c.mu.Unlock()
+		return list[0]
+	}
+	c.mu.Unlock()
+	for range callTries {
+		list, err := c.fetchIDs(ctx, cu)
+		if err == nil && len(list) > 0 {
+			c.mu.Lock()
+			c.ids[cu.Customer] = append(c.ids[cu.Customer], list[1:]...)
+			c.mu.Unlock()
+			return list[0]
+		}
+	}
+	return ""
+}
+
+func (c *caller) dropIDs(cu CustomerPlan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.ids, cu.Customer)
+}
+
+func (c *caller) fetchIDs(ctx context.Context, cu CustomerPlan) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	target := "http://" + c.balancer.pick().addr + pathRequestIDs
+	req, err := newIDsRequest(ctx, target, idBatch)
+	if err != nil {
+		return nil, err
+	}
+	authorize(req, cu.Customer, cu.Token)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &StatusError{URL: target, Status: resp.StatusCode, Body: string(data)}
+	}
+	var out idsAnswer
+	err = json.Unmarshal(data, &out)
+	return out.IDs, err
+}
+
+func newIDsRequest(ctx context.Context, target string, n int) (*http.Request, error) {
+	body, err := json.Marshal(idsRequest{Count: n})
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,176 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+)
+
+const (
+	// zipfS is the exponent of the key distribution, defaultZipfV its offset:
+	// the most popular key gets about 2% of the requests.
+	zipfS        = 1.1
+	defaultZipfV = 10
+	// keyShift is the distance by which the popularity of keys moves; prime to
+	// the numbers of keys.
+	keyShift = 7919
+	// probeInterval is the interval of the requests that measure when a shard
+	// is available.
+	probeInterval = 100 * time.Millisecond
+	// maxOutstanding limits the requests under way, against running out of
+	// memory; requests above it are counted as not run.
+	maxOutstanding = 20000
+)
+
+// load offers requests at given rates whatever the answers are.
+type load struct {
+	plan   *Plan
+	caller *caller
+	seed   uint64
+	zipfV  float64
+	// share is the part of the plan's rate that is offered; the rest is left
+	// to probes.
+	share float64
+
+	factor, flood atomic.Uint64 // math.Float64bits
+	shift         atomic.Uint64
+	sequence      atomic.Uint64
+	outstanding   atomic.Int64
+	// overrun counts the requests not made because too many were under way.
+	overrun atomic.Int64
+
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	calls []Call
+}
+
+func newLoad(p *Plan, c *caller, s Scenario, seed uint64) *load {
+	l := &load{plan: p, caller: c, seed: seed, zipfV: s.KeySkewV, share: 1}
+	if l.zipfV <= 0 {
+		l.zipfV = defaultZipfV
+	}
+	l.setFactor(max(s.LoadFactor, 0))
+	if s.LoadFactor == 0 {
+		l.setFactor(1)
+	}
+	l.setFlood(1)
+	return l
+}
+
+func (l *load) setFactor(f float64) { l.factor.Store(math.Float64bits(f)) }
+func (l *load) setFlood(f float64)  { l.flood.Store(math.Float64bits(f)) }
+
+// run offers load until the context ends and then waits for the answers.
+func (l *load) run(ctx, answers context.Context) {
+	stream := uint64(0)
+	for _, name := range sortedKeys(l.plan.Workloads) {
+		w := l.plan.Workloads[name]
+		allowed := l.customersOf(w)
+		total := 0.0
+		for _, c := range allowed {
+			total += c.Share
+		}
+		for _, c := range allowed {
+			stream++
+			l.wg.Go(func() { l.stream(ctx, answers, w, c, c.Share/total, stream) })
+		}
+	}
+	<-ctx.Done()
+	l.wg.Wait()
+}
+
+func (l *load) customersOf(w WorkloadPlan) []CustomerPlan {
+	var out []CustomerPlan
+	for _, c := range l.plan.Customers {
+		for _, name := range c.Workloads {
+			if name == w.Name {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// stream makes the requests of one customer to one workload as a Poisson
+// process.
+func (l *load) stream(ctx, answers context.Context, w WorkloadPlan, c CustomerPlan, share float64, id uint64) {
+	rng := rand.New(rand.NewPCG(l.seed, id))
+	zipf := rand.NewZipf(rng, zipfS, l.zipfV, uint64(w.Keys-1))
+	last := c.Customer == l.plan.Customers[len(l.plan.Customers)-1].Customer
+	due := boottime.Now()
+	for {
+		rate := l.plan.Rate(w) * l.share * share * math.Float64frombits(l.factor.Load())
+		if last {
+			rate *= math.Float64frombits(l.flood.Load())
+		}
+		due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		n := (zipf.Uint64() + l.shift.Load()*keyShift) % uint64(w.Keys)
+		l.spawn(answers, l.request(rng, w, c, keyName(w, n), due))
+	}
+}
+
+func keyName(w WorkloadPlan, n uint64) string { return fmt.Sprintf("%s-%06d", w.Name[:2], n) }
+
+// request makes up one request.
+func (l *load) request(rng *rand.Rand, w WorkloadPlan, c CustomerPlan, key string, due time.Duration) request {
+	r := request{workload: w, customer: c, key: key, method: "GET", due: due,
+		tag: fmt.Sprintf("q%d", l.sequence.Add(1))}
+	if rng.Float64() < w.PostShare {
+		r.method = "POST"
+		r.body = r.tag + strings.Repeat(".", 64+rng.IntN(1024))
+	}
+	return r
+}
+
+func (l *load) spawn(answers context.Context, r request) {
+	if l.outstanding.Add(1) > maxOutstanding {
+		l.outstanding.Add(-1)
+		l.overrun.Add(1)
+		return
+	}
+	l.wg.Go(func() {
+		defer l.outstanding.Add(-1)
+		done := l.caller.call(answers, r)
+		l.mu.Lock()
+		l.calls = append(l.calls, done)
+		l.mu.Unlock()
+	})
+}
+
+// probe sends requests for one shard at a fixed interval.
+func (l *load) probe(ctx, answers context.Context, w WorkloadPlan, key string) {
+	c := l.customersOf(w)[0]
+	rng := rand.New(rand.NewPCG(l.seed, l.sequence.Add(1)))
+	l.wg.Go(func() {
+		due := boottime.Now() + time.Duration(rng.Int64N(int64(probeInterval)))
+		for ; sleepUntil(ctx, due); due += probeInterval {
+			l.spawn(answers, l.request(rng, w, c, key, due))
+		}
+	})
+}
+
+// sleepUntil returns false when the context ends first.
+func sleepUntil(ctx context.Context, at time.Duration) bool {
+	left := at - boottime.Now()
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/bench/operator.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/journal"
+)
+
+const (
+	// changeLimit limits making one change.
+	changeLimit = 10 * time.Second
+	// changePause is the pause before a failed change is tried again.
+	changePause = 50 * time.Millisecond
+)
+
+// configurer changes the configuration as an operator does. change returns
+// when the change is accepted.
+type configurer interface {
+	change(ctx context.Context, items ...contract.Item) error
+}
+
+// logConfigurer writes change records to the log.
+type logConfigurer struct {
+	log *httpplatform.Log
+
+	mu    sync.Mutex
+	state *journal.State
+	count int
+}
+
+func newLogConfigurer(addr string) *logConfigurer {
+	return &logConfigurer{log: httpplatform.NewLog(addr, httpplatform.Options{}), state: journal.NewState()}
+}
+
+// catchUp folds the log to its end.
+func (c *logConfigurer) catchUp(ctx context.Context) error {
+	for {
+		b, err := c.log.Read(ctx, max(1, c.state.Next), 1000, 0)
+		if err != nil {
+			return err
+		}
+		for _, r := range b.Records {
+			if _, err := c.state.Apply(r.Offset, r.Data); err != nil {
+				return err
+			}
+		}
+		if c.state.Next >= b.End || len(b.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// change implements configurer. A conflict is tried again from the new version.
+func (c *logConfigurer) change(ctx context.Context, items ...contract.Item) error {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	for {
+		won, err := c.race(ctx, 1, items...)
+		if err != nil || won {
+			return err
+		}
+	}
+}
+
+// race appends n changes from the same version and reports whether one was
+// accepted.
+func (c *logConfigurer) race(ctx context.Context, n int, items ...contract.Item) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.catchUp(ctx); err != nil {
+		return false, &RunError{Op: "read the log", Err: err}
+	}
+	if c.state.Config == nil {
+		return false, &RunError{Op: "change the configuration", Err: &TimeoutError{What: "first configuration"}}
+	}
+	before := c.state.Config.Version
+	for range n {
+		c.count++
+		ch := contract.Change{FromVersion: before, Operator: fmt.Sprintf("bench-%d", c.count), Items: items}
+		data, err := journal.Encode(fmt.Sprintf("bench-%d-%d", c.count, boottime.Now()), journal.KindChange, ch)
+		if err != nil {
+			return false, err
+		}
+		if _, err := c.log.Append(ctx, data); err != nil {
+			return false, &RunError{Op: "append a change", Err: err}
+		}
+	}
+	if err := c.catchUp(ctx); err != nil {
+		return false, &RunError{Op: "read the log", Err: err}
+	}
+	return c.state.Config.Version > before, nil
+}
+
+// baselineConfigurer sends changes to all baseline routers, to each one until
+// it answers. The change counts as accepted when the first one has it.
+type baselineConfigurer struct{ operators []string }
+
+// change implements configurer.
+func (c *baselineConfigurer) change(ctx context.Context, items ...contract.Item) error {
+	raw, err := json.Marshal(contract.Change{Items: items})
+	if err != nil {
+		return err
+	}
+	first := make(chan error, len(c.operators))
+	for _, addr := range c.operators {
+		go func() { first <- postUntil(ctx, "http://"+addr+"/change", raw) }()
+	}
+	return <-first
+}
+
+// postUntil repeats a request until it succeeds.
+func postUntil(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	for {
+		err := post(ctx, url, body)
+		if err == nil || !sleepUntil(ctx, boottime.Now()+changePause) {
+			return err
+		}
+	}
+}
+
+// post sends a JSON body and expects 200.
+func post(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{URL: url, Status: resp.StatusCode, Body: string(data)}
+	}
+	return nil
+}
+
+// probeChange is change number n of the probe customer: odd changes end its
+// contract, even ones put it in force again.
+func (p *Plan) probeChange(n int) contract.Item {
+	for _, c := range p.Deployment.Contracts {
+		if c.Customer == ProbeCustomer {
+			c.Ended = n%2 == 1
+			return contract.Item{Contract: &c}
+		}
+	}
+	return contract.Item{}
+}
--- /dev/null
+++ b/internal/bench/plan.go
@@ -0,0 +1,220 @@
+package bench
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/examples"
+)
+
+// Role is the kind of a workload, by which scenarios name it.
+type Role string
+
+// Roles of workloads.
+const (
+	// RoleRead is keyed and idempotent.
+	RoleRead Role = "read"
+	// RoleWrite is keyed and not idempotent.
+	RoleWrite Role = "write"
+	// RolePlain is unkeyed.
+	RolePlain Role = "plain"
+)
+
+// WorkloadPlan is what the bench knows of a workload beyond its configuration.
+type WorkloadPlan struct {
+	contract.Workload
+	Role Role
+	// ServiceMS is the median service time in milliseconds, SigmaLog the
+	// standard deviation of its logarithm.
+	ServiceMS, SigmaLog float64
+	// Keys is the number of different keys.
+	Keys int
+	// PostShare is the share of requests with a method that is not idempotent.
+	PostShare float64
+	// Slots is the number of slots of all targets.
+	Slots int
+}
+
+// EntryPlan is one entry host.
+type EntryPlan struct{ Name, Domain string }
+
+// CustomerPlan is one customer and its part of the load.
+type CustomerPlan struct {
+	contract.Contract
+	Token string
+	Share float64
+}
+
+// Plan is a deployment at one scale with everything that the bench adds.
+type Plan struct {
+	Name       string
+	Deployment contract.Deployment
+	Workloads  map[string]WorkloadPlan
+	Entries    []EntryPlan
+	Customers  []CustomerPlan
+	// DomainRTT and CallerRTT are the distances between domains and from the
+	// callers to the entry hosts; Connect is the cost of a new connection.
+	DomainRTT, CallerRTT, Connect time.Duration
+	// Utilization is the part of all slots that the load uses at factor 1.
+	Utilization float64
+}
+
+// deploymentExtra holds what the examples do not say.
+type deploymentExtra struct {
+	entries   int
+	callerRTT time.Duration
+	roles     map[string]WorkloadPlan
+}
+
+var extras = map[string]deploymentExtra{
+	"andaimes": {entries: 11, callerRTT: time.Millisecond, roles: map[string]WorkloadPlan{
+		"lookups":       {Role: RoleRead, ServiceMS: 10, SigmaLog: 0.3, Keys: 20000},
+		"registrations": {Role: RoleWrite, ServiceMS: 25, SigmaLog: 0.3, Keys: 20000, PostShare: 1},
+		"archive":       {Role: RolePlain, ServiceMS: 60, SigmaLog: 0.3, Keys: 5000, PostShare: 0.2},
+	}},
+	"toise": {entries: 10, callerRTT: 8 * time.Millisecond, roles: map[string]WorkloadPlan{
+		"templates": {Role: RoleRead, ServiceMS: 25, SigmaLog: 0.3, Keys: 20000},
+		"orders":    {Role: RoleWrite, ServiceMS: 40, SigmaLog: 0.3, Keys: 20000, PostShare: 1},
+		"proofs":    {Role: RolePlain, ServiceMS: 120, SigmaLog: 0.3, Keys: 5000, PostShare: 0.2},
+	}},
+}
+
+const (
+	// minTargets and minEntriesPerDomain keep a scaled deployment able to
+	// lose one of each.
+	minTargets          = 3
+	minEntriesPerDomain = 2
+	// utilization leaves room for the loss of a quarter of the targets.
+	utilization = 0.5
+	// ProbeCustomer has a contract that only configuration changes use.
+	ProbeCustomer = "bench-probe"
+	probeToken    = "example-token-bench-probe"
+)
+
+// NewPlan returns a deployment at a scale in (0, 1]: the numbers of targets
+// and entry hosts and the contracts' rates are multiplied by it.
+func NewPlan(name string, scale float64) (*Plan, error) {
+	d, err := examples.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	x := extras[name]
+	p := &Plan{
+		Name: name, Deployment: d, Workloads: map[string]WorkloadPlan{},
+		DomainRTT: 1500 * time.Microsecond, CallerRTT: x.callerRTT, Connect: time.Millisecond,
+		Utilization: utilization,
+	}
+	p.scaleTargets(scale)
+	p.addWorkloads(x)
+	p.addEntries(int(math.Round(float64(x.entries)*scale)), x.entries)
+	p.addCustomers(scale)
+	return p, nil
+}
+
+func (p *Plan) scaleTargets(scale float64) {
+	count, keep := map[string]int{}, []contract.Target{}
+	total := map[string]int{}
+	for _, t := range p.Deployment.Targets {
+		total[t.Workload]++
+	}
+	for _, t := range p.Deployment.Targets {
+		limit := min(total[t.Workload], max(minTargets, int(math.Round(float64(total[t.Workload])*scale))))
+		if count[t.Workload] < limit {
+			count[t.Workload]++
+			keep = append(keep, t)
+		}
+	}
+	p.Deployment.Targets = keep
+}
+
+func (p *Plan) addWorkloads(x deploymentExtra) {
+	for _, w := range p.Deployment.Workloads {
+		wp := x.roles[w.Name]
+		wp.Workload = w
+		for _, t := range p.Deployment.Targets {
+			if t.Workload == w.Name {
+				wp.Slots += t.Slots
+			}
+		}
+		p.Workloads[w.Name] = wp
+	}
+}
+
+func (p *Plan) addEntries(want, full int) {
+	domains := p.Deployment.Domains
+	n := min(full, max(want, minEntriesPerDomain*len(domains)))
+	for i := range n {
+		p.Entries = append(p.Entries, EntryPlan{Name: fmt.Sprintf("entry%02d", i+1), Domain: domains[i%len(domains)].Name})
+	}
+}
+
+func (p *Plan) addCustomers(scale float64) {
+	shares := []float64{0.5, 0.35, 0.15}
+	for i := range p.Deployment.Contracts {
+		c := &p.Deployment.Contracts[i]
+		c.RatePerSecond *= scale
+		c.Burst = max(20, c.Burst*scale)
+		c.Concurrency = max(30, int(float64(c.Concurrency)*scale))
+		p.Customers = append(p.Customers, CustomerPlan{Contract: *c, Token: examples.TokenPrefix + c.Customer, Share: shares[min(i, len(shares)-1)]})
+	}
+	sum := sha256.Sum256([]byte(probeToken))
+	p.Deployment.Contracts = append(p.Deployment.Contracts, contract.Contract{
+		Customer: ProbeCustomer, CredentialHashes: []string{hex.EncodeToString(sum[:])},
+		Workloads: []string{p.Workload(RolePlain).Name}, RatePerSecond: 1000, Burst: 1000, Concurrency: 100, Weight: 1,
+	})
+}
+
+// Workload returns the workload with a role.
+func (p *Plan) Workload(r Role) WorkloadPlan {
+	for _, w := range p.Workloads {
+		if w.Role == r {
+			return w
+		}
+	}
+	return WorkloadPlan{}
+}
+
+// Targets returns the names of a workload's targets in order.
+func (p *Plan) Targets(r Role) []string {
+	var out []string
+	for _, t := range p.Deployment.Targets {
+		if p.Workloads[t.Workload].Role == r {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
+
+// DomainOf returns the domain of a target or entry host.
+func (p *Plan) DomainOf(name string) string {
+	for _, t := range p.Deployment.Targets {
+		if t.Name == name {
+			return t.Domain
+		}
+	}
+	for _, e := range p.Entries {
+		if e.Name == name {
+			return e.Domain
+		}
+	}
+	return ""
+}
+
+// Capacity returns the requests per second that a workload's targets can run.
+func (p *Plan) Capacity(w WorkloadPlan) float64 {
+	mean := w.ServiceMS * math.Exp(w.SigmaLog*w.SigmaLog/2) / 1000
+	return float64(w.Slots) / mean
+}
+
+// Rate returns the requests per second of a workload at load factor 1.
+func (p *Plan) Rate(w WorkloadPlan) float64 { return p.Utilization * p.Capacity(w) }
+
+// Idempotent reports whether a method of a workload may be sent twice.
+func (w WorkloadPlan) Idempotent(method string) bool {
+	return slices.Contains(w.IdempotentMethods, method)
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,185 @@
+package bench
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Action is what a step does.
+type Action string
+
+// Actions. Those with a For end by themselves after it.
+const (
+	// ActKillTarget kills a target process; after For it is started again, cold.
+	ActKillTarget Action = "kill_target"
+	// ActFreezeTarget suspends a target process.
+	ActFreezeTarget Action = "freeze_target"
+	// ActSlowTarget multiplies the service times of a target by Factor.
+	ActSlowTarget Action = "slow_target"
+	// ActCoolTarget makes a target cold without warning.
+	ActCoolTarget Action = "cool_target"
+	// ActLeaveTarget makes a target leave: its own word and the host list.
+	ActLeaveTarget Action = "leave_target"
+	// ActPauseEntry suspends an entry host process.
+	ActPauseEntry Action = "pause_entry"
+	// ActKillEntry kills an entry host; after For it is started again.
+	ActKillEntry Action = "kill_entry"
+	// ActStopEntry stops an entry host as planned; after For it is started again.
+	ActStopEntry Action = "stop_entry"
+	// ActDomainOut takes a domain out by configuration, and back in after For.
+	ActDomainOut Action = "domain_out"
+	// ActCutDomain cuts a domain off from the others and from the log.
+	ActCutDomain Action = "cut_domain"
+	// ActCutDomainOneWay holds only the bytes that leave the domain.
+	ActCutDomainOneWay Action = "cut_domain_one_way"
+	// ActCutTarget cuts the links between the entry hosts of a target's own
+	// domain and that target, but not those of the other domains.
+	ActCutTarget Action = "cut_target"
+	// ActLogDown puts the log out of service.
+	ActLogDown Action = "log_down"
+	// ActLogSilent makes the log accept requests and never answer.
+	ActLogSilent Action = "log_silent"
+	// ActLogLose loses the answers of Count appends after their effect.
+	ActLogLose Action = "log_lose"
+	// ActSilence makes the open connections to a target go silent for good.
+	ActSilence Action = "silence"
+	// ActLoseAnswers loses Count answers of a target after their effect.
+	ActLoseAnswers Action = "lose_answers"
+	// ActConfig makes a configuration change whose effect is probed.
+	ActConfig Action = "config_change"
+	// ActRace makes Count changes from the same version at once.
+	ActRace Action = "config_race"
+	// ActLoad sets the load factor of all customers.
+	ActLoad Action = "load"
+	// ActFlood sets the load factor of the last customer.
+	ActFlood Action = "flood"
+	// ActShiftKeys makes other keys the popular ones.
+	ActShiftKeys Action = "shift_keys"
+)
+
+// Step is one line of a scenario.
+type Step struct {
+	// At is the time as a part of the duration, 0 to 1.
+	At     float64
+	Action Action
+	// Role and Index name a target, or Index an entry host or domain. Indexes
+	// are taken modulo the number there is. Every means each Every-th target.
+	Role  Role
+	Index int
+	Every int
+	// ForMS is how long the effect lasts, in milliseconds; 0 means to the end.
+	ForMS int64
+	// ForPart is the same as a part of the duration.
+	ForPart float64
+	Factor  float64
+	Count   int
+}
+
+// Scenario is a table of steps.
+type Scenario struct {
+	Name  string
+	About string
+	// LoadFactor multiplies the load; 0 means 1.
+	LoadFactor float64
+	// KeySkewV is the offset of the Zipf distribution of keys: the smaller, the
+	// more requests go to the first few keys. 0 means 10.
+	KeySkewV float64
+	Steps    []Step
+}
+
+// Scenarios are all scenarios by name.
+var Scenarios = index([]Scenario{
+	{Name: "steady", About: "no faults"},
+	{Name: "hot-keys", About: "few keys carry much of the load and change", KeySkewV: 3, Steps: []Step{
+		{At: 0.35, Action: ActShiftKeys},
+		{At: 0.70, Action: ActShiftKeys},
+	}},
+	{Name: "target-loss", About: "targets are killed and return cold; answers are lost", Steps: []Step{
+		{At: 0.20, Action: ActKillTarget, Role: RoleRead, Index: 1, ForPart: 0.4},
+		{At: 0.40, Action: ActKillTarget, Role: RoleWrite, Index: 1, ForPart: 0.3},
+		{At: 0.60, Action: ActLoseAnswers, Role: RoleWrite, Index: 0, Count: 20},
+		{At: 0.70, Action: ActKillTarget, Role: RolePlain, Index: 1},
+		{At: 0.80, Action: ActLeaveTarget, Role: RoleRead, Index: 2},
+	}},
+	{Name: "target-freeze", About: "targets freeze for several lengths and return; connections go silent", Steps: []Step{
+		{At: 0.15, Action: ActFreezeTarget, Role: RoleRead, Index: 0, ForMS: 600},
+		{At: 0.25, Action: ActFreezeTarget, Role: RoleWrite, Index: 0, ForMS: 650},
+		{At: 0.35, Action: ActFreezeTarget, Role: RoleRead, Index: 1, ForMS: 700},
+		{At: 0.45, Action: ActFreezeTarget, Role: RoleWrite, Index: 1, ForMS: 1200},
+		{At: 0.55, Action: ActSilence, Role: RoleRead, Index: 2},
+		{At: 0.60, Action: ActCutTarget, Role: RoleWrite, Index: 2, ForMS: 1500},
+		{At: 0.70, Action: ActFreezeTarget, Role: RoleRead, Index: 2, ForMS: 3000},
+		{At: 0.75, Action: ActFreezeTarget, Role: RolePlain, Index: 0, ForMS: 2000},
+		{At: 0.85, Action: ActCoolTarget, Role: RolePlain, Index: 1},
+	}},
+	{Name: "entry-pause", About: "entry hosts are paused, killed and stopped as planned", Steps: []Step{
+		{At: 0.15, Action: ActPauseEntry, Index: 0, ForMS: 700},
+		{At: 0.25, Action: ActPauseEntry, Index: 1, ForMS: 2500},
+		{At: 0.45, Action: ActKillEntry, Index: 2, ForMS: 2000},
+		{At: 0.60, Action: ActStopEntry, Index: 3, ForMS: 4000},
+		{At: 0.80, Action: ActPauseEntry, Index: 0, ForMS: 1700},
+	}},
+	{Name: "domain-out-back", About: "operators take a domain out and bring it back", Steps: []Step{
+		{At: 0.25, Action: ActDomainOut, Index: 1, ForPart: 0.4},
+	}},
+	{Name: "domain-partition", About: "a domain is cut off in both directions, then in one", Steps: []Step{
+		{At: 0.20, Action: ActCutDomain, Index: 1, ForPart: 0.25},
+		{At: 0.65, Action: ActCutDomainOneWay, Index: 0, ForPart: 0.15},
+	}},
+	{Name: "log-outage", About: "the log is down, silent, or loses answers", Steps: []Step{
+		{At: 0.15, Action: ActLogDown, ForPart: 0.35},
+		{At: 0.60, Action: ActLogSilent, ForPart: 0.15},
+		{At: 0.80, Action: ActLogLose, Count: 3},
+		{At: 0.82, Action: ActKillTarget, Role: RoleRead, Index: 1},
+	}},
+	{Name: "slow-targets", About: "one target in eight is ten times slower", Steps: []Step{
+		{At: 0.10, Action: ActSlowTarget, Role: RoleRead, Index: 1, Every: 8, Factor: 10},
+		{At: 0.10, Action: ActSlowTarget, Role: RoleWrite, Index: 1, Every: 8, Factor: 10},
+		{At: 0.10, Action: ActSlowTarget, Role: RolePlain, Index: 1, Every: 8, Factor: 10},
+	}},
+	{Name: "config-change", About: "configuration changes, some made at the same time", Steps: []Step{
+		{At: 0.15, Action: ActConfig},
+		{At: 0.30, Action: ActConfig},
+		{At: 0.45, Action: ActPauseEntry, Index: 1, ForPart: 0.1},
+		{At: 0.47, Action: ActConfig},
+		{At: 0.65, Action: ActRace, Count: 4},
+		{At: 0.80, Action: ActConfig},
+	}},
+	{Name: "overload", About: "one customer floods, then all load is twice the capacity", Steps: []Step{
+		{At: 0.20, Action: ActFlood, Factor: 8, ForPart: 0.3},
+		{At: 0.60, Action: ActLoad, Factor: 4, ForPart: 0.25},
+	}},
+	{Name: "two-faults", About: "faults at the same time", Steps: []Step{
+		{At: 0.15, Action: ActLogDown, ForPart: 0.15},
+		{At: 0.18, Action: ActFreezeTarget, Role: RoleWrite, Index: 0, ForMS: 1500},
+		{At: 0.40, Action: ActPauseEntry, Index: 0, ForMS: 1800},
+		{At: 0.40, Action: ActKillTarget, Role: RoleRead, Index: 0, ForPart: 0.3},
+		{At: 0.55, Action: ActCutDomain, Index: 1, ForPart: 0.1},
+		{At: 0.58, Action: ActLoseAnswers, Role: RoleWrite, Index: 0, Count: 20},
+		{At: 0.75, Action: ActKillEntry, Index: 1, ForMS: 2000},
+		{At: 0.75, Action: ActFreezeTarget, Role: RoleWrite, Index: 1, ForMS: 650},
+	}},
+})
+
+func index(list []Scenario) map[string]Scenario {
+	out := map[string]Scenario{}
+	for _, s := range list {
+		out[s.Name] = s
+	}
+	return out
+}
+
+// UnknownScenarioError says that there is no scenario with a name.
+type UnknownScenarioError struct{ Name string }
+
+// Error implements error.
+func (e *UnknownScenarioError) Error() string {
+	return fmt.Sprintf("no scenario %q; known: %s", e.Name, strings.Join(slices.Sorted(maps.Keys(Scenarios)), ", "))
+}
+
+// has reports whether a scenario has a step with one of the actions.
+func (s Scenario) has(actions ...Action) bool {
+	return slices.ContainsFunc(s.Steps, func(x Step) bool { return slices.Contains(actions, x.Action) })
+}
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -1,6 +1,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"slices"
@@ -303,10 +304,10 @@
 }
 
 func (c *pair) read(from net.Conn, queue chan<- chunk) {
+	buf := make([]byte, chunkBytes)
 	for {
-		buf := make([]byte, chunkBytes)
 		n, err := from.Read(buf)
-		x := chunk{data: buf[:n], at: time.Now(), eof: n == 0 && err != nil}
+		x := chunk{data: bytes.Clone(buf[:n]), at: time.Now(), eof: n == 0 && err != nil}
 		if n > 0 || err != nil {
 			select {
 			case queue <- x:
