--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/membership"
 )
 
 // Control is the control plane of one entry host. Create it with New, add
@@ -24,6 +25,7 @@
 	homes    *homeTable
 	leader   *leader
 	hosts    *hostTable
+	loads    *loadTable
 	stopping atomic.Bool
 
 	current atomic.Pointer[journal.State]
@@ -33,6 +35,9 @@
 	change chan struct{}
 
 	events chan view.Event
+
+	// drained is set before the duties start; see SetDrained.
+	drained func(target string, version uint64) uint64
 }
 
 // eventBuffer bounds the reports of the request path; when it is full the
@@ -57,6 +62,7 @@
 	c.homes = newHomeTable(cfg)
 	c.leader = newLeader()
 	c.hosts = newHostTable()
+	c.loads = newLoadTable(cfg.Now)
 	c.domains = newDomainSet(c)
 	return c
 }
@@ -70,6 +76,8 @@
 		service{"hosts", c.serveHosts},
 		service{"planner", c.servePlanner},
 		service{"snapshots", c.serveSnapshots},
+		service{"host_list", c.serveHostList},
+		service{"loads", c.serveLoads},
 		service{"events", c.serveEvents},
 	}
 }
@@ -107,7 +115,11 @@
 
 // onLogRead takes the proof that the log was read to its end.
 func (c *Control) onLogRead(asOf time.Duration) {
-	c.domains.logRead(asOf, c.follower.Position().Next)
+	pos := c.follower.Position()
+	if pos.LogReachable {
+		c.domains.fitness.step(membership.GoodEndpoint{Start: asOf})
+	}
+	c.domains.logRead(asOf, pos.Next)
 }
 
 // publish builds a new view for the request path.
@@ -164,6 +176,12 @@
 	}
 }
 
+// SetDrained sets how the control plane learns for which version of a target
+// the request path has ended all requests for shards that the target has lost.
+// Call it before the services are started. Without it, shards of targets that
+// do not check fences are released only after their permits have ended.
+func (c *Control) SetDrained(f func(target string, version uint64) uint64) { c.drained = f }
+
 // Append writes a record and returns what it did; see Writer.Append.
 func (c *Control) Append(ctx context.Context, kind journal.Kind, body any) (journal.Result, error) {
 	return c.writer.Append(ctx, kind, body)
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -241,12 +241,19 @@
 
 // askHomes asks the granters of the own domain in order until one answers.
 func (c *Control) askHomes(ctx context.Context) {
-	st := c.state()
-	if st == nil || st.Config == nil {
+	v := c.View()
+	if v == nil {
 		return
 	}
+	// The request path works by the published view, so its state counts.
+	st := v.State
 	for _, m := range st.Granters[c.cfg.Self.Domain].Members {
 		req := c.homes.request(st)
+		if c.drained != nil {
+			for t, version := range req.Versions {
+				req.Drained[t] = c.drained(t, version)
+			}
+		}
 		sent := c.cfg.Now()
 		rep, err := c.callHome(ctx, st, m.Host, req)
 		if err != nil {
@@ -284,12 +291,15 @@
 	callers map[string]caller
 	view    DomainView
 	remote  map[string]DomainView
+	// remoteAt is when each other domain's leader last answered.
+	remoteAt map[string]time.Duration
 }
 
 func newLeader() *leader {
 	return &leader{
 		homes: map[string]view.Home{}, expires: map[string]time.Duration{},
 		callers: map[string]caller{}, remote: map[string]DomainView{},
+		remoteAt: map[string]time.Duration{},
 	}
 }
 
@@ -522,7 +532,7 @@
 // every grant and which homes report to the request path themselves.
 func sameView(a, b DomainView) bool {
 	sameTarget := func(x, y view.Target) bool {
-		return x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears
+		return x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears && x.Ready == y.Ready
 	}
 	return b.Version != 0 && maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -16,6 +16,7 @@
 	methodConsent  = "lease.consent"
 	methodBack     = "lease.back"
 	methodStop     = "lease.stop_renew"
+	methodHot      = "hot.report"
 )
 
 // RecordsRequest asks for records from an offset on.
@@ -60,6 +61,8 @@
 	LogReachable bool `json:"log_reachable"`
 	// RenewedMS maps targets to the age of the peer's last renewal, in milliseconds.
 	RenewedMS map[string]int64 `json:"renewed_ms,omitempty"`
+	// Failing lists the targets that the peer cannot reach.
+	Failing []string `json:"failing,omitempty"`
 	// Stopping says that the peer is about to exit.
 	Stopping bool `json:"stopping,omitempty"`
 }
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -16,6 +16,7 @@
 	s.Handle(methodHome, peer.Typed(c.homeView))
 	s.Handle(methodConsent, peer.Typed(c.consent))
 	s.Handle(methodBack, peer.Typed(c.back))
+	s.Handle(methodHot, peer.Typed(c.hotReport))
 	s.Handle(methodStop, peer.Typed(c.stopRenew))
 }
 
@@ -72,6 +73,7 @@
 		rep.RenewedMS[t] = age.Milliseconds() + 1
 	}
 	if st := c.state(); st != nil && st.Config != nil {
+		rep.Failing = c.domains.fitness.failing(sortedTargets(st, c.cfg.Self.Domain))
 		rep.ConfigVersion = st.Config.Version
 	}
 	return rep, nil
