--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -190,9 +190,12 @@
 func callerError(w http.ResponseWriter, status int, code, outcome string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(routerError{Code: code, Outcome: outcome, Message: code})
+	writeTo(w, routerError{Code: code, Outcome: outcome, Message: code})
 }
 
+// writeTo writes JSON. A failed write concerns only the caller that is gone.
+func writeTo(w io.Writer, v any) { _ = json.NewEncoder(w).Encode(v) }
+
 // ServeHTTP implements http.Handler.
 func (b *baseline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == pathReady {
@@ -233,7 +236,7 @@
 	for i := range ids {
 		ids[i] = fmt.Sprintf("%s-%d", b.cfg.Listen, b.ids.Add(1))
 	}
-	_ = json.NewEncoder(w).Encode(idsAnswer{IDs: ids})
+	writeTo(w, idsAnswer{IDs: ids})
 }
 
 // pick returns the target of a request, or nil when none is healthy.
