--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -108,7 +108,7 @@
 	now := boottime.Now()
 	if s.gate == nil {
 		s.gate = limits.NewGate(limits.Config{}, hosts, v.Self.Incarnation)
-		s.lender = limits.NewLender(limits.Config{}, hosts)
+		s.lender = limits.NewLender(limits.Config{}, hosts, v.Self.Incarnation)
 		s.gateHosts = hosts
 	}
 	if !slices.Equal(hosts.Live, s.gateHosts.Live) || !slices.Equal(hosts.Configured, s.gateHosts.Configured) {
