Send only what changed in calls for homes and in hellos

Cause: a host sent its known version of every domain four times a second and a granter listed the age of every renewal five times a second, both growing with the deployment (13 domains, about 90 targets a domain); the budget is 4 KB/s. Load reports of a ramping target also counted as a change of its domain. Change: one known value for all domains of a leader; one age for all renewals with a list of exceptions; hellos every 200 ms; what a target bears is no longer a reason to publish. The coordinator takes a domain as silent after 0.8 s.

--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -5,6 +5,8 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,8 +32,9 @@
 	// targets that the host is not yet the home of, too.
 	Versions map[string]uint64 `json:"versions,omitempty"`
 	Drained  map[string]uint64 `json:"drained,omitempty"`
-	// Known maps domains to the versions that the caller has.
-	Known map[string]uint64 `json:"known,omitempty"`
+	// Known repeats the Known of the last reply, so that the answer holds only
+	// what has changed since.
+	Known string `json:"known,omitempty"`
 	// Stopping says that the host gives up its homes.
 	Stopping bool `json:"stopping,omitempty"`
 	// GivenUp lists targets that the host is no longer the home of.
@@ -48,15 +51,14 @@
 	PermitMS map[string]int64 `json:"permit_ms,omitempty"`
 	// Yield lists targets that the caller is asked to give up.
 	Yield []string `json:"yield,omitempty"`
-	// Domains holds the domains whose version differs from the caller's.
+	// Known stands for all that the caller now has from this granter.
+	Known string `json:"known"`
+	// Domains holds the domains that have changed since the caller's Known.
 	Domains map[string]DomainView `json:"domains,omitempty"`
 }
 
 // DomainView is what the leader of a domain publishes.
 type DomainView struct {
-	// Version grows with each change; it starts at the leader's clock, so that
-	// versions of a later leader are higher in practice. Equal means the same.
-	Version uint64                 `json:"version"`
 	Homes   map[string]view.Home   `json:"homes"`
 	Targets map[string]view.Target `json:"targets"`
 	// Alive lists the domain's entry hosts that have called lately.
@@ -76,6 +78,7 @@
 
 	mu       sync.Mutex
 	domains  map[string]DomainView
+	known    string
 	permits  map[string]held
 	givenUp  map[string]bool
 	suspects map[string]bool
@@ -150,7 +153,7 @@
 	req := HomeRequest{
 		Host: h.self.Name, Incarnation: h.self.Incarnation, Domain: "",
 		Holds: map[string]uint64{}, Versions: map[string]uint64{}, Drained: map[string]uint64{},
-		Known: map[string]uint64{}, Stopping: h.stopping,
+		Known: h.known, Stopping: h.stopping,
 	}
 	now := h.now()
 	for t, p := range h.permits {
@@ -167,9 +170,6 @@
 			req.Versions[t] = uint64(st.TargetVersion[t])
 		}
 	}
-	for d, v := range h.domains {
-		req.Known[d] = v.Version
-	}
 	for s := range h.suspects {
 		req.Suspects = append(req.Suspects, s)
 	}
@@ -183,6 +183,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed := len(rep.Domains) > 0
+	h.known = rep.Known
 	for name, d := range rep.Domains {
 		h.domains[name] = d
 	}
@@ -294,8 +295,13 @@
 	homes   map[string]view.Home
 	expires map[string]time.Duration
 	callers map[string]caller
-	view    DomainView
-	remote  map[string]DomainView
+	// views are the published domains; serial counts the changes, changedAt
+	// holds the count at the last change of each domain.
+	views     map[string]DomainView
+	serial    uint64
+	changedAt map[string]uint64
+	// remoteKnown is the Known of each other domain's leader.
+	remoteKnown map[string]string
 	// remoteAt is when each other domain's leader last answered.
 	remoteAt map[string]time.Duration
 }
@@ -303,8 +309,9 @@
 func newLeader() *leader {
 	return &leader{
 		homes: map[string]view.Home{}, expires: map[string]time.Duration{},
-		callers: map[string]caller{}, remote: map[string]DomainView{},
-		remoteAt: map[string]time.Duration{},
+		callers: map[string]caller{}, views: map[string]DomainView{}, changedAt: map[string]uint64{},
+		remoteKnown: map[string]string{},
+		remoteAt:    map[string]time.Duration{},
 	}
 }
 
@@ -342,15 +349,29 @@
 	} else {
 		l.since = 0
 	}
-	if l.view.Version != 0 && l.view.Version != req.Known[c.cfg.Self.Domain] {
-		rep.Domains[c.cfg.Self.Domain] = l.view
+	l.changedSince(req, c.cfg.Self, &rep)
+	return rep, nil
+}
+
+// changedSince adds the domains that have changed since the caller's Known.
+func (l *leader) changedSince(req HomeRequest, self view.Self, rep *HomeReply) {
+	id := self.Name + "." + self.Incarnation + ":"
+	since := uint64(0)
+	if text, ok := strings.CutPrefix(req.Known, id); ok {
+		since, _ = strconv.ParseUint(text, 10, 64)
 	}
-	for name, d := range l.remote {
-		if d.Version != req.Known[name] && req.Domain == "" {
-			rep.Domains[name] = d
+	rep.Known = id + strconv.FormatUint(l.serial, 10)
+	for name, at := range l.changedAt {
+		if at > since && (req.Domain == "" || req.Domain == name) {
+			rep.Domains[name] = l.views[name]
 		}
 	}
-	return rep, nil
+}
+
+// set replaces what is published of a domain.
+func (l *leader) set(domain string, v DomainView) {
+	l.serial++
+	l.views[domain], l.changedAt[domain] = v, l.serial
 }
 
 func (l *leader) noteCaller(now time.Duration, req HomeRequest) {
@@ -433,8 +454,9 @@
 func (c *Control) lead(l *leader, st *journal.State, now time.Duration) {
 	if l.since == 0 {
 		l.since = now
-		l.view = c.homes.domain(c.cfg.Self.Domain)
-		for t, h := range l.view.Homes {
+		former := c.homes.domain(c.cfg.Self.Domain)
+		l.set(c.cfg.Self.Domain, former)
+		for t, h := range former.Homes {
 			if l.homes[t].Epoch < h.Epoch {
 				l.homes[t] = h
 				l.expires[t] = now + c.stretched(c.cfg.Timing.Permit.Milliseconds())
@@ -520,25 +542,24 @@
 
 // rebuild publishes a new version of the domain's view when it has changed.
 func (c *Control) rebuild(l *leader, st *journal.State, alive []string) {
+	last := l.views[c.cfg.Self.Domain]
 	next := DomainView{Homes: maps.Clone(l.homes), Targets: map[string]view.Target{}, Alive: alive}
 	for _, t := range sortedTargets(st, c.cfg.Self.Domain) {
 		if next.Targets[t] = c.domains.fitness.target(t); !next.Targets[t].Known {
 			// A new leader keeps the word of the one before until it has its own.
-			next.Targets[t] = l.view.Targets[t]
+			next.Targets[t] = last.Targets[t]
 		}
 	}
-	if sameView(next, l.view) {
-		return
+	if !sameView(next, last) {
+		l.set(c.cfg.Self.Domain, next)
 	}
-	next.Version = max(l.view.Version+1, uint64(c.cfg.Now()/time.Millisecond))
-	l.view = next
 }
 
 // sameView compares views without the load of targets, which changes with
 // every grant and which homes report to the request path themselves.
 func sameView(a, b DomainView) bool {
 	sameTarget := func(x, y view.Target) bool {
-		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Load.Bears == y.Load.Bears && x.Ready == y.Ready
+		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Ready == y.Ready
 	}
-	return b.Version != 0 && maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
+	return maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -14,7 +14,7 @@
 
 // Intervals of the duty that watches the other hosts.
 const (
-	helloInterval = 150 * time.Millisecond
+	helloInterval = 200 * time.Millisecond
 	// deadAfter is how long a granter must have been silent before the next
 	// one replaces it. It is longer than two lost hellos.
 	deadAfter = 600 * time.Millisecond
@@ -29,7 +29,7 @@
 	firstListWait = 700 * time.Millisecond
 	// remoteInterval is the interval at which a leader asks the leaders of the
 	// other domains for their homes.
-	remoteInterval = 400 * time.Millisecond
+	remoteInterval = 250 * time.Millisecond
 	// announceRetry is the pause after a failed announcement.
 	announceRetry = 500 * time.Millisecond
 	// granterCount is the number of granters of a domain.
@@ -145,14 +145,14 @@
 	defer cancel()
 	sent := c.cfg.Now()
 	var rep HelloReply
-	err := c.cfg.Peers.Call(ctx, e.PeerAddr, methodHello, HelloRequest{From: c.entryHost()}, &rep)
+	err := c.cfg.Peers.Call(ctx, e.PeerAddr, methodHello, struct{}{}, &rep)
 	c.hosts.update(e.Name, func(s *seen) {
 		if s.firstTry == 0 {
 			s.firstTry = sent
 		}
 		s.refused = isRefused(err)
 		if err == nil {
-			s.incarnation, s.lastOK, s.stopping = rep.Host.Incarnation, sent, rep.Stopping
+			s.incarnation, s.lastOK, s.stopping = rep.Incarnation, sent, rep.Stopping
 		}
 	})
 	if err != nil {
@@ -164,15 +164,30 @@
 	}
 	c.noteHello(e.Name, sent, rep)
 	c.domains.step(c.cfg.Self.Domain, lease.PeerSeen{
-		Host: rep.Host.Name, Incarnation: rep.Host.Incarnation, SentAt: sent, Next: rep.Next, Renewed: rep.renewed(),
+		Host: e.Name, Incarnation: rep.Incarnation, SentAt: sent, Next: rep.Next, Renewed: c.renewedBy(rep),
 	})
 }
 
+// renewedBy returns the ages of a granter's renewals.
+func (c *Control) renewedBy(rep HelloReply) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	st := c.state()
+	if rep.RenewedMS == 0 || st == nil || st.Config == nil {
+		return out
+	}
+	for _, t := range c.granted(st) {
+		if !slices.Contains(rep.NotRenewed, t) {
+			out[t] = time.Duration(rep.RenewedMS) * time.Millisecond
+		}
+	}
+	return out
+}
+
 // noteHello passes on what a granter says of itself and of the targets.
 func (c *Control) noteHello(host string, sent time.Duration, rep HelloReply) {
 	f := c.domains.fitness
-	f.step(membership.Answered{Node: hostNode(host), Incarnation: rep.Host.Incarnation})
-	for t, age := range rep.renewed() {
+	f.step(membership.Answered{Node: hostNode(host), Incarnation: rep.Incarnation})
+	for t, age := range c.renewedBy(rep) {
 		f.step(membership.Reported{Node: targetNode(t), By: host, OK: true, At: sent - age})
 	}
 	for _, t := range rep.Failing {
@@ -337,7 +352,7 @@
 func (c *Control) askDomain(ctx context.Context, st *journal.State, domain string) {
 	l := c.leader
 	l.mu.Lock()
-	known := map[string]uint64{domain: l.remote[domain].Version}
+	known := l.remoteKnown[domain]
 	l.mu.Unlock()
 	for _, m := range st.Granters[domain].Members {
 		rep, err := c.callHome(ctx, st, m.Host, HomeRequest{Host: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation, Domain: domain, Known: known})
@@ -346,8 +361,9 @@
 		}
 		l.mu.Lock()
 		if v, ok := rep.Domains[domain]; ok {
-			l.remote[domain] = v
+			l.set(domain, v)
 		}
+		l.remoteKnown[domain] = rep.Known
 		l.remoteAt[domain] = c.cfg.Now()
 		l.mu.Unlock()
 		return
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -45,33 +43,21 @@
 	Parts []journal.Snapshot `json:"parts"`
 }
 
-// HelloRequest introduces the caller.
-type HelloRequest struct {
-	From journal.EntryHost `json:"from"`
-}
-
 // HelloReply says who the peer is.
 type HelloReply struct {
-	Host journal.EntryHost `json:"host"`
+	Incarnation string `json:"incarnation"`
 	// Next is the offset of the next record the peer will apply.
 	Next int64 `json:"next"`
 	// ConfigVersion is the version in force at the peer; 0 when it has none.
 	ConfigVersion int64 `json:"config_version"`
 	// LogReachable says whether the peer's last direct read of the log succeeded.
 	LogReachable bool `json:"log_reachable"`
-	// RenewedMS maps targets to the age of the peer's last renewal, in milliseconds.
-	RenewedMS map[string]int64 `json:"renewed_ms,omitempty"`
+	// RenewedMS is the highest age in milliseconds of the peer's last renewals
+	// of the domain's targets, except those in NotRenewed; 0 when it renews none.
+	RenewedMS  int64    `json:"renewed_ms,omitempty"`
+	NotRenewed []string `json:"not_renewed,omitempty"`
 	// Failing lists the targets that the peer cannot reach.
 	Failing []string `json:"failing,omitempty"`
 	// Stopping says that the peer is about to exit.
 	Stopping bool `json:"stopping,omitempty"`
 }
-
-// renewed returns the ages of the peer's renewals.
-func (r HelloReply) renewed() map[string]time.Duration {
-	out := make(map[string]time.Duration, len(r.RenewedMS))
-	for t, ms := range r.RenewedMS {
-		out[t] = time.Duration(ms) * time.Millisecond
-	}
-	return out
-}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -19,7 +19,7 @@
 	firstPlanWait = 3 * time.Second
 	// domainSilentAfter is how long the leader of another domain must have
 	// been silent before the coordinator plans for it.
-	domainSilentAfter = 3 * time.Second
+	domainSilentAfter = 800 * time.Millisecond
 )
 
 // planner is the state of the planning duty.
--- a/internal/control/probes.go
+++ b/internal/control/probes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
@@ -54,6 +55,15 @@
 	}
 }
 
+// granted lists the domain's targets whose leases are renewed, in order.
+func (c *Control) granted(st *journal.State) []string {
+	probed := c.probed(st)
+	return slices.DeleteFunc(sortedTargets(st, c.cfg.Self.Domain), func(name string) bool {
+		_, ok := probed[name]
+		return ok
+	})
+}
+
 func (c *Control) probed(st *journal.State) map[string]contract.Target {
 	out := map[string]contract.Target{}
 	for name, t := range st.Config.Targets {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -61,20 +61,30 @@
 	return SnapshotReply{Parts: parts}, err
 }
 
-func (c *Control) hello(_ context.Context, _ HelloRequest) (HelloReply, error) {
+func (c *Control) hello(_ context.Context, _ struct{}) (HelloReply, error) {
 	pos := c.follower.Position()
-	rep := HelloReply{Host: c.entryHost(), Next: pos.Next, LogReachable: pos.LogReachable, Stopping: c.stopping.Load()}
+	rep := HelloReply{Incarnation: c.cfg.Self.Incarnation, Next: pos.Next, LogReachable: pos.LogReachable, Stopping: c.stopping.Load()}
+	st := c.state()
+	if st == nil || st.Config == nil {
+		return rep, nil
+	}
+	rep.ConfigVersion = st.Config.Version
+	targets := sortedTargets(st, c.cfg.Self.Domain)
+	rep.Failing = c.domains.fitness.failing(targets)
 	dc := c.domains.own()
 	dc.mu.Lock()
 	renewed := dc.core.Renewed(c.cfg.Now())
 	dc.mu.Unlock()
-	rep.RenewedMS = make(map[string]int64, len(renewed))
-	for t, age := range renewed {
-		rep.RenewedMS[t] = age.Milliseconds() + 1
+	if len(renewed) == 0 {
+		return rep, nil
 	}
-	if st := c.state(); st != nil && st.Config != nil {
-		rep.Failing = c.domains.fitness.failing(sortedTargets(st, c.cfg.Self.Domain))
-		rep.ConfigVersion = st.Config.Version
+	for _, t := range c.granted(st) {
+		age, ok := renewed[t]
+		if !ok {
+			rep.NotRenewed = append(rep.NotRenewed, t)
+			continue
+		}
+		rep.RenewedMS = max(rep.RenewedMS, age.Milliseconds()+1)
 	}
 	return rep, nil
 }
