Give benchmark processes ports outside the ephemeral range

Ports now lie below the system's ephemeral range, and a cluster that does not become ready shows which entry host failed and the end of its log.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -358,16 +359,28 @@
 	<-c.stopped
 }
 
+// The ports given to processes are below those that the system gives to
+// outgoing connections, which could otherwise take one before its process
+// starts, or while it is restarted.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 // freePorts returns addresses on the loopback interface that are free now.
 func freePorts(n int) ([]string, error) {
 	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, &RunError{Op: "find a free port", Err: err}
+			if tries > 1000 {
+				return nil, &RunError{Op: "find a free port", Err: err}
+			}
+			continue
 		}
 		defer ln.Close()
-		out = append(out, ln.Addr().String())
+		out = append(out, addr)
 	}
 	return out, nil
 }
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -29,6 +29,8 @@
 	// probeShare is the part of a workload's capacity that probes may use. The
 	// other load is reduced by it.
 	probeShare = 0.2
+	// logTail is how much of a log is shown, in bytes.
+	logTail = 400
 	// readyStreak is the number of successes in a row that shows a workload
 	// to be served.
 	readyStreak = 10
@@ -238,7 +240,7 @@
 	deadline := boottime.Now() + readyLimit
 	for !r.balancer.allUp() {
 		if boottime.Now() > deadline {
-			return &RunError{Op: "start the cluster", Err: &TimeoutError{What: "all entry hosts ready"}}
+			return &RunError{Op: "start the cluster", Err: &TimeoutError{What: r.unready()}}
 		}
 		if !sleepUntil(ctx, boottime.Now()+20*time.Millisecond) {
 			return ctx.Err()
@@ -266,6 +268,21 @@
 	return ctx.Err()
 }
 
+// unready describes the entry hosts that are not ready, with the ends of their
+// logs.
+func (r *run) unready() string {
+	out := "ready entry hosts:"
+	for _, h := range r.balancer.hosts {
+		if h.up.Load() {
+			continue
+		}
+		p := r.cluster.entries[h.name].proc
+		data, _ := os.ReadFile(p.log)
+		out += fmt.Sprintf(" %s (running %t) log: %s", h.name, p.pid() != 0, data[max(0, len(data)-logTail):])
+	}
+	return out
+}
+
 // startProbes starts requests at a fixed interval for some shards of the
 // targets that the steps hit and of the others, so that the time without
 // service can be measured however seldom a key is asked for.
