--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -40,7 +40,10 @@
 type Options struct {
 	Deployment string
 	Scenario   string
-	Seed       uint64
+	// Custom is played instead of the scenario named by Scenario when it has a
+	// name.
+	Custom   Scenario
+	Seed     uint64
 	Duration   time.Duration
 	Scale      float64
 	Break      string
@@ -80,9 +83,12 @@
 
 // Play plays a scenario under one policy.
 func Play(ctx context.Context, o Options, policy Policy) (Result, error) {
-	s, ok := Scenarios[o.Scenario]
-	if !ok {
-		return Result{}, &UnknownScenarioError{Name: o.Scenario}
+	s := o.Custom
+	if s.Name == "" {
+		var ok bool
+		if s, ok = Scenarios[o.Scenario]; !ok {
+			return Result{}, &UnknownScenarioError{Name: o.Scenario}
+		}
 	}
 	plan, err := NewPlan(o.Deployment, o.Scale)
 	if err != nil {
