--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -23,6 +23,10 @@
 // SnapshotPartBytes is the largest Data of one part.
 const SnapshotPartBytes = 256 << 10
 
+// MaxSnapshotBytes limits the decompressed size of a snapshot, so that a faulty
+// one cannot use up a host's memory. A state of the design size has 5 MB.
+const MaxSnapshotBytes = 128 << 20
+
 // SnapshotError says that a snapshot cannot be used.
 type SnapshotError struct {
 	Of     string
@@ -79,19 +83,47 @@
 	if err != nil {
 		return nil, &SnapshotError{Of: of, Reason: "decompress", Err: err}
 	}
-	raw, err := io.ReadAll(zr)
+	raw, err := io.ReadAll(io.LimitReader(zr, MaxSnapshotBytes+1))
 	if err != nil {
 		return nil, &SnapshotError{Of: of, Reason: "decompress", Err: err}
 	}
+	if len(raw) > MaxSnapshotBytes {
+		return nil, &SnapshotError{Of: of, Reason: "too large"}
+	}
 	s := NewState()
 	if err := json.Unmarshal(raw, s); err != nil {
 		return nil, &SnapshotError{Of: of, Reason: "decode", Err: err}
 	}
-	if s.Next != parts[0].Next || s.Table == nil {
+	if s.Next != parts[0].Next {
 		return nil, &SnapshotError{Of: of, Reason: "state does not fit its header"}
 	}
+	if !s.whole() {
+		return nil, &SnapshotError{Of: of, Reason: "state is incomplete"}
+	}
 	for _, id := range s.Recent {
 		s.recentSet[id] = true
 	}
 	return s, nil
 }
+
+// whole reports whether the parts of a decoded state that Apply relies on are
+// there and agree with each other.
+func (s *State) whole() bool {
+	if s.Table == nil || s.Table.Workloads == nil || s.Granters == nil || s.Entries == nil || s.TargetVersion == nil {
+		return false
+	}
+	for _, w := range s.Table.Workloads {
+		if w == nil || w.Base < 1 || len(w.Shards) < int(w.Base) {
+			return false
+		}
+		for _, n := range w.Hot {
+			if n < w.Base || int(n) >= len(w.Shards) {
+				return false
+			}
+		}
+	}
+	if c := s.Config; c != nil {
+		return c.Domains != nil && c.Workloads != nil && c.Targets != nil && c.Contracts != nil && c.Hosts != nil
+	}
+	return true
+}
--- a/journal/state.go
+++ b/journal/state.go
@@ -303,14 +303,19 @@
 }
 
 // bump sets the version of each target that held or now holds one of the
-// changed shards.
+// changed shards, and of a former owner that is now taken as lost: granters
+// promise to give no lower version, and this one they give to nobody.
 func (s *State) bump(offset int64, shards []ownership.ID, before []ownership.Shard) {
 	for i, id := range shards {
 		now, _ := s.Table.Get(id)
 		if now == before[i] {
 			continue
 		}
-		for _, target := range []string{before[i].Owner, now.Owner} {
+		changed := []string{before[i].Owner, now.Owner}
+		if now.Lost && !before[i].Lost {
+			changed = append(changed, now.Previous)
+		}
+		for _, target := range changed {
 			if target != "" {
 				s.TargetVersion[target] = offset
 			}
--- /dev/null
+++ b/journal/state_test.go
@@ -0,0 +1,306 @@
+package journal
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/ownership"
+)
+
+func deployment(targets int, shards int32) Bootstrap {
+	d := Bootstrap{Name: "test", IsolatedServeMS: -1, Domains: []contract.Domain{{Name: "d1"}, {Name: "d2"}},
+		Workloads: []contract.Workload{{Name: "w", Keyed: true, Shards: shards, Fencing: true}}}
+	for i := range targets {
+		d.Targets = append(d.Targets, contract.Target{Name: fmt.Sprintf("t%04d", i), Workload: "w", Domain: d.Domains[i%2].Name,
+			Addr: "127.0.0.1:9000", Slots: 2, Connections: 120})
+	}
+	return d
+}
+
+func initial(targets int, shards int32) Move {
+	m := Move{Reason: ownership.ReasonInitial}
+	for n := range shards {
+		m.Shards = append(m.Shards, ownership.MoveShard{ID: ownership.ID{Workload: "w", Shard: n}, To: fmt.Sprintf("t%04d", int(n)%targets)})
+	}
+	return m
+}
+
+// feed applies a record at the next offset.
+func feed(s *State, id string, kind Kind, body any) Result {
+	data, err := Encode(id, kind, body)
+	if err != nil {
+		panic(err)
+	}
+	res, err := s.Apply(s.Next, data)
+	if err != nil {
+		panic(err)
+	}
+	return res
+}
+
+func started(targets int, shards int32) *State {
+	s := NewState()
+	feed(s, "boot", KindBootstrap, deployment(targets, shards))
+	feed(s, "init", KindMove, initial(targets, shards))
+	return s
+}
+
+// A record that is not understood must change nothing but the offset and the
+// count, on each host alike.
+func TestSkippedRecords(t *testing.T) {
+	Convey("records that are not understood leave the state as it is", t, func() {
+		s := started(2, 4)
+		for i, data := range []string{
+			"", "null", "[]", "{", `{"v":1}`, `{"v":2,"id":"x","kind":"move","body":{}}`, `{"v":0,"id":"x","kind":"move","body":{}}`,
+			`{"v":1,"id":"y1","kind":"later","body":{}}`, `{"v":1,"id":"y2","kind":"move","body":[]}`, `{"v":1,"id":"y3","kind":"move"}`,
+			`{"v":1,"id":"y4","kind":"move","body":{"shards":[{"workload":"w","shard":99999999999}]}}`,
+		} {
+			before, _ := json.Marshal(s.Table)
+			skipped := s.Skipped
+			res, err := s.Apply(s.Next, []byte(data))
+			So(err, ShouldBeNil)
+			So(res.Outcome, ShouldEqual, Skipped)
+			So(s.Skipped, ShouldEqual, skipped+1)
+			after, _ := json.Marshal(s.Table)
+			So(string(after), ShouldEqual, string(before))
+			So(s.Next, ShouldEqual, int64(FirstOffset+3+i))
+		}
+	})
+	Convey("an append that was repeated counts once", t, func() {
+		s := started(2, 4)
+		body := Move{Reason: ownership.ReasonLost, Shards: []ownership.MoveShard{{ID: ownership.ID{Workload: "w"}, FromEpoch: 1, To: "t0001"}}}
+		So(feed(s, "m", KindMove, body).Outcome, ShouldEqual, Applied)
+		So(feed(s, "m", KindMove, body).Outcome, ShouldEqual, Duplicate)
+		So(feed(s, "n", KindMove, body).Outcome, ShouldEqual, Refused)
+	})
+}
+
+// A granter that is dropped from the list may still renew leases; a release
+// that does not account for it could make two owners.
+func TestGrantersRetire(t *testing.T) {
+	Convey("members that a list leaves out retire until a record ends that", t, func() {
+		s := started(2, 4)
+		list := func(from int64, members, retiring []Member) Result {
+			return feed(s, fmt.Sprint("list", from, s.Next), KindGranters, Granters{Domain: "d1", FromVersion: from, Members: members, Retiring: retiring})
+		}
+		a, b, c := Member{Host: "a", Incarnation: "1"}, Member{Host: "b", Incarnation: "1"}, Member{Host: "c", Incarnation: "1"}
+		So(list(0, []Member{a, b}, nil).Outcome, ShouldEqual, Applied)
+		added := s.Granters["d1"].Members[0].AddedAt
+		So(list(1, []Member{b, c}, nil).Outcome, ShouldEqual, Applied)
+		So(s.Granters["d1"].Retiring, ShouldResemble, []Member{{Host: "a", Incarnation: "1", AddedAt: added}})
+		So(s.Granters["d1"].Members[0].AddedAt, ShouldEqual, added)
+		So(list(1, []Member{c}, nil).Outcome, ShouldEqual, Refused)
+		So(list(2, []Member{a, b, c}, []Member{a}).Outcome, ShouldEqual, Refused)
+		So(list(2, []Member{b, c}, nil).Outcome, ShouldEqual, Applied)
+		So(s.Granters["d1"].Retiring, ShouldBeEmpty)
+		So(list(3, []Member{a, b, c}, nil).Outcome, ShouldEqual, Applied)
+		So(s.Granters["d1"].Members[0].AddedAt, ShouldBeGreaterThan, added)
+	})
+}
+
+// A former owner that is declared lost during a planned move must get a new
+// version: granters promise to give no lower one, and this one to nobody.
+func TestLostBumpsFormerOwner(t *testing.T) {
+	Convey("declaring the former owner lost changes its version", t, func() {
+		s := started(2, 4)
+		move := func(from uint64, why ownership.Reason) {
+			feed(s, string(why), KindMove, Move{Reason: why, Shards: []ownership.MoveShard{{ID: ownership.ID{Workload: "w"}, FromEpoch: from, To: "t0001"}}})
+		}
+		move(1, ownership.ReasonLeaving)
+		before := s.TargetVersion["t0000"]
+		move(2, ownership.ReasonLost)
+		So(s.TargetVersion["t0000"], ShouldBeGreaterThan, before)
+	})
+}
+
+// A target under a used name at another address could hold a lease beside the
+// first one, and a switch of fencing would change rules that granters which are
+// behind still follow.
+func TestChangesThatWouldMakeTwoOwners(t *testing.T) {
+	Convey("address, domain and fencing are fixed", t, func() {
+		s := started(2, 4)
+		change := func(it contract.Item) Outcome {
+			return feed(s, fmt.Sprint("c", s.Next), KindChange, Change{FromVersion: s.Config.Version, Items: []contract.Item{it}}).Outcome
+		}
+		tgt, w := s.Config.Targets["t0000"], s.Config.Workloads["w"]
+		tgt.Slots = 3
+		So(change(contract.Item{AddTgt: &tgt}), ShouldEqual, Applied)
+		moved, other := tgt, tgt
+		moved.Addr, other.Domain = "127.0.0.1:9001", "d2"
+		So(change(contract.Item{AddTgt: &moved}), ShouldEqual, Refused)
+		So(change(contract.Item{AddTgt: &other}), ShouldEqual, Refused)
+		w.Fencing = false
+		So(change(contract.Item{Workload: &w}), ShouldEqual, Refused)
+	})
+}
+
+// FuzzApply feeds arbitrary bytes: the fold must neither panic nor depend on
+// anything but the bytes, and epochs must not fall.
+func FuzzApply(f *testing.F) {
+	add := func(kind Kind, body any) {
+		data, _ := Encode("f", kind, body)
+		f.Add(data, data[:len(data)/2])
+	}
+	add(KindBootstrap, deployment(1, 2))
+	add(KindMove, initial(2, 4))
+	add(KindReleased, Released{Shards: []ownership.ReleasedShard{{ID: ownership.ID{Workload: "w"}, Epoch: 1}}})
+	add(KindSplit, Split{Workload: "w", Key: "k", FromEpoch: 1})
+	add(KindMerge, Merge{Workload: "w", Key: "k", FromEpoch: 1})
+	add(KindGranters, Granters{Domain: "d1", Members: []Member{{Host: "a"}}, Retiring: []Member{{Host: "b"}}})
+	add(KindEntryHost, EntryHost{Name: "h"})
+	add(KindChange, Change{FromVersion: 1, Items: []contract.Item{{Isolated: &contract.Isolation{}}}})
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		a, b := started(2, 4), started(2, 4)
+		for _, data := range [][]byte{one, two, one} {
+			before := a.Table.Clone()
+			ra, _ := a.Apply(a.Next, data)
+			rb, _ := b.Apply(b.Next, data)
+			if !reflect.DeepEqual(ra, rb) || !reflect.DeepEqual(a, b) {
+				t.Fatal("two folds of the same records differ")
+			}
+			for name, w := range before.Workloads {
+				for n, s := range w.Shards {
+					if a.Table.Workloads[name].Shards[n].Epoch < s.Epoch {
+						t.Fatal("an epoch fell")
+					}
+				}
+			}
+		}
+		parts, err := EncodeSnapshot("s", a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if back, err := DecodeSnapshot(parts); err != nil || back.Next != a.Next {
+			t.Fatalf("snapshot of an applied state: %v", err)
+		}
+	})
+}
+
+// FuzzDecodeSnapshot decodes arbitrary states: one must be refused or be such
+// that records can be applied to it.
+func FuzzDecodeSnapshot(f *testing.F) {
+	raw, _ := json.Marshal(started(2, 4))
+	f.Add(raw)
+	f.Add([]byte(`{"next":3,"table":{"workloads":{"w":{"base":1,"shards":[{}],"hot":{"k":1}}}}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var buf bytes.Buffer
+		zw := gzip.NewWriter(&buf)
+		_, _ = zw.Write(raw)
+		_ = zw.Close()
+		var head struct{ Next int64 }
+		_ = json.Unmarshal(raw, &head)
+		s, err := DecodeSnapshot([]Snapshot{{Of: "s", Next: head.Next, Parts: 1, Data: buf.Bytes()}})
+		if err != nil {
+			return
+		}
+		for i, body := range []any{initial(2, 4), Split{Workload: "w", Key: "k", FromEpoch: 1}, Merge{Workload: "w", Key: "k", FromEpoch: 1},
+			Granters{Domain: "d1"}, deployment(2, 4)} {
+			feed(s, fmt.Sprint("f", i), []Kind{KindMove, KindSplit, KindMerge, KindGranters, KindBootstrap}[i], body)
+		}
+	})
+}
+
+func TestSnapshotParts(t *testing.T) {
+	Convey("a snapshot is refused unless it is whole", t, func() {
+		parts, err := EncodeSnapshot("s", design())
+		So(err, ShouldBeNil)
+		So(len(parts), ShouldBeGreaterThan, 1)
+		for _, p := range parts {
+			So(len(p.Data), ShouldBeLessThanOrEqualTo, SnapshotPartBytes)
+		}
+		_, err = DecodeSnapshot(parts)
+		So(err, ShouldBeNil)
+		for _, bad := range [][]Snapshot{nil, parts[1:], parts[:1], {parts[1], parts[0]}} {
+			_, err := DecodeSnapshot(bad)
+			So(err, ShouldHaveSameTypeAs, &SnapshotError{})
+		}
+		for _, raw := range []string{`{"next":1}`, `{"next":1,"table":{"workloads":{"w":{"base":0}}}}`, `{"next":1,"granters":null}`} {
+			s := NewState()
+			_ = json.Unmarshal([]byte(raw), s)
+			one, _ := EncodeSnapshot("s", s)
+			if raw == `{"next":1}` {
+				one[0].Next = 2
+			}
+			_, err := DecodeSnapshot(one)
+			So(err, ShouldHaveSameTypeAs, &SnapshotError{})
+		}
+	})
+}
+
+// design returns a state of the design size: 65,536 shards, 1,200 targets, 68
+// split keys, 1,500 entry hosts, and a full list of recent identifiers.
+func design() *State {
+	s := started(1200, 65536)
+	for i := range 68 {
+		key := fmt.Sprint("hot", i)
+		w := s.Table.Workloads["w"]
+		feed(s, key, KindSplit, Split{Workload: "w", Key: key, FromEpoch: w.Shards[w.HashShard(key)].Epoch})
+	}
+	for i := range RecentIDs {
+		name := fmt.Sprintf("host-%04d", i%1500)
+		feed(s, fmt.Sprintf("%s/%016x", name, i), KindEntryHost, EntryHost{Name: name, Incarnation: "0123456789abcdef", Domain: "d1",
+			HTTPAddr: "127.0.0.1:8000", PeerAddr: "127.0.0.1:8001"})
+	}
+	// Owners and epochs as after a long time of moves, which compress less well.
+	rng := rand.New(rand.NewPCG(1, 1))
+	for n := range s.Table.Workloads["w"].Shards {
+		x := &s.Table.Workloads["w"].Shards[n]
+		x.Owner, x.Epoch = fmt.Sprintf("t%04d", rng.IntN(1200)), 1+rng.Uint64N(1000)
+	}
+	return s
+}
+
+func BenchmarkDecodeSnapshot(b *testing.B) {
+	parts, err := EncodeSnapshot("s", design())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	var s *State
+	for b.Loop() {
+		if s, err = DecodeSnapshot(parts); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	var with, without runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&with)
+	runtime.KeepAlive(s)
+	s = nil
+	runtime.GC()
+	runtime.ReadMemStats(&without)
+	bytes := 0
+	for _, p := range parts {
+		bytes += len(p.Data)
+	}
+	b.ReportMetric(float64(with.HeapAlloc-without.HeapAlloc)/(1<<20), "MB-kept")
+	b.ReportMetric(float64(bytes)/(1<<20), "MB-compressed")
+}
+
+func BenchmarkApplyMove(b *testing.B) {
+	s := design()
+	epochs := make([]uint64, 55)
+	for i := range epochs {
+		epochs[i] = s.Table.Workloads["w"].Shards[i*1200].Epoch
+	}
+	for i := 0; b.Loop(); i++ {
+		m := Move{Reason: ownership.ReasonLost}
+		for n := range epochs {
+			m.Shards = append(m.Shards, ownership.MoveShard{ID: ownership.ID{Workload: "w", Shard: int32(n * 1200)}, FromEpoch: epochs[n], To: fmt.Sprintf("t%04d", i%1200)})
+			epochs[n]++
+		}
+		if res := feed(s, fmt.Sprint("b", i), KindMove, m); res.Outcome != Applied {
+			b.Fatal(res)
+		}
+	}
+}
