Check the granter core with simulated histories

Cause: no example can show that two targets never act for one key. What: a world of five hosts, three targets, a lossy network and a log with clocks that differ by up to the rate bound; hosts and targets crash, pause and restart, links and the log fail, moves race, lists of granters, the limit for serving without the log and split keys change. Each history ends repaired, and all shards must then be active and held again. Invariants: one acting target per key, epochs never fall, all folds agree. Targets without fencing are checked through the requests that their homes have running. Each of eight safeguards is taken away in turn, and some history must then have two acting targets: nonce, authority, consent, refusal of consent to hosts that lack records, stop_renew accounting, no renewal of lost targets, wait for release, log read before a restarted target gets a lease.

--- a/lease/authority.go
+++ b/lease/authority.go
@@ -192,7 +192,10 @@
 	}
 	p := g.peer(keyOf(r.From))
 	g.learnNext(now, p, r.Next)
-	if !listed || p.dead || r.Seq <= p.backSeq || g.domainState == contract.StateLost || g.relevant() >= r.Next {
+	if !listed || p.dead || r.Seq <= p.backSeq || g.domainState == contract.StateLost {
+		return a
+	}
+	if g.relevant() >= r.Next && !g.omit.behind {
 		return a
 	}
 	p.offLog = max(p.offLog, r.Seq)
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -36,9 +36,17 @@
 	seq  uint64
 }
 
-// safeguards names what tests can take away to show that it is needed.
+// safeguards names the rules that tests can take away to show that each is
+// needed.
 type safeguards struct {
-	authority, consent, stop, wait bool
+	// authority is the limit on renewing after the last log read, consent the
+	// need of consent for renewing without the log, behind its refusal to hosts
+	// that lack records.
+	authority, consent, behind bool
+	// stop is the accounting for the other granters, lost the end of renewals
+	// of a target declared lost, wait the wait of a release for its proof,
+	// restart the log read before a restarted target gets a lease.
+	stop, lost, wait, restart bool
 }
 
 // memberKey names one incarnation of a host.
--- /dev/null
+++ b/lease/history_test.go
@@ -0,0 +1,386 @@
+package lease
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/ownership"
+)
+
+// TestMain fixes the seed of the random histories, so that each run does the
+// same, and their number, so that a run is short. For more:
+// go test ./lease -run OneOwner -rapid.checks 3000 -rapid.seed 1
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.checks": "40", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
+	}
+	m.Run()
+}
+
+// faultUntil is how long faults occur; settleUntil is when all shards must be
+// active again after the last fault has been repaired.
+const (
+	faultUntil  = 8 * time.Second
+	settleUntil = 18 * time.Second
+)
+
+// A simFault is one thing that happens in a history.
+type simFault struct {
+	at, dur       time.Duration
+	kind          int
+	node, other   int
+	shards        int
+	target, extra int
+}
+
+const faultKinds = 18
+
+var drawFault = rapid.Custom(func(t *rapid.T) simFault {
+	return simFault{
+		at:     time.Duration(rapid.IntRange(500, int(faultUntil/ms)).Draw(t, "at")) * ms,
+		dur:    time.Duration(rapid.IntRange(0, 5000).Draw(t, "dur")) * ms,
+		kind:   rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
+		node:   rapid.IntRange(0, 4).Draw(t, "node"),
+		other:  rapid.IntRange(0, 4).Draw(t, "other"),
+		shards: rapid.IntRange(1, 7).Draw(t, "shards"),
+		target: rapid.IntRange(0, 2).Draw(t, "target"),
+		extra:  rapid.IntRange(0, 3).Draw(t, "extra"),
+	}
+})
+
+func (w *world) inject(f simFault) {
+	h, t := w.hosts[f.node], w.targets[f.target]
+	until := w.now + f.dur
+	switch f.kind {
+	case 0:
+		h.pausedUntil = max(h.pausedUntil, until)
+	case 1:
+		t.pausedUntil = max(t.pausedUntil, until)
+	case 2:
+		w.crash(&h.simNode, f.dur, func() { w.start(h) })
+	case 3:
+		w.crash(&t.simNode, f.dur, t.reset)
+	case 4:
+		w.cut[pair(h.name, "log")] = until
+	case 5:
+		for _, x := range w.hosts {
+			w.cut[pair(x.name, "log")] = until
+		}
+	case 6:
+		w.cut[pair(h.name, w.hosts[f.other].name)] = until
+	case 7:
+		w.cut[pair(h.name, t.name)] = until
+	case 8:
+		w.isolate(until)
+	case 9, 10, 11:
+		w.move(f)
+	case 12:
+		w.replaceGranters(h)
+	case 13:
+		w.record(f)
+	case 14:
+		w.isolateHost(h, until)
+		w.at(w.now+100*ms, func() { w.move(f) })
+	case 15:
+		// The host reaches its peers, but gets no records from them.
+		w.cut[pair(h.name, "log")], h.blindUntil = until, until
+		w.at(w.now+100*ms, func() { w.move(f) })
+	case 16:
+		w.staleRestart(h, t, f)
+	case 17:
+		w.segment(h, t, f)
+	}
+}
+
+// segment cuts a host and a target off from all others, declares the target
+// lost, then gives the host its peers back, but no records.
+func (w *world) segment(h *simHost, t *simTarget, f simFault) {
+	until := w.now + 2*time.Second + f.dur/2
+	for _, x := range w.hosts {
+		if x != h {
+			w.cut[pair(x.name, t.name)] = until
+		}
+	}
+	w.isolateHost(h, w.now+1800*ms)
+	w.cut[pair(h.name, "log")], h.blindUntil = until, until
+	w.at(w.now+100*ms, func() {
+		f.shards, f.extra, f.target = 7, 2, (f.target+1)%3
+		w.move(f)
+	})
+}
+
+// isolateHost leaves a host with its targets only.
+func (w *world) isolateHost(h *simHost, until time.Duration) {
+	w.cut[pair(h.name, "log")] = until
+	for _, x := range w.hosts {
+		w.cut[pair(h.name, x.name)] = until
+	}
+}
+
+// staleRestart makes a host renew beside the others, then lose the log shortly
+// before a planned move whose former owner acknowledges and restarts.
+func (w *world) staleRestart(h *simHost, t *simTarget, f simFault) {
+	until := w.now + 700*ms + f.dur/4
+	w.isolateHost(h, until)
+	w.cut[pair(h.name, "log")] = 0
+	w.at(w.now+450*ms, func() { w.cut[pair(h.name, "log")] = until })
+	w.at(w.now+500*ms, func() {
+		f.shards, f.extra, f.target = 7, 1, (f.target+1)%3
+		w.move(f)
+	})
+	w.at(w.now+550*ms+f.dur/10, func() { w.crash(&t.simNode, 5*ms, t.reset) })
+}
+
+func (w *world) crash(n *simNode, down time.Duration, start func()) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.life++
+	w.at(w.now+down, func() {
+		n.up, n.pausedUntil = true, 0
+		start()
+	})
+}
+
+// isolate cuts d1 off from the log and from d2.
+func (w *world) isolate(until time.Duration) {
+	for _, h := range w.hosts[:4] {
+		w.cut[pair(h.name, "log")], w.cut[pair(h.name, "h1")] = until, until
+	}
+}
+
+// move appends a move, by a second planner also when extra is set; of two moves
+// from the same epoch one must be refused.
+func (w *world) move(f simFault) {
+	reason := []ownership.Reason{ownership.ReasonLost, ownership.ReasonLeaving, ownership.ReasonLost, ownership.ReasonRebalance}[f.extra]
+	for race := range 1 + f.extra%2 {
+		m := ownership.Move{Reason: reason}
+		for n, s := range w.truth.Table.Workloads["w"].Shards {
+			if f.shards&(1<<(n%3)) != 0 && s.Owner != "" {
+				to := w.targets[(f.target+race)%3].name
+				m.Shards = append(m.Shards, ownership.MoveShard{ID: shardID(int32(n)), FromEpoch: s.Epoch, To: to})
+			}
+		}
+		w.seq++
+		w.append(fmt.Sprint("move", w.seq), journal.KindMove, m)
+	}
+}
+
+// replaceGranters lets a host propose the hosts that are up as granters.
+func (w *world) replaceGranters(h *simHost) {
+	if !h.up || w.now < h.pausedUntil || h.domain != "d1" || h.st.Config == nil {
+		return
+	}
+	old := h.st.Granters["d1"]
+	g := journal.Granters{Domain: "d1", FromVersion: old.Version}
+	for i := range 4 {
+		x := w.hosts[(i+int(old.Version))%4]
+		if m := (journal.Member{Host: x.name, Incarnation: x.incarnation()}); x.up && len(g.Members) < 3 &&
+			!slices.ContainsFunc(old.Retiring, func(r journal.Member) bool { return keyOf(r) == keyOf(m) }) {
+			g.Members = append(g.Members, m)
+		}
+	}
+	done := h.cores["d1"].Retired(h.clock(w.now))
+	for _, m := range old.Retiring {
+		if !slices.Contains(done, m) {
+			g.Retiring = append(g.Retiring, m)
+		}
+	}
+	w.seq++
+	id := fmt.Sprint("list", w.seq)
+	w.send(h.name, "log", 0, func() { w.append(id, journal.KindGranters, g) })
+}
+
+// record appends a record of another kind, or garbage.
+func (w *world) record(f simFault) {
+	w.seq++
+	id, key := fmt.Sprint("rec", w.seq), w.keys[f.other]
+	tab := w.truth.Table.Workloads["w"]
+	n, split := tab.Hot[key]
+	switch {
+	case f.extra == 0:
+		serve := []int64{-1, 0, 300}[f.target]
+		w.append(id, journal.KindChange, contract.Change{FromVersion: w.truth.Config.Version,
+			Items: []contract.Item{{Isolated: &contract.Isolation{ServeMS: serve}}}})
+	case f.extra == 1:
+		w.appendRaw([]byte(`{"v":1,"id":"` + id + `","kind":"move","body":[`))
+	case split:
+		w.append(id, journal.KindMerge, ownership.Merge{Workload: "w", Key: key, FromEpoch: tab.Shards[n].Epoch})
+	default:
+		w.append(id, journal.KindSplit, ownership.Split{Workload: "w", Key: key, FromEpoch: tab.Shards[tab.HashShard(key)].Epoch})
+	}
+}
+
+// repair ends all faults and keeps the list of granters up to date.
+func (w *world) repair() {
+	w.loss, w.slow = 0, 0
+	clear(w.cut)
+	for _, n := range w.nodes {
+		n.pausedUntil = min(n.pausedUntil, w.now)
+	}
+	for at := w.now + 500*ms; at < settleUntil-3*time.Second; at += 500 * ms {
+		w.at(at, func() {
+			list := w.truth.Granters["d1"]
+			stale := len(list.Retiring) > 0 || len(list.Members) < 3
+			for _, m := range list.Members {
+				stale = stale || w.nodes[m.Host].incarnation() != m.Incarnation
+			}
+			for _, h := range w.hosts {
+				if stale && h.domain == "d1" {
+					w.replaceGranters(h)
+				}
+			}
+			if m := w.truth.Granters["d2"]; w.hosts[4].up && m.Members[0].Incarnation != w.hosts[4].incarnation() {
+				w.seq++
+				w.append(fmt.Sprint("list", w.seq), journal.KindGranters, journal.Granters{Domain: "d2", FromVersion: m.Version,
+					Members: []journal.Member{{Host: "h1", Incarnation: w.hosts[4].incarnation()}}})
+			}
+		})
+	}
+}
+
+// settled verifies that each shard is active and held by its owner.
+func (w *world) settled() {
+	for n, s := range w.truth.Table.Workloads["w"].Shards {
+		if s.Owner == "" {
+			continue
+		}
+		if !s.Active() {
+			w.failf("shard %d still waits: %+v, granters %+v, status %+v", n, s, w.truth.Granters, w.status())
+			continue
+		}
+		for _, t := range w.targets {
+			if t.name == s.Owner && w.fencing && (!t.leased(w) || t.held[int32(n)] != s.Epoch) {
+				w.failf("shard %d is not held by %s: %+v, status %+v", n, s.Owner, t, w.status())
+			}
+		}
+	}
+}
+
+func (w *world) status() (out []string) {
+	for _, h := range w.hosts {
+		for _, d := range []string{"d1", "d2"} {
+			out = append(out, fmt.Sprintf("%s %s next %d %+v", h.incarnation(), d, h.st.Next, h.cores[d].Status(h.clock(w.now))))
+		}
+	}
+	return out
+}
+
+func (w *world) history(faults []simFault) {
+	for _, f := range faults {
+		w.at(f.at, func() { w.inject(f) })
+	}
+	w.run(faultUntil + 500*ms)
+	w.repair()
+	// A crashed process returns after at most 5 s.
+	w.run(settleUntil)
+	if w.fault == "" {
+		w.settled()
+		w.checkFolds()
+	}
+}
+
+func drawWorld(t *rapid.T) (worldConfig, []simFault) {
+	c := worldConfig{
+		seed:       rapid.Uint64().Draw(t, "seed"),
+		isolatedMS: rapid.SampledFrom([]int64{-1, -1, 0, 300}).Draw(t, "isolated"),
+		loss:       rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss"),
+		slow:       rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(t, "slow"),
+		fencing:    true,
+	}
+	return c, rapid.SliceOfN(drawFault, 1, 24).Draw(t, "faults")
+}
+
+// Two targets that act for one key at a time would break the single owner.
+func TestHistoryOneOwner(t *testing.T) {
+	checkHistories(t, true, ownership.ProofAck)
+}
+
+// The same for targets that accept any command: their homes must not send for
+// a key to two of them at a time.
+func TestHistoryOneOwnerWithoutFencing(t *testing.T) {
+	checkHistories(t, false, ownership.ProofLapse)
+}
+
+func checkHistories(t *testing.T, fencing bool, needed ownership.Proof) {
+	released, offLog, histories := map[ownership.Proof]int{}, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		c, faults := drawWorld(rt)
+		c.fencing = fencing
+		w := newWorld(c)
+		w.history(faults)
+		if w.fault != "" {
+			rt.Fatal(w.fault)
+		}
+		histories++
+		offLog += w.offLog
+		for p, n := range w.released {
+			released[p] += n
+		}
+	})
+	t.Logf("%d histories, releases %v, spells without the log %d", histories, released, offLog)
+	if released[needed] == 0 || released[ownership.ProofLapse] == 0 || offLog == 0 {
+		t.Error("the histories do not cover the proofs of release and consent")
+	}
+}
+
+// Each safeguard must be needed: without it some history has two acting
+// targets.
+func TestHistoryNeedsEachSafeguard(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// focus is the kind of every second fault, to find a case sooner.
+		focus  int
+		remove func(*worldConfig)
+	}{
+		{"nonce", 9, func(c *worldConfig) { c.laxNonce = true }},
+		{"authority", 14, func(c *worldConfig) { c.omit.authority = true }},
+		{"consent", 14, func(c *worldConfig) { c.omit.consent = true }},
+		{"behind", 17, func(c *worldConfig) { c.omit.behind = true }},
+		{"stop_renew accounting", 14, func(c *worldConfig) { c.omit.stop = true }},
+		{"lost", 9, func(c *worldConfig) { c.omit.lost = true }},
+		{"release", 9, func(c *worldConfig) { c.omit.wait = true }},
+		{"stop_renew accounting without fencing", 9, func(c *worldConfig) { c.omit.stop, c.fencing = true, false }},
+		{"release without fencing", 9, func(c *worldConfig) { c.omit.wait, c.fencing = true, false }},
+		{"restart", 16, func(c *worldConfig) { c.omit.restart = true }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			type history struct {
+				config worldConfig
+				faults []simFault
+			}
+			draw := rapid.Custom(func(rt *rapid.T) history {
+				c, f := drawWorld(rt)
+				x.remove(&c)
+				for i := 0; i < len(f); i += 2 {
+					f[i].kind = x.focus
+				}
+				return history{c, f}
+			})
+			for seed := range mutantHistories {
+				h := draw.Example(seed)
+				w := newWorld(h.config)
+				w.history(h.faults)
+				if strings.Contains(w.fault, " act") {
+					t.Logf("found by history %d: %s", seed, w.fault)
+					return
+				}
+			}
+			t.Errorf("%d histories without this safeguard found nothing", mutantHistories)
+		})
+	}
+}
+
+const mutantHistories = 400
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -71,7 +71,7 @@
 // mayGrant reports whether the target may be renewed as far as its shards are
 // concerned.
 func (g *Granter) mayGrant(t *target) bool {
-	if t.lost && !g.omit.stop {
+	if t.lost && !g.omit.lost {
 		return false
 	}
 	return t.version >= max(t.floor, t.renewal.stale)
@@ -87,7 +87,7 @@
 	if _, off := g.consentUntil(); off {
 		return true
 	}
-	return g.log.start >= t.renewal.heardAt || g.omit.stop
+	return g.log.start >= t.renewal.heardAt || g.omit.restart
 }
 
 func (g *Granter) grant(now time.Duration, t *target) SendGrant {
--- /dev/null
+++ b/lease/world_test.go
@@ -0,0 +1,636 @@
+package lease
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+const ms = time.Millisecond
+
+// world simulates hosts, targets, a network and a log in one event queue.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   eventQueue
+	seq     int
+	omit    safeguards
+	hosts   []*simHost
+	targets []*simTarget
+	nodes   map[string]*simNode
+	cut     map[[2]string]time.Duration
+	loss    float64
+	slow    float64
+	records [][]byte
+	truth   *journal.State
+	// fault is the first violation of an invariant.
+	fault    string
+	keys     []string
+	fencing  bool
+	released map[ownership.Proof]int
+	offLog   int
+}
+
+// simNode is a process with a clock of its own that may be paused or down.
+type simNode struct {
+	name, domain string
+	rate         float64
+	offset       time.Duration
+	up           bool
+	pausedUntil  time.Duration
+	life         int
+}
+
+func (n *simNode) clock(now time.Duration) time.Duration {
+	return n.offset + time.Duration(float64(now)*n.rate)
+}
+
+func (n *simNode) incarnation() string { return fmt.Sprintf("%s#%d", n.name, n.life) }
+
+type simHost struct {
+	simNode
+	st    *journal.State
+	cores map[string]*Granter
+	// readStart and readEnd describe the last complete log read.
+	readStart time.Duration
+	readEnd   int64
+	// blindUntil is until when the host gets no records from peers.
+	blindUntil time.Duration
+	// homes holds what the host sends to targets without fencing.
+	homes map[string]*simHome
+}
+
+// simHome sends requests to one target while it has a permit.
+type simHome struct {
+	until   time.Duration
+	drained uint64
+	// running holds, per key, when its request ends and under which epoch it
+	// was sent.
+	running map[string]simRequest
+}
+
+type simRequest struct {
+	ends  time.Duration
+	epoch uint64
+}
+
+type simTarget struct {
+	simNode
+	nonces   map[string]simNonce
+	version  uint64
+	hasList  bool
+	held     map[int32]uint64
+	hot      map[string]int32
+	leaseEnd time.Duration
+	// draining holds, per key, until when a request runs on.
+	draining map[string]time.Duration
+	laxNonce bool
+}
+
+type simNonce struct {
+	value string
+	at    time.Duration
+}
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func (w *world) at(t time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.queue, simEvent{max(t, w.now), w.seq, fn})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && w.fault == "" {
+		e := heap.Pop(&w.queue).(simEvent)
+		w.now = e.at
+		e.fn()
+	}
+	w.now = until
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// worldConfig is what a history draws once.
+type worldConfig struct {
+	seed       uint64
+	isolatedMS int64
+	loss, slow float64
+	fencing    bool
+	omit       safeguards
+	laxNonce   bool
+}
+
+// Two domains: d1 has four hosts, three of them granters, and two targets; d2
+// has one of each.
+func newWorld(c worldConfig) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(c.seed, 1)), nodes: map[string]*simNode{}, cut: map[[2]string]time.Duration{},
+		loss: c.loss, slow: c.slow, omit: c.omit, fencing: c.fencing, truth: journal.NewState(), released: map[ownership.Proof]int{},
+	}
+	for _, name := range []string{"g1", "g2", "g3", "g4", "h1"} {
+		h := &simHost{simNode: w.node(name, "d1")}
+		if name == "h1" {
+			h.domain = "d2"
+		}
+		w.hosts = append(w.hosts, h)
+		w.nodes[name] = &h.simNode
+	}
+	d := contract.Deployment{
+		Name: "sim", IsolatedServeMS: c.isolatedMS, Domains: []contract.Domain{{Name: "d1"}, {Name: "d2"}},
+		Workloads: []contract.Workload{{Name: "w", Keyed: true, Shards: 3, Fencing: c.fencing}},
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		t := &simTarget{simNode: w.node(name, "d1"), laxNonce: c.laxNonce}
+		if name == "c" {
+			t.domain = "d2"
+		}
+		t.reset()
+		w.targets = append(w.targets, t)
+		w.nodes[name] = &t.simNode
+		d.Targets = append(d.Targets, contract.Target{Name: name, Workload: "w", Domain: t.domain, Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 1, Connections: 1})
+	}
+	w.append("boot", journal.KindBootstrap, d)
+	for domain, hosts := range map[string][]string{"d1": {"g1", "g2", "g3"}, "d2": {"h1"}} {
+		g := journal.Granters{Domain: domain}
+		for _, h := range hosts {
+			g.Members = append(g.Members, journal.Member{Host: h, Incarnation: w.nodes[h].incarnation()})
+		}
+		w.append("list-"+domain, journal.KindGranters, g)
+	}
+	m := ownership.Move{Reason: ownership.ReasonInitial}
+	for n := range int32(3) {
+		m.Shards = append(m.Shards, ownership.MoveShard{ID: shardID(n), To: []string{"a", "b", "a"}[n]})
+	}
+	w.append("init", journal.KindMove, m)
+	for i := 0; len(w.keys) < 6; i++ {
+		w.keys = append(w.keys, fmt.Sprint("key", i))
+	}
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	return w
+}
+
+func shardID(n int32) ownership.ID { return ownership.ID{Workload: "w", Shard: n} }
+
+// node returns a process whose clock differs from any other by at most the
+// rate bound.
+func (w *world) node(name, domain string) simNode {
+	return simNode{name: name, domain: domain, up: true, life: 1,
+		rate: 1 + (w.rng.Float64()-0.5)*0.00099, offset: time.Duration(w.rng.IntN(1000)) * time.Second}
+}
+
+// append puts a record on the log and folds it into the truth.
+func (w *world) append(id string, kind journal.Kind, body any) {
+	data, err := journal.Encode(id, kind, body)
+	if err != nil {
+		panic(err)
+	}
+	w.appendRaw(data)
+}
+
+func (w *world) appendRaw(data []byte) {
+	before := w.truth.Table.Clone()
+	if _, err := w.truth.Apply(journal.FirstOffset+int64(len(w.records)), data); err != nil {
+		panic(err)
+	}
+	w.records = append(w.records, data)
+	for name, t := range before.Workloads {
+		for n, s := range t.Shards {
+			if now := w.truth.Table.Workloads[name].Shards[n]; now.Epoch < s.Epoch {
+				w.failf("epoch of shard %d fell from %d to %d", n, s.Epoch, now.Epoch)
+			}
+		}
+	}
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (w *world) linked(a, b string) bool { return w.now >= w.cut[pair(a, b)] }
+
+func (w *world) delay() time.Duration {
+	if w.rng.Float64() < w.slow {
+		return time.Duration(w.rng.IntN(2500)) * ms
+	}
+	return time.Duration(200+w.rng.IntN(2500)) * time.Microsecond
+}
+
+// send delivers a message late, twice or never. A paused receiver gets it
+// afterwards; life is the one that must receive it, 0 for any.
+func (w *world) send(from, to string, life int, fn func()) {
+	for range 1 + w.rng.IntN(10)/9 {
+		if !w.linked(from, to) || w.rng.Float64() < w.loss {
+			continue
+		}
+		w.at(w.now+w.delay(), func() {
+			if w.linked(from, to) {
+				w.receive(to, life, fn)
+			}
+		})
+	}
+}
+
+func (w *world) receive(to string, life int, fn func()) {
+	n := w.nodes[to]
+	switch {
+	case n == nil:
+		fn()
+	case !n.up || (life != 0 && n.life != life):
+	case w.now < n.pausedUntil:
+		w.at(n.pausedUntil, func() { w.receive(to, life, fn) })
+	default:
+		fn()
+	}
+}
+
+// start begins the life of a host, which reads the log from its start.
+func (w *world) start(h *simHost) {
+	h.up, h.st, h.cores, h.readStart, h.readEnd = true, journal.NewState(), map[string]*Granter{}, 0, 0
+	for _, d := range []string{"d1", "d2"} {
+		h.cores[d] = New(DefaultConfig(), Self{Host: h.name, Incarnation: h.incarnation(), Domain: d})
+		h.cores[d].omit = w.omit
+	}
+	h.homes = map[string]*simHome{}
+	for _, t := range w.targets {
+		if t.domain == h.domain && !w.fencing {
+			h.homes[t.name] = &simHome{running: map[string]simRequest{}}
+			w.every(h, h.life, 90*ms, func() { w.askPermit(h, t.name) })
+			w.every(h, h.life, 30*ms, func() { w.sendRequests(h, t.name) })
+		}
+	}
+	life := h.life
+	w.every(h, life, 40*ms, func() { w.step(h, Tick{}) })
+	w.every(h, life, 100*ms, func() { w.readLog(h) })
+	w.every(h, life, 110*ms, func() { w.hello(h) })
+}
+
+// every calls fn while the life of the host lasts and it is not paused.
+func (w *world) every(h *simHost, life int, period time.Duration, fn func()) {
+	var again func()
+	again = func() {
+		if h.life != life {
+			return
+		}
+		if w.now >= h.pausedUntil {
+			fn()
+		}
+		w.at(max(w.now+period, h.pausedUntil), again)
+	}
+	w.at(w.now+time.Duration(w.rng.Int64N(int64(period))), again)
+}
+
+// askPermit asks one of the domain's granters, at random, for a permit.
+func (w *world) askPermit(h *simHost, target string) {
+	list := h.st.Granters[h.domain].Members
+	if h.st.Config == nil || len(list) == 0 {
+		return
+	}
+	home, life, sent := h.homes[target], h.life, h.clock(w.now)
+	r := PermitRequest{Home: h.name, Target: target, Version: uint64(h.st.TargetVersion[target])}
+	draining := false
+	for k, q := range home.running {
+		s := h.st.Table.Workloads["w"].Shards[h.st.Table.Workloads["w"].Locate(k)]
+		draining = draining || (w.now < q.ends && (s.Owner != target || s.Epoch != q.epoch))
+	}
+	if !draining {
+		home.drained = r.Version
+	}
+	r.Drained = home.drained
+	w.call(h, list[w.rng.IntN(len(list))].Host, func(to *simHost) {
+		ans := to.cores[h.domain].Permit(to.clock(w.now), r)
+		w.send(to.name, h.name, life, func() {
+			if h.clock(w.now) >= home.until {
+				clear(home.running)
+			}
+			home.until = max(home.until, sent+time.Duration(ans.PermitMS)*ms)
+		})
+	})
+}
+
+// sendRequests starts requests for keys that the target owns, as far as the
+// host knows.
+func (w *world) sendRequests(h *simHost, target string) {
+	home := h.homes[target]
+	if h.st.Config == nil || h.clock(w.now) >= home.until {
+		return
+	}
+	tab := h.st.Table.Workloads["w"]
+	for _, k := range w.keys {
+		s := tab.Shards[tab.Locate(k)]
+		if s.Owner == target && s.Active() && w.now >= home.running[k].ends {
+			home.running[k] = simRequest{w.now + time.Duration(w.rng.IntN(1200))*ms, s.Epoch}
+		}
+	}
+	w.check()
+}
+
+// runs reports whether a request for the key runs on a target without fencing.
+// Requests end with their home's permit.
+func (w *world) runs(t *simTarget, key string) bool {
+	for _, h := range w.hosts {
+		home := h.homes[t.name]
+		if h.up && home != nil && h.clock(w.now) < home.until && w.now < home.running[key].ends {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) step(h *simHost, ev Event) {
+	for _, d := range []string{"d1", "d2"} {
+		w.stepOne(h, d, ev)
+	}
+}
+
+func (w *world) stepOne(h *simHost, domain string, ev Event) {
+	for _, a := range h.cores[domain].Step(h.clock(w.now), ev) {
+		w.carryOut(h, domain, a)
+	}
+}
+
+func (w *world) carryOut(h *simHost, domain string, a Action) {
+	life := h.life
+	reply := func(from string, ev func() Event) {
+		w.send(from, h.name, life, func() { w.stepOne(h, domain, ev()) })
+	}
+	switch a := a.(type) {
+	case SendGrant:
+		// The process may be paused between the decision and the check.
+		w.at(w.now+time.Duration(w.rng.IntN(3))*ms, func() {
+			w.receive(h.name, life, func() { w.grant(h, domain, a) })
+		})
+	case AskConsent:
+		w.call(h, a.To.Host, func(to *simHost) {
+			ans := to.cores[domain].Consent(to.clock(w.now), a.Request)
+			reply(to.name, func() Event { return ConsentAnswered{From: a.To, Answer: ans} })
+		})
+	case SendBack:
+		w.call(h, a.To.Host, func(to *simHost) {
+			to.cores[domain].Back(to.clock(w.now), a.Notice)
+			reply(to.name, func() Event { return BackAnswered{From: a.To, Seq: a.Notice.Seq} })
+		})
+	case SendStopRenew:
+		sent := h.clock(w.now)
+		w.call(h, a.To.Host, func(to *simHost) {
+			if ans, ok := to.cores[domain].StopRenew(to.clock(w.now), a.Request); ok {
+				reply(to.name, func() Event { return StopAnswered{From: a.To, SentAt: sent, Answer: ans} })
+			}
+		})
+	case AppendReleased:
+		w.seq++
+		id := fmt.Sprint("rel", w.seq)
+		w.send(h.name, "log", 0, func() {
+			before := w.truth.Table.Clone()
+			w.append(id, journal.KindReleased, a.Body)
+			for _, s := range a.Body.Shards {
+				if was, _ := before.Get(s.ID); was.Waiting == s.Epoch {
+					w.released[a.Body.Proof]++
+				}
+			}
+		})
+	case AuthorityChanged:
+		if a.To == AuthorityConsent {
+			w.offLog++
+		}
+	}
+}
+
+// call delivers a request to whatever incarnation of the host is up.
+func (w *world) call(from *simHost, to string, fn func(*simHost)) {
+	for _, h := range w.hosts {
+		if h.name == to {
+			w.send(from.name, to, 0, func() { fn(h) })
+		}
+	}
+}
+
+// hello exchanges observations, and lets a host that is cut off from the log
+// read the records that a peer has.
+func (w *world) hello(h *simHost) {
+	for _, other := range w.hosts {
+		if other == h {
+			continue
+		}
+		sent, from, life := h.clock(w.now), h.st.Next, h.life
+		w.call(h, other.name, func(o *simHost) {
+			seen := PeerSeen{Host: o.name, Incarnation: o.incarnation(), SentAt: sent, Next: o.st.Next,
+				Renewed: o.cores[h.domain].Renewed(o.clock(w.now))}
+			next, end, hasRead := o.st.Next, o.readEnd, o.readEnd > 0
+			age := o.clock(w.now) - o.readStart
+			w.send(o.name, h.name, life, func() {
+				w.step(h, seen)
+				if w.now < h.blindUntil {
+					return
+				}
+				w.apply(h, max(from, h.st.Next), next)
+				if hasRead {
+					w.complete(h, sent-DefaultConfig().stretch(age), end)
+				}
+			})
+		})
+	}
+}
+
+func (w *world) readLog(h *simHost) {
+	start, life := h.clock(w.now), h.life
+	w.send(h.name, "log", 0, func() {
+		end := journal.FirstOffset + int64(len(w.records))
+		w.send("log", h.name, life, func() {
+			w.apply(h, h.st.Next, end)
+			w.complete(h, start, end)
+		})
+	})
+}
+
+func (w *world) apply(h *simHost, from, end int64) {
+	for o := from; o < end; o++ {
+		if _, err := h.st.Apply(o, w.records[o-journal.FirstOffset]); err != nil {
+			panic(err)
+		}
+	}
+	if end > from {
+		w.step(h, Published{State: h.st.Clone()})
+	}
+}
+
+func (w *world) complete(h *simHost, start time.Duration, end int64) {
+	if h.st.Next >= end && start > h.readStart {
+		h.readStart, h.readEnd = start, end
+	}
+	w.step(h, LogRead{Start: start, End: end})
+}
+
+func (w *world) grant(h *simHost, domain string, a SendGrant) {
+	life := h.life
+	failed := func() { w.stepOne(h, domain, GrantFailed{Target: a.Target, Seq: a.Seq}) }
+	if !h.cores[domain].MayRenew(h.clock(w.now), a) {
+		failed()
+		return
+	}
+	for _, t := range w.targets {
+		if t.name != a.Target {
+			continue
+		}
+		w.send(h.name, t.name, 0, func() {
+			reply := t.grant(w, a.Grant)
+			w.check()
+			w.send(t.name, h.name, life, func() {
+				w.stepOne(h, domain, GrantAnswer{Target: a.Target, Seq: a.Seq, Reply: reply})
+			})
+		})
+	}
+	w.at(w.now+150*ms, func() { w.receive(h.name, life, failed) })
+}
+
+func (t *simTarget) reset() {
+	t.nonces, t.version, t.hasList = map[string]simNonce{}, 0, false
+	t.held, t.hot, t.leaseEnd, t.draining = map[int32]uint64{}, map[string]int32{}, 0, map[string]time.Duration{}
+}
+
+func (t *simTarget) leased(w *world) bool { return t.up && t.clock(w.now) < t.leaseEnd }
+
+// grant applies the rules that docs/platform.md states for targets.
+func (t *simTarget) grant(w *world, g platform.Grant) platform.GrantReply {
+	now := t.clock(w.now)
+	rep := platform.GrantReply{Incarnation: t.incarnation(), Result: t.take(w, g, now)}
+	w.seq++
+	nonce := fmt.Sprint(t.incarnation(), "-", w.seq)
+	t.nonces[g.Granter] = simNonce{nonce, now}
+	rep.Nonce, rep.Version = nonce, t.version
+	for k := range t.draining {
+		if t.acts(w, k) {
+			rep.Draining = append(rep.Draining, platform.ShardEpoch{Workload: "w", Shard: w.shardOf(k)})
+			if n, split := w.truth.Table.Workloads["w"].Hot[k]; split {
+				rep.Draining = append(rep.Draining, platform.ShardEpoch{Workload: "w", Shard: n})
+			}
+		}
+	}
+	return rep
+}
+
+func (t *simTarget) take(w *world, g platform.Grant, now time.Duration) platform.GrantResult {
+	n, ok := t.nonces[g.Granter]
+	if t.laxNonce {
+		n, ok = simNonce{g.Nonce, now}, g.Nonce != ""
+	}
+	end := n.at + time.Duration(g.LeaseMS)*ms
+	switch {
+	case !ok || n.value != g.Nonce || end <= now:
+		return platform.GrantNonce
+	case g.Version < t.version:
+		return platform.GrantStale
+	case !g.HasShards && (g.Version != t.version || !t.hasList):
+		return platform.GrantNeedShards
+	}
+	// Requests of a lease that has ended cannot take effect any more.
+	if !t.leased(w) {
+		t.draining = map[string]time.Duration{}
+	}
+	old := map[string]bool{}
+	for _, k := range w.keys {
+		old[k] = t.leased(w) && t.holds(w, k)
+	}
+	t.leaseEnd, t.version = max(t.leaseEnd, end), g.Version
+	if g.HasShards {
+		t.hasList, t.held, t.hot = true, map[int32]uint64{}, map[string]int32{}
+		for _, s := range g.Shards {
+			t.held[s.Shard] = s.Epoch
+		}
+		for _, h := range g.HotKeys {
+			t.hot[h.Key] = h.Shard
+		}
+	}
+	for _, k := range w.keys {
+		if old[k] && !t.holds(w, k) && w.rng.IntN(2) == 0 {
+			t.draining[k] = w.now + time.Duration(w.rng.IntN(1500))*ms
+		}
+	}
+	return platform.GrantAccepted
+}
+
+func (w *world) shardOf(key string) int32 { return w.truth.Table.Workloads["w"].HashShard(key) }
+
+// holds reports whether the list covers a key.
+func (t *simTarget) holds(w *world, key string) bool {
+	n, split := t.hot[key]
+	if !split {
+		n = w.shardOf(key)
+	}
+	_, ok := t.held[n]
+	return ok
+}
+
+// acts reports whether the target could let a request for the key take effect.
+func (t *simTarget) acts(w *world, key string) bool {
+	return t.leased(w) && (t.holds(w, key) || w.now < t.draining[key])
+}
+
+// check verifies that no key has two acting targets.
+func (w *world) check() {
+	for _, k := range w.keys {
+		var acting []string
+		for _, t := range w.targets {
+			if t.acts(w, k) || w.runs(t, k) {
+				acting = append(acting, fmt.Sprintf("%s(version %d)", t.name, t.version))
+			}
+		}
+		if len(acting) > 1 {
+			w.failf("key %s of shard %d: %v act", k, w.shardOf(k), acting)
+		}
+	}
+}
+
+// checkFolds verifies that each host's state is the fold of its part of the log.
+func (w *world) checkFolds() {
+	want, byNext := journal.NewState(), map[int64][]byte{}
+	for i := 0; ; i++ {
+		byNext[want.Next], _ = json.Marshal(want)
+		if i == len(w.records) {
+			break
+		}
+		if _, err := want.Apply(want.Next, w.records[i]); err != nil {
+			panic(err)
+		}
+	}
+	for _, h := range w.hosts {
+		if got, _ := json.Marshal(h.st); !slices.Equal(got, byNext[h.st.Next]) {
+			w.failf("state of %s at %d differs from the fold", h.name, h.st.Next)
+		}
+	}
+}
