limits: recognize a lender's restart without its incarnation; ledger ring test

Cause: the incarnation in NewLender changed the signature that the request path already uses, and a loan from before a lender's restart that the borrower still used was not booked by the restarted lender. What changed: NewLender takes two arguments again; loan numbers follow the boot-time clock, so that they grow over a restart of the process; a borrower reports what it uses, and a lender that does not know the loan books it.

--- a/limits/gate.go
+++ b/limits/gate.go
@@ -41,10 +41,9 @@
 
 // loan is a borrowed share.
 type loan struct {
-	incarnation string
-	number      uint64
-	share       Demand
-	until       time.Duration
+	number uint64
+	share  Demand
+	until  time.Duration
 }
 
 func (l loan) at(now time.Duration) Demand {
@@ -54,6 +53,11 @@
 	return l.share
 }
 
+// left returns for how much longer the loan is valid, in milliseconds.
+func (l loan) left(now time.Duration) int64 {
+	return int64((max(0, l.until-now) + time.Millisecond - 1) / time.Millisecond)
+}
+
 // meter measures demand: a moving average of arrivals and the highest
 // concurrency asked for lately.
 type meter struct {
@@ -311,12 +315,13 @@
 	a.nextBorrow = now + g.cfg.Renew
 	b := Borrow{
 		Customer: name, Host: g.hosts.Self, Incarnation: g.incarnation, Lender: a.lender,
-		LenderIncarnation: a.loan.incarnation, Lent: a.loan.number, SentAt: now,
-		InUse: max(0, a.stats.InFlight-a.even.Concurrency),
+		SentAt: now,
+		InUse:  max(0, a.stats.InFlight-a.even.Concurrency),
 	}
 	if now-a.lastUse >= g.cfg.IdleReturn && a.stats.InFlight == 0 {
 		a.used = false
 		a.loan.share, a.former = Demand{}, loan{}
+		b.Lent = a.loan.number
 		return b
 	}
 	rate := max(a.demand.rate, a.demand.count/meterInterval.Seconds())
@@ -329,8 +334,10 @@
 		// This returns the loan, so it must not be used from here on.
 		a.loan.share = Demand{}
 	}
-	b.Holds = a.former.at(now)
-	b.HoldsMS = int64((max(0, a.former.until-now) + time.Millisecond - 1) / time.Millisecond)
+	b.Holds, b.HoldsMS = a.former.at(now), a.former.left(now)
+	if now < a.loan.until {
+		b.Lent, b.Uses, b.UsesMS = a.loan.number, a.loan.share, a.loan.left(now)
+	}
 	return b
 }
 
@@ -344,20 +351,12 @@
 	if l.Refused != "" || !a.used {
 		return
 	}
-	a.refill(now)
-	if a.loan.incarnation != "" && l.Incarnation != a.loan.incarnation {
-		if b.LenderIncarnation == a.loan.incarnation && b.Lent == a.loan.number {
-			a.leave(a.lender)
-		} else {
-			// The answer is older than the loan in use.
-			return
-		}
-	}
-	if l.Number <= a.loan.number {
+	if l.Number <= a.loan.number && now < a.loan.until {
 		return
 	}
+	a.refill(now)
 	lease := min(time.Duration(l.LeaseMS)*time.Millisecond, g.cfg.Lease)
-	a.loan = loan{incarnation: l.Incarnation, number: l.Number, share: l.Share, until: b.SentAt + lease}
+	a.loan = loan{number: l.Number, share: l.Share, until: b.SentAt + lease}
 }
 
 // Stats returns a picture of a customer, or false when it is unknown.
--- a/limits/lender.go
+++ b/limits/lender.go
@@ -12,13 +12,12 @@
 // Lender lends the lent parts of the customers that hash to this host. It is
 // not safe for concurrent use.
 type Lender struct {
-	cfg         Config
-	incarnation string
-	hosts       Hosts
-	majority    bool
-	contracts   map[string]contract.Contract
-	books       map[string]*book
-	number      uint64
+	cfg       Config
+	hosts     Hosts
+	majority  bool
+	contracts map[string]contract.Contract
+	books     map[string]*book
+	number    uint64
 }
 
 // book holds the loans of one customer.
@@ -44,8 +43,8 @@
 }
 
 // NewLender returns a lender without contracts.
-func NewLender(cfg Config, hosts Hosts, incarnation string) *Lender {
-	l := &Lender{cfg: cfg.withDefaults(), incarnation: incarnation, books: map[string]*book{}}
+func NewLender(cfg Config, hosts Hosts) *Lender {
+	l := &Lender{cfg: cfg.withDefaults(), books: map[string]*book{}}
 	l.hosts, l.majority = hosts, hosts.majority()
 	return l
 }
@@ -60,8 +59,9 @@
 
 // Lend answers a borrow request.
 func (l *Lender) Lend(now time.Duration, b Borrow) Loan {
-	l.number++
-	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Incarnation: l.incarnation, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
+	// The boot-time clock keeps the numbers growing when the process restarts.
+	l.number = max(l.number+1, uint64(now/time.Microsecond))
+	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
 	c, ok := l.contracts[b.Customer]
 	switch {
 	case !ok || c.Ended:
@@ -76,17 +76,19 @@
 	}
 	bk := l.book(b.Customer)
 	bk.expire(now)
-	h := bk.update(b, l.incarnation, now+l.bound(time.Duration(b.HoldsMS)*time.Millisecond))
+	h := bk.update(b, l.until(now, b.HoldsMS), l.until(now, b.UsesMS))
 	if b.Want == (Demand{}) {
 		return out
 	}
 	out.Share = bk.allot(b.Host, LentPart(c, len(l.hosts.Configured)), int64(now/l.cfg.Lease))
-	h.loans = append(h.loans, booked{number: out.Number, share: out.Share, until: now + l.bound(l.cfg.Lease)})
+	h.loans = append(h.loans, booked{number: out.Number, share: out.Share, until: l.until(now, out.LeaseMS)})
 	return out
 }
 
-func (l *Lender) bound(d time.Duration) time.Duration {
-	return d + time.Duration(float64(d)*2*l.cfg.ClockRateBound) + time.Millisecond
+// until returns when a lease of the given length has ended by any host's clock.
+func (l *Lender) until(now time.Duration, ms int64) time.Duration {
+	d := min(time.Duration(max(ms, 0))*time.Millisecond, l.cfg.Lease)
+	return now + d + time.Duration(float64(d)*2*l.cfg.ClockRateBound) + time.Millisecond
 }
 
 func (l *Lender) book(customer string) *book {
@@ -115,7 +117,7 @@
 // update records what a borrower says, and drops the loans it no longer uses.
 // An answer that is still on its way keeps its loan booked, since its number is
 // above Lent.
-func (k *book) update(b Borrow, incarnation string, holdsUntil time.Duration) *borrower {
+func (k *book) update(b Borrow, holdsUntil, usesUntil time.Duration) *borrower {
 	h, ok := k.borrowers[b.Host]
 	if !ok {
 		h = &borrower{incarnation: b.Incarnation}
@@ -129,12 +131,15 @@
 		h.incarnation = b.Incarnation
 		return h
 	}
-	if b.LenderIncarnation == incarnation {
-		returned := b.Want == (Demand{})
-		h.loans = slices.DeleteFunc(h.loans, func(x booked) bool {
-			return x.number < b.Lent || returned && x.number == b.Lent
-		})
+	known := slices.ContainsFunc(h.loans, func(x booked) bool { return x.number == b.Lent })
+	if !known && b.Uses != (Demand{}) {
+		// A loan from before a restart of this lender.
+		h.loans = append(h.loans, booked{number: b.Lent, share: b.Uses, until: usesUntil})
 	}
+	returned := b.Want == (Demand{})
+	h.loans = slices.DeleteFunc(h.loans, func(x booked) bool {
+		return x.number < b.Lent || returned && x.number == b.Lent
+	})
 	return h
 }
 
--- a/limits/types.go
+++ b/limits/types.go
@@ -68,18 +68,19 @@
 	// Host and Incarnation name the borrower.
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
-	// Lender is the host that is asked, LenderIncarnation the one that gave the
-	// loan Lent; empty when Lent is 0.
-	Lender            string `json:"lender"`
-	LenderIncarnation string `json:"lender_incarnation,omitempty"`
+	// Lender is the host that is asked.
+	Lender string `json:"lender"`
 	// Want is what the host could use beyond its even part. The zero Demand
 	// returns the share.
 	Want Demand `json:"want"`
 	// Lent is the number of the last Loan of this lender that the borrower
-	// uses, 0 when there is none. Loans before it are no longer used.
-	Lent uint64 `json:"lent"`
-	// Holds is what the borrower still uses from another lender, or from a
-	// former incarnation of this one.
+	// uses, 0 when there is none. Loans before it are no longer used. Uses and
+	// UsesMS are its share and for how much longer it is valid: a lender that
+	// has restarted does not know it.
+	Lent   uint64 `json:"lent"`
+	Uses   Demand `json:"uses"`
+	UsesMS int64  `json:"uses_ms,omitempty"`
+	// Holds is what the borrower still uses from another lender.
 	Holds Demand `json:"holds"`
 	// HoldsMS is for how much longer Holds is valid, in milliseconds.
 	HoldsMS int64 `json:"holds_ms,omitempty"`
@@ -92,10 +93,10 @@
 
 // Loan is the lender's answer.
 type Loan struct {
-	Customer    string `json:"customer"`
-	Lender      string `json:"lender"`
-	Incarnation string `json:"incarnation"`
-	// Number grows with each loan of an incarnation of a lender.
+	Customer string `json:"customer"`
+	Lender   string `json:"lender"`
+	// Number grows with each loan of a lender, also over its restarts until
+	// its host is rebooted, which takes longer than a lease.
 	Number uint64 `json:"number"`
 	// Share is what the borrower may use beyond its even part.
 	Share Demand `json:"share"`
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -267,6 +267,28 @@
 	})
 }
 
+// A ring slot that keeps the states of older identifiers, or an identifier
+// whose slot was used again, gives a wrong answer.
+func TestLedgerRing(t *testing.T) {
+	Convey("the newest identifiers are remembered over many rounds, older ones expire", t, func() {
+		l := NewLedger(LedgerConfig{Capacity: 2 * SegmentSize})
+		wrong := 0
+		for i := uint64(1); i <= 10*SegmentSize; i++ {
+			if seq := l.Issue(0); seq != i || l.Begin(0, seq) != AnswerRun || !l.Finish(0, seq, Ran) {
+				wrong++
+			}
+			if i > 2*SegmentSize && l.Begin(0, i-2*SegmentSize) != AnswerRan {
+				wrong++
+			}
+			if i > 3*SegmentSize && l.Begin(0, i-3*SegmentSize) != AnswerExpired {
+				wrong++
+			}
+		}
+		So(wrong, ShouldEqual, 0)
+		So(l.Stats(0).Remembered, ShouldBeLessThanOrEqualTo, 3*SegmentSize)
+	})
+}
+
 func TestAnswerError(t *testing.T) {
 	Convey("repeats get the stored outcome", t, func() {
 		So(AnswerRun.Error(), ShouldBeNil)
