admission: review the queue of a frozen target, pause after refusals at limit 1

Cause: a frozen target gives no samples, so that its waiters were held until a service time before their deadlines; a target that refuses every request was sent the whole queue. What changed: the queue is reviewed every 50 ms, and the time without a free slot counts as the service time from three service times on; after a refusal at limit 1 the queue pauses for a service time, doubling to 200 ms. Conclusion: a shed request gets its answer long before its deadline.

--- a/admission/control.go
+++ b/admission/control.go
@@ -217,14 +217,26 @@
 }
 
 // refused decreases the limit after a refusal, once in a service time: the
-// refusals of one burst have one cause.
-func (a *adaptive) refused(now time.Duration, inFlight int, service time.Duration) {
+// refusals of one burst have one cause. It reports whether it did.
+func (a *adaptive) refused(now time.Duration, inFlight int, service time.Duration) bool {
 	if a.changed > 0 && now < a.changed+service {
-		return
+		return false
 	}
 	a.changed = now
 	a.trial.active = false
 	a.limit = max(1, min(a.limit, float64(inFlight))*refusalFactor)
+	return true
+}
+
+// pause keeps the queue from being spent on a target that refuses even single
+// requests.
+type pause struct {
+	until, length time.Duration
+}
+
+func (p *pause) extend(now, service, limit time.Duration) {
+	p.length = min(max(2*p.length, service), limit)
+	p.until = now + p.length
 }
 
 // ramp is the cold ramp: work done since the target was last known cold.
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -7,12 +7,33 @@
 
 // wait estimates the time until a request at position pos of f starts.
 func (l *Limiter) wait(f *flow, pos int) time.Duration {
-	perSlot := l.service.avg / float64(l.Limit())
+	perSlot := max(l.service.avg, l.stalled) / float64(l.Limit())
 	fair := float64(pos+1) * perSlot / l.queue.share(f)
 	all := float64(l.queue.length+1) * perSlot
 	return seconds(min(fair, all))
 }
 
+// stallFactor is the number of mean service times for which no slot has become
+// free, from which the mean is no longer taken for the time to the next one.
+const stallFactor = 3
+
+// measureStall finds out how long all slots have been in use without a change:
+// a target that is frozen gives no samples. A time that has passed without an
+// answer is then the best estimate of the time that will pass.
+func (l *Limiter) measureStall(now time.Duration) {
+	l.stalled = 0
+	if len(l.running) < l.Limit() {
+		return
+	}
+	last := time.Duration(0)
+	for _, r := range l.running {
+		last = max(last, r.started)
+	}
+	if s := (now - last).Seconds(); s > stallFactor*l.service.avg {
+		l.stalled = s
+	}
+}
+
 // freeWait estimates the wait of a customer that has nothing in the queue.
 func (l *Limiter) freeWait(now time.Duration) time.Duration {
 	if l.queue.length == 0 && l.free(now) > 0 {
@@ -40,6 +61,7 @@
 
 // enqueue puts a request into the queue or sheds it.
 func (l *Limiter) enqueue(now time.Duration, f *flow, r Request) Decision {
+	l.measureStall(now)
 	pos := f.position(r.Deadline)
 	wait := l.wait(f, pos)
 	if allowed, reason := l.allowed(now, f, r.Deadline, r.Cost); wait > allowed {
@@ -48,6 +70,9 @@
 	if l.queue.length >= l.cfg.MaxQueue && !l.evict(now, f) {
 		return l.shed(ReasonQueueFull, l.refer(now, f, wait/2))
 	}
+	if l.queue.length == 0 {
+		l.reviewed = now
+	}
 	l.queue.insert(f, waiter{id: r.ID, deadline: r.Deadline, arrived: now, cost: r.Cost})
 	return Decision{Verdict: Wait}
 }
@@ -123,12 +148,14 @@
 // review sheds the waiting requests that cannot meet their deadlines by the
 // present estimates.
 func (l *Limiter) review(now time.Duration) {
+	l.measureStall(now)
+	l.reviewed = now
 	for _, f := range slices.Clone(l.queue.active) {
 		for i := 0; i < len(f.waiters); {
 			w := f.waiters[i]
 			start := now + l.wait(f, i)
 			if i == 0 {
-				start = now
+				start = now + seconds(l.stalled)
 			}
 			if start+l.service.likely(w.cost) < w.deadline {
 				i++
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -16,7 +16,12 @@
 	ramp     ramp
 	foreign  foreign
 	// own is the highest number in flight over the age of a report.
-	own      peak
+	own   peak
+	pause pause
+	// reviewed is when the queue was last reviewed, stalled the time in
+	// seconds for which no slot has become free, 0 when it is usual.
+	reviewed time.Duration
+	stalled  float64
 	draining bool
 	out      []Notice
 	stats    Stats
@@ -140,6 +145,7 @@
 	case OutcomeOK:
 		limit := l.Limit()
 		inFlight := l.total() + 1
+		l.pause = pause{}
 		l.service.add(s.Latency)
 		l.queue.setService(l.service.avg)
 		cold := l.ramp.progress(s.Latency, limit, l.limits)
@@ -150,7 +156,10 @@
 		}
 	case OutcomeShed:
 		l.stats.Refused++
-		l.adaptive.refused(now, l.total()+1, l.service.mean())
+		lowest := l.adaptive.value() == 1
+		if l.adaptive.refused(now, l.total()+1, l.service.mean()) && lowest {
+			l.pause.extend(now, l.service.mean(), l.cfg.MaxPause)
+		}
 		l.ramp.refused()
 	}
 }
@@ -194,9 +203,13 @@
 			at = min(at, w.deadline-l.service.likely(w.cost))
 		}
 	}
+	at = min(at, l.reviewed+l.cfg.ReviewInterval)
 	if l.foreign.count > 0 {
 		at = min(at, l.foreign.until)
 	}
+	if l.pause.length > 0 {
+		at = min(at, max(l.pause.until, l.reviewed+time.Microsecond))
+	}
 	return at, true
 }
 
@@ -281,6 +294,9 @@
 // free returns the number of requests that may start now.
 func (l *Limiter) free(now time.Duration) int {
 	l.foreign.expire(now)
+	if now < l.pause.until {
+		return 0
+	}
 	return l.Limit() - l.total()
 }
 
--- a/admission/types.go
+++ b/admission/types.go
@@ -40,6 +40,13 @@
 	// ForeignTTL is how long requests of the former home count at most, unless
 	// reports show earlier that they ended. Default: 30 s.
 	ForeignTTL time.Duration
+	// ReviewInterval is the time between two checks whether the waiting
+	// requests can still meet their deadlines. Default: 50 ms.
+	ReviewInterval time.Duration
+	// MaxPause is the longest pause after a target has refused a request while
+	// the limit was 1: the pause begins at one service time and doubles with
+	// each refusal. Default: 200 ms.
+	MaxPause time.Duration
 	// MinRetryAfter and MaxRetryAfter bound the retry hint. Defaults: 5 ms, 5 s.
 	MinRetryAfter, MaxRetryAfter time.Duration
 }
@@ -237,6 +244,8 @@
 	setDur(&c.OverloadWait, 20*time.Millisecond)
 	setDur(&c.ReportLag, time.Second)
 	setDur(&c.ForeignTTL, 30*time.Second)
+	setDur(&c.ReviewInterval, 50*time.Millisecond)
+	setDur(&c.MaxPause, 200*time.Millisecond)
 	setDur(&c.MinRetryAfter, 5*time.Millisecond)
 	setDur(&c.MaxRetryAfter, 5*time.Second)
 	setFloat(&c.SlackShare, 0.75)
@@ -254,7 +263,7 @@
 		return bad("max_queue", c.MaxQueue, "1 or more")
 	case c.ColdSamples < 1:
 		return bad("cold_samples", c.ColdSamples, "1 or more")
-	case c.InitialService < 0, c.OverloadInterval < 0, c.OverloadWait < 0, c.ReportLag < 0, c.ForeignTTL < 0:
+	case c.InitialService < 0, c.OverloadInterval < 0, c.OverloadWait < 0, c.ReportLag < 0, c.ForeignTTL < 0, c.ReviewInterval < 0, c.MaxPause < 0:
 		return bad("duration", "negative", "0 or more")
 	case c.MinRetryAfter < 0 || c.MaxRetryAfter < c.MinRetryAfter:
 		return bad("max_retry_after", c.MaxRetryAfter, "min_retry_after or more")
