limits: keep the lender's incarnation in NewLender

Cause: the request path passes it by now, and it tells a loan from before a restart exactly, where the number alone does not. What changed: a loan carries the incarnation; a lender books what a borrower uses of a former incarnation until the borrower uses one of its own loans.

--- a/limits/cluster_test.go
+++ b/limits/cluster_test.go
@@ -91,7 +91,7 @@
 	h.view = s.hostsOf(i, func(j int) bool { return s.hosts[j].up })
 	inc := fmt.Sprint(h.lives)
 	cs := map[string]contract.Contract{s.contract.Customer: s.contract}
-	h.gate, h.lender = NewGate(s.cfg, h.view, inc), NewLender(s.cfg, h.view)
+	h.gate, h.lender = NewGate(s.cfg, h.view, inc), NewLender(s.cfg, h.view, inc)
 	h.gate.SetContracts(h.local(s.now), cs)
 	h.lender.SetContracts(cs)
 }
--- a/limits/example_test.go
+++ b/limits/example_test.go
@@ -17,7 +17,7 @@
 	names := []string{"a", "b"}
 	name := limits.LenderOf("ana", names)
 	gate := limits.NewGate(limits.Config{}, limits.Hosts{Self: "a", Configured: names, Live: names}, "1")
-	lender := limits.NewLender(limits.Config{}, limits.Hosts{Self: name, Configured: names, Live: names})
+	lender := limits.NewLender(limits.Config{}, limits.Hosts{Self: name, Configured: names, Live: names}, "1")
 	gate.SetContracts(0, contracts)
 	lender.SetContracts(contracts)
 
--- a/limits/gate.go
+++ b/limits/gate.go
@@ -41,9 +41,11 @@
 
 // loan is a borrowed share.
 type loan struct {
-	number uint64
-	share  Demand
-	until  time.Duration
+	// incarnation is that of the lender.
+	incarnation string
+	number      uint64
+	share       Demand
+	until       time.Duration
 }
 
 func (l loan) at(now time.Duration) Demand {
@@ -321,7 +323,7 @@
 	if now-a.lastUse >= g.cfg.IdleReturn && a.stats.InFlight == 0 {
 		a.used = false
 		a.loan.share, a.former = Demand{}, loan{}
-		b.Lent = a.loan.number
+		b.Lent, b.LenderIncarnation = a.loan.number, a.loan.incarnation
 		return b
 	}
 	rate := max(a.demand.rate, a.demand.count/meterInterval.Seconds())
@@ -336,7 +338,8 @@
 	}
 	b.Holds, b.HoldsMS = a.former.at(now), a.former.left(now)
 	if now < a.loan.until {
-		b.Lent, b.Uses, b.UsesMS = a.loan.number, a.loan.share, a.loan.left(now)
+		b.Lent, b.LenderIncarnation = a.loan.number, a.loan.incarnation
+		b.Uses, b.UsesMS = a.loan.share, a.loan.left(now)
 	}
 	return b
 }
@@ -356,7 +359,7 @@
 	}
 	a.refill(now)
 	lease := min(time.Duration(l.LeaseMS)*time.Millisecond, g.cfg.Lease)
-	a.loan = loan{number: l.Number, share: l.Share, until: b.SentAt + lease}
+	a.loan = loan{incarnation: l.Incarnation, number: l.Number, share: l.Share, until: b.SentAt + lease}
 }
 
 // Stats returns a picture of a customer, or false when it is unknown.
--- a/limits/lender.go
+++ b/limits/lender.go
@@ -12,12 +12,13 @@
 // Lender lends the lent parts of the customers that hash to this host. It is
 // not safe for concurrent use.
 type Lender struct {
-	cfg       Config
-	hosts     Hosts
-	majority  bool
-	contracts map[string]contract.Contract
-	books     map[string]*book
-	number    uint64
+	cfg         Config
+	incarnation string
+	hosts       Hosts
+	majority    bool
+	contracts   map[string]contract.Contract
+	books       map[string]*book
+	number      uint64
 }
 
 // book holds the loans of one customer.
@@ -42,9 +43,10 @@
 	until  time.Duration
 }
 
-// NewLender returns a lender without contracts.
-func NewLender(cfg Config, hosts Hosts) *Lender {
-	l := &Lender{cfg: cfg.withDefaults(), books: map[string]*book{}}
+// NewLender returns a lender without contracts. The incarnation changes when
+// the process restarts.
+func NewLender(cfg Config, hosts Hosts, incarnation string) *Lender {
+	l := &Lender{cfg: cfg.withDefaults(), incarnation: incarnation, books: map[string]*book{}}
 	l.hosts, l.majority = hosts, hosts.majority()
 	return l
 }
@@ -61,7 +63,7 @@
 func (l *Lender) Lend(now time.Duration, b Borrow) Loan {
 	// The boot-time clock keeps the numbers growing when the process restarts.
 	l.number = max(l.number+1, uint64(now/time.Microsecond))
-	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
+	out := Loan{Customer: b.Customer, Lender: l.hosts.Self, Incarnation: l.incarnation, Number: l.number, LeaseMS: l.cfg.Lease.Milliseconds()}
 	c, ok := l.contracts[b.Customer]
 	switch {
 	case !ok || c.Ended:
@@ -76,7 +78,7 @@
 	}
 	bk := l.book(b.Customer)
 	bk.expire(now)
-	h := bk.update(b, l.until(now, b.HoldsMS), l.until(now, b.UsesMS))
+	h := bk.update(b, l.incarnation, l.until(now, b.HoldsMS), l.until(now, b.UsesMS))
 	if b.Want == (Demand{}) {
 		return out
 	}
@@ -117,7 +119,7 @@
 // update records what a borrower says, and drops the loans it no longer uses.
 // An answer that is still on its way keeps its loan booked, since its number is
 // above Lent.
-func (k *book) update(b Borrow, holdsUntil, usesUntil time.Duration) *borrower {
+func (k *book) update(b Borrow, incarnation string, holdsUntil, usesUntil time.Duration) *borrower {
 	h, ok := k.borrowers[b.Host]
 	if !ok {
 		h = &borrower{incarnation: b.Incarnation}
@@ -131,10 +133,14 @@
 		h.incarnation = b.Incarnation
 		return h
 	}
-	known := slices.ContainsFunc(h.loans, func(x booked) bool { return x.number == b.Lent })
-	if !known && b.Uses != (Demand{}) {
-		// A loan from before a restart of this lender.
-		h.loans = append(h.loans, booked{number: b.Lent, share: b.Uses, until: usesUntil})
+	if b.LenderIncarnation != incarnation {
+		// The loan in use is from before a restart of this lender. It has no
+		// number here, and ends with the first loan that the borrower uses.
+		h.loans = slices.DeleteFunc(h.loans, func(x booked) bool { return x.number == 0 })
+		if b.Uses != (Demand{}) {
+			h.loans = append(h.loans, booked{share: b.Uses, until: usesUntil})
+		}
+		return h
 	}
 	returned := b.Want == (Demand{})
 	h.loans = slices.DeleteFunc(h.loans, func(x booked) bool {
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -168,10 +168,10 @@
 	})
 	Convey("a new lender does not lend what a host still holds of the former one", t, func() {
 		h := Hosts{Self: "h", Configured: []string{"h"}, Live: []string{"h"}}
-		l := NewLender(Config{}, h)
+		l := NewLender(Config{}, h, "1")
 		l.SetContracts(map[string]contract.Contract{"ana": ana(100, 1, 10)})
 		ask := func(now time.Duration, host string, holds float64) float64 {
-			b := Borrow{Customer: "ana", Host: host, Lender: "h", Want: Demand{Rate: 50}, Lent: 9}
+			b := Borrow{Customer: "ana", Host: host, Lender: "h", Want: Demand{Rate: 50}, LenderIncarnation: "0", Lent: 9}
 			b.Holds.Rate, b.HoldsMS = holds, 1000
 			return l.Lend(now, b).Share.Rate
 		}
@@ -181,27 +181,27 @@
 	})
 	Convey("a lender that restarted does not lend what its former self lent", t, func() {
 		h := Hosts{Self: "h", Configured: []string{"h"}, Live: []string{"h"}}
-		l := NewLender(Config{}, h)
+		l := NewLender(Config{}, h, "1")
 		l.SetContracts(map[string]contract.Contract{"ana": ana(100, 1, 10)})
-		b := Borrow{Customer: "ana", Lender: "h", Host: "a", Want: Demand{Rate: 10}, Lent: 7, Uses: Demand{Rate: 50}, UsesMS: 1000}
+		b := Borrow{Customer: "ana", Lender: "h", Host: "a", Want: Demand{Rate: 10}, Lent: 7, LenderIncarnation: "0", Uses: Demand{Rate: 50}, UsesMS: 1000}
 		So(l.Lend(time.Second, b).Share.Rate, ShouldEqual, 10)
 		b = Borrow{Customer: "ana", Lender: "h", Host: "b", Want: Demand{Rate: 50}}
 		So(l.Lend(time.Second, b).Share.Rate, ShouldEqual, 0)
 	})
 	Convey("an old return does not release a newer loan", t, func() {
 		h := Hosts{Self: "h", Configured: []string{"h"}, Live: []string{"h"}}
-		l := NewLender(Config{}, h)
+		l := NewLender(Config{}, h, "1")
 		l.SetContracts(map[string]contract.Contract{"ana": ana(100, 1, 10)})
 		ask := func(host string, b Borrow) Loan {
 			b.Customer, b.Host, b.Lender = "ana", host, "h"
 			return l.Lend(0, b)
 		}
 		first := ask("a", Borrow{Want: Demand{Rate: 50}})
-		second := ask("a", Borrow{Want: Demand{Rate: 50}, Lent: first.Number})
+		second := ask("a", Borrow{Want: Demand{Rate: 50}, LenderIncarnation: "1", Lent: first.Number})
 		So(second.Share.Rate, ShouldEqual, 50)
-		ask("a", Borrow{Lent: first.Number})
+		ask("a", Borrow{LenderIncarnation: "1", Lent: first.Number})
 		So(ask("b", Borrow{Want: Demand{Rate: 50}}).Share.Rate, ShouldEqual, 0)
-		ask("a", Borrow{Lent: second.Number})
+		ask("a", Borrow{LenderIncarnation: "1", Lent: second.Number})
 		So(ask("b", Borrow{Want: Demand{Rate: 50}}).Share.Rate, ShouldEqual, 50)
 	})
 }
--- a/limits/types.go
+++ b/limits/types.go
@@ -77,9 +77,11 @@
 	// uses, 0 when there is none. Loans before it are no longer used. Uses and
 	// UsesMS are its share and for how much longer it is valid: a lender that
 	// has restarted does not know it.
-	Lent   uint64 `json:"lent"`
-	Uses   Demand `json:"uses"`
-	UsesMS int64  `json:"uses_ms,omitempty"`
+	Lent uint64 `json:"lent"`
+	// LenderIncarnation is that of the lender which gave the loan Lent.
+	LenderIncarnation string `json:"lender_incarnation,omitempty"`
+	Uses              Demand `json:"uses"`
+	UsesMS            int64  `json:"uses_ms,omitempty"`
 	// Holds is what the borrower still uses from another lender.
 	Holds Demand `json:"holds"`
 	// HoldsMS is for how much longer Holds is valid, in milliseconds.
@@ -94,7 +96,9 @@
 // Loan is the lender's answer.
 type Loan struct {
 	Customer string `json:"customer"`
-	Lender   string `json:"lender"`
+	// Lender and Incarnation name the lender.
+	Lender      string `json:"lender"`
+	Incarnation string `json:"incarnation"`
 	// Number grows with each loan of a lender, also over its restarts until
 	// its host is rebooted, which takes longer than a lease.
 	Number uint64 `json:"number"`
