admission: forget referred retries once the queue is empty

Cause: the times to which shed requests were referred stayed in force after the overload, so that a short one later got a hint of up to 5 s.

--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -358,6 +358,18 @@
 			}
 		}
 		So(last, ShouldBeBetween, 200*ms, 300*ms)
+		// Once the queue is empty, those who were referred are not waited for.
+		now := 50 * ms
+		l.Drain(now)
+		l.draining = false
+		l.Done(now, 0, Sample{Latency: 10 * ms})
+		l.Done(now, 1, Sample{Latency: 10 * ms})
+		for i := uint64(100); ; i++ {
+			if d, _ := l.Arrive(now, Request{ID: i, Customer: "a", Deadline: now + 100*ms}); d.Verdict == Shed {
+				So(d.RetryAfter, ShouldBeLessThan, 20*ms)
+				break
+			}
+		}
 	})
 }
 
