--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -95,7 +95,7 @@
 // count fills in the outcomes and latencies.
 func (r *Result) count(e *Evidence) {
 	all, each := newHistogram(), map[string]*hdrhistogram.Histogram{}
-	r.Workloads = map[string]WorkloadResult{}
+	r.Workloads, r.Codes = map[string]WorkloadResult{}, map[string]int{}
 	for name := range e.Plan.Workloads {
 		each[name] = newHistogram()
 	}
@@ -121,6 +121,9 @@
 		default:
 			r.MayHaveRun++
 		}
+		if c.Outcome != CallOK {
+			r.Codes[c.Code]++
+		}
 		r.Workloads[c.Workload] = w
 	}
 	r.Latency = latency(all)
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -82,6 +82,8 @@
 	MayHaveRun int `json:"may_have_run"`
 	// Limited is the part of NotRun that exceeded a contract.
 	Limited int `json:"limited"`
+	// Codes counts the error codes of calls that failed.
+	Codes map[string]int `json:"codes,omitempty"`
 	// Goodput is the number of successes per second of the measured time.
 	Goodput float64 `json:"goodput_per_s"`
 
