Judge a connection silent only after two answered probes

In a steady run on a machine with load average 25, 79 requests between entry hosts were given up as silent and 75 because the other host answered on no connection, though no host had failed: a process that gets no processor time answers late. 22 callers got may_have_run.

A request whose home does not answer is given up only when it can be sent elsewhere. A home is reported as down only when its kernel refuses a connection, which proves that the process is gone; a time-out does not.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,9 +21,10 @@
 	// request has been written, before it is probed. pauseAfter takes its place
 	// when the header of the response has arrived.
 	silentAfter, pauseAfter time.Duration
-	// giveUpUnreachable ends the attempt when the probe fails as well.
-	giveUpUnreachable bool
-	m                 *metrics
+	// useless reports whether the attempt should end when the probe fails as
+	// well, because the request can be sent elsewhere; nil means never.
+	useless func() bool
+	m       *metrics
 
 	mu    sync.Mutex
 	conn  *conn
@@ -33,8 +34,17 @@
 	wrote bool  // a byte of the request may have left on an earlier connection
 	done  bool
 	timer *time.Timer
+	// proofs counts the probes in a row that were answered while this
+	// connection had no data. It is used by watch only, which never runs twice
+	// at the same time.
+	proofs int
 }
 
+// proofsNeeded is the number of answered probes after which a connection counts
+// as silent. One is not enough: a process that gets no processor time for a
+// while may answer the probe just before it goes on with the request.
+const proofsNeeded = 2
+
 // attemptError is the failure of an attempt.
 type attemptError struct {
 	// wrote says that a byte of the request may have left.
@@ -147,18 +157,25 @@
 	}
 	quiet := time.Duration(sinceStart() - c.lastRead.Load())
 	if quiet < limit {
+		a.proofs = 0
 		a.rearm(limit - quiet)
 		return
 	}
 	before := c.lastRead.Load()
 	err := a.probe(a.ctx)
+	alive := c.lastRead.Load() != before
+	if alive || err != nil {
+		a.proofs = 0
+	} else {
+		a.proofs++
+	}
 	switch {
-	case c.lastRead.Load() != before:
-		a.rearm(limit)
-	case err == nil:
+	case a.proofs >= proofsNeeded:
 		a.end(errSilent)
-	case a.giveUpUnreachable:
+	case !alive && err != nil && a.useless != nil && a.useless():
 		a.end(errPeerSilent)
+	case a.proofs > 0:
+		a.rearm(max(limit/2, 2*heartbeat))
 	default:
 		a.rearm(limit)
 	}
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -78,9 +78,14 @@
 		req.Header[headerIdempotent] = []string{"1"}
 	}
 	a := &attempt{
-		ctx: attemptCtx, cancel: cancel, silentAfter: peerSilent, pauseAfter: s.cfg.BodyPause, giveUpUnreachable: c.idempotent, m: s.m,
+		ctx: attemptCtx, cancel: cancel, silentAfter: peerSilent, pauseAfter: s.cfg.BodyPause, m: s.m,
 		probe: func(ctx context.Context) error { _, err := p.probe(ctx); return err },
 	}
+	if c.idempotent {
+		a.useless = func() bool { return s.movedAway(c, r) }
+	} else {
+		a.silentAfter *= nonIdempotentPatience
+	}
 	resp, failure := a.roundTrip(p.tr, req)
 	if failure != nil {
 		return nil, s.peerFailure(ctx, attemptCtx, c, r, failure)
@@ -88,6 +93,16 @@
 	return s.peerAnswer(ctx, c, resp, a)
 }
 
+// movedAway reports whether a request whose home does not answer can be sent
+// elsewhere: to another target, or to another home of its target.
+func (s *Server) movedAway(c *call, r route) bool {
+	if !c.keyed {
+		return true
+	}
+	now, code := s.locate(s.cfg.Source.View(), c, "")
+	return code == "" && now.homeHost != r.homeHost
+}
+
 // peerFailure turns the failure of an attempt to reach an entry host into an
 // error.
 func (s *Server) peerFailure(ctx, attemptCtx context.Context, c *call, r route, f *attemptError) *retry.Error {
@@ -99,7 +114,9 @@
 			return e.WithCause("home", f.err)
 		}
 	}
-	if f.dial || f.err == errPeerSilent {
+	// Only a refused connection proves that the process is gone. A host that
+	// does not answer may be paused and still have requests in progress.
+	if refusedConnection(f.err) {
 		s.cfg.Source.Report(view.Event{Kind: view.EventPeerDown, Host: r.homeHost})
 	}
 	if !f.wrote {
