--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -245,13 +245,13 @@
 
 // pollDue reports whether the target should be asked for its load, and claims
 // the poll. It is asked often while requests of the former home count against
-// the limit or the target is cold.
+// the limit.
 func (h *home) pollDue() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	st := h.lim.Stats(boottime.Now())
 	interval := pollInterval
-	if st.Foreign > 0 || st.Cold {
+	if st.Foreign > 0 {
 		interval = pollFast
 	}
 	if h.polling || time.Since(h.polled) < interval {
