Give exact outcomes for repeated identifiers that are refused early

A repeat that was refused before the issuer's ledger was asked, for example because of the rate or the size of its body, was answered not_run although the first request may have run; a caller could then send its work again under a new identifier. The ledger is now asked when the identifier was issued by this host, and otherwise the outcome is may_have_run. Errors on the way to the issuer say not_run only when the issuer said so.

Each response and each log line now has a request identifier, also those of requests that were refused early. Test: four combinations of host and state of the identifier; race detector clean.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -31,6 +31,9 @@
 	header     http.Header
 	body       *body
 	idempotent bool
+	// decided says that the ledger of the issuer has spoken about the
+	// identifier, so that the outcome of an error is exact.
+	decided bool
 	// deadline on the boot-time clock.
 	deadline time.Duration
 	// holdUntil is when waiting for an owner ends, on the boot-time clock.
--- a/internal/forward/front.go
+++ b/internal/forward/front.go
@@ -44,6 +44,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	id, e := s.serveFront(w, r)
+	if id == "" {
+		id = s.newID()
+	}
 	if e == nil {
 		s.m.answers.Add(1)
 		s.cfg.Log.Debug("request answered", "request_id", id, "method", r.Method, "duration_ms", time.Since(start).Milliseconds())
@@ -56,9 +59,7 @@
 		s.m.aborted.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	if id != "" {
-		w.Header().Set(platform.HeaderRequestID, id)
-	}
+	w.Header().Set(platform.HeaderRequestID, id)
 	writeError(w, e)
 }
 
@@ -74,48 +75,85 @@
 // never sent itself: the connection to the caller is aborted.
 const codeAborted retry.Code = "aborted"
 
-// serveFront handles one request. The returned id is empty when the request
-// got none.
+// newID returns an identifier for logs and headers.
+func (s *Server) newID() string {
+	n := strconv.FormatUint(s.sequence.Add(1), 10)
+	v := s.cfg.Source.View()
+	if v == nil {
+		return n
+	}
+	return v.Self.Name + "-" + v.Self.Incarnation + "-" + n
+}
+
+// serveFront handles one request and returns its identifier.
 func (s *Server) serveFront(w http.ResponseWriter, r *http.Request) (id string, e *retry.Error) {
 	v := s.cfg.Source.View()
+	given := r.Header.Get(platform.HeaderRequestID)
+	c, e := s.accept(w, r, v)
+	if e == nil && c != nil {
+		e = s.serveCall(w, r, v, c, given)
+	}
+	if c != nil && c.id != "" {
+		id = c.id
+	}
+	settled := safeMethod(r.Method)
+	if c != nil {
+		settled = c.idempotent || c.decided
+	}
+	if e != nil && given != "" && !settled {
+		e = s.exact(e, v, r.Header.Get(platform.HeaderCustomer), given)
+	}
+	return id, e
+}
+
+// safeMethod reports whether a method is idempotent for any workload that does
+// not say otherwise.
+func safeMethod(method string) bool { return isIdempotent(contract.Workload{}, method) }
+
+// accept checks a request and applies the contract. A call that is returned
+// without an error has been admitted. A request for identifiers is answered
+// here and gives neither.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, v *view.View) (*call, *retry.Error) {
 	if v == nil || v.State == nil || v.State.Config == nil {
-		return "", newError(retry.CodeNotReady).WithRetryAfter(time.Second)
+		return nil, newError(retry.CodeNotReady).WithRetryAfter(time.Second)
 	}
 	s.sync(v)
 	if headerBytes(r.Header) > s.cfg.MaxHeaderBytes {
-		return "", newError(CodeHeaderTooLarge)
+		return nil, newError(CodeHeaderTooLarge)
 	}
 	if r.URL.Path == PathRequestIDs {
-		return "", s.serveRequestIDs(w, r, v)
+		return nil, s.serveRequestIDs(w, r, v)
 	}
 	c, e := s.newCall(r, v)
 	if e != nil {
-		return "", e
-	}
-	if e := s.admit(c, r.ContentLength); e != nil {
-		return "", e
+		return nil, e
 	}
+	return c, s.admit(c, r.ContentLength)
+}
+
+// serveCall runs an admitted call and passes the answer on.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, v *view.View, c *call, given string) (e *retry.Error) {
 	defer s.admitted(c)
 	if c.body, e = newBody(w, r, s.maxBody(v, c), s.cfg.BodyPause); e != nil {
-		return "", e
+		return e
 	}
 	defer c.body.close()
 	ctx, cancel := context.WithTimeout(r.Context(), c.left()+2*answerGrace)
 	defer cancel()
 	ctx, span := s.startSpan(ctx, "front", r.Header)
-	ans, e := s.dispatch(ctx, v, c, r.Header.Get(platform.HeaderRequestID))
+	ans, e := s.dispatch(ctx, v, c, given)
 	describe(span, c, route{})
 	endSpan(span, e)
 	if e != nil {
-		return c.id, e
+		return e
 	}
 	copyResponseHeader(w.Header(), ans.header)
 	w.Header()[platform.HeaderRequestID] = []string{c.id}
 	if e := ans.relay(w, s.cfg.BodyPause); e != nil {
 		e.Code = codeAborted
-		return c.id, e
+		return e
 	}
-	return c.id, nil
+	return nil
 }
 
 // newCall checks a request as far as its header goes.
@@ -238,7 +276,7 @@
 	}
 	c.id = given
 	if !plainID(given) {
-		c.id = v.Self.Name + "-" + v.Self.Incarnation + "-" + strconv.FormatUint(s.sequence.Add(1), 10)
+		c.id = s.newID()
 	}
 	return s.run(ctx, c)
 }
--- a/internal/forward/front_test.go
+++ b/internal/forward/front_test.go
@@ -345,6 +345,28 @@
 		So(runs.Load(), ShouldEqual, 1)
 		So(e1.do("POST", PathRequestIDs, strings.NewReader(`{"count":0}`)).status, ShouldEqual, http.StatusBadRequest)
 	})
+	Convey("a repeat that is refused for another reason does not say not_run", t, func() {
+		h := echo()
+		defer h.Close()
+		e1, e2 := twoHosts(t, h.Listener.Addr().String())
+		id := e2.do("POST", "/v1/keyed/a", nil).header.Get("Boragelock-Request-Id")
+		fresh := issueReply{}
+		So(json.Unmarshal([]byte(e2.do("POST", PathRequestIDs, nil).body), &fresh), ShouldBeNil)
+		large := func() io.Reader { return strings.NewReader(strings.Repeat("b", 1<<20+1)) }
+		for _, c := range []struct {
+			s    *system
+			id   string
+			want retry.Outcome
+		}{
+			{e2, id, retry.Ran}, {e1, id, retry.MayHaveRun},
+			{e2, fresh.RequestIDs[0], retry.NotRun}, {e1, fresh.RequestIDs[0], retry.MayHaveRun},
+		} {
+			r := c.s.do("POST", "/v1/keyed/a", large(), "Boragelock-Request-Id", c.id)
+			So(r.e.Code, ShouldEqual, retry.CodeBodyTooLarge)
+			So(r.e.Outcome, ShouldEqual, c.want)
+		}
+		So(e2.do("POST", "/v1/keyed/a", nil, "Boragelock-Request-Id", fresh.RequestIDs[0]).status, ShouldEqual, 200)
+	})
 	Convey("an identifier may be used again after not_run", t, func() {
 		h := echo()
 		defer h.Close()
--- a/internal/forward/ids.go
+++ b/internal/forward/ids.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -77,18 +78,21 @@
 	} else {
 		var err error
 		if id, err = retry.ParseID(given); err != nil {
+			c.decided = true
 			return nil, newError(retry.CodeBadRequestID).WithCause("parse", err)
 		}
 	}
 	c.id = id.String()
 	switch iss.Verify(id, c.customer) {
 	case retry.OriginForged:
+		c.decided = true
 		return nil, newError(retry.CodeBadRequestID)
 	case retry.OriginGone:
 		return nil, newError(retry.CodeIssuerGone)
 	case retry.OriginElsewhere:
 		return s.elsewhere(ctx, c, id)
 	}
+	c.decided = true
 	if e := iss.begin(id.Sequence); e != nil {
 		return nil, e
 	}
@@ -101,6 +105,37 @@
 	return ans, nil
 }
 
+// exact corrects the outcome of an error that was given before the issuer's
+// ledger was asked: an earlier request with the identifier may have run, and a
+// caller that is told not_run could send its work again under a new one.
+func (s *Server) exact(e *retry.Error, v *view.View, customer, given string) *retry.Error {
+	if e.Outcome != retry.NotRun {
+		return e
+	}
+	id, err := retry.ParseID(given)
+	if err != nil {
+		return e
+	}
+	if v == nil || e.Code == retry.CodeUnauthenticated {
+		return e.WithOutcome(retry.MayHaveRun)
+	}
+	iss, failed := s.issuerOf(v.Self)
+	if failed != nil {
+		return e.WithOutcome(retry.MayHaveRun)
+	}
+	switch iss.Verify(id, customer) {
+	case retry.OriginForged:
+		return e
+	case retry.OriginHere:
+		if earlier := iss.begin(id.Sequence); earlier != nil {
+			return e.WithOutcome(earlier.Outcome)
+		}
+		iss.end(id.Sequence, retry.NotRun)
+		return e
+	}
+	return e.WithOutcome(retry.MayHaveRun)
+}
+
 // elsewhere passes a request to the host that issued its identifier. What
 // became of an earlier request with it is known only there, so no failure on
 // the way says not_run.
@@ -114,7 +149,8 @@
 	if e == nil {
 		return ans, nil
 	}
-	if e.Code == CodePeerDown {
+	c.decided = errors.As(e.Err, new(*saidError))
+	if e.Code == CodePeerDown && !c.decided {
 		return nil, newError(CodeIssuerUnreachable).WithRetryAfter(retryUnavailable).WithCause("issuer", e.Err)
 	}
 	return nil, e
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -164,11 +164,18 @@
 	_ = resp.Body.Close()
 	a.finish(err == nil)
 	if e, ok := retry.ParseError(data); ok && err == nil {
-		return e
+		return e.WithCause("said by the other host", &saidError{})
 	}
 	e := newError(retry.Code(resp.Header.Get(HeaderCode)))
 	if o := retry.Outcome(resp.Header.Get(HeaderOutcome)); o.Valid() {
 		e.Outcome = o
+		return e.WithCause("said by the other host", &saidError{})
 	}
-	return e
+	return e.WithOutcome(retry.MayHaveRun)
 }
+
+// saidError marks an Error that another entry host answered with.
+type saidError struct{}
+
+// Error implements error.
+func (*saidError) Error() string { return "answered by an entry host" }
