Name the target in log lines; hint when to retry after a target's refusal

A target that sheds gives no hint when to come back; the home's estimate of its queue is given instead. A test shows that a second signal and the limit end a planned stop.

--- a/cmd/boragelockd/main_test.go
+++ b/cmd/boragelockd/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -63,6 +65,43 @@
 	})
 }
 
+// slowStop is a host whose planned stop takes until its context ends.
+type slowStop struct{ stopping chan struct{} }
+
+func (s *slowStop) Serve(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (s *slowStop) Stop(ctx context.Context) {
+	close(s.stopping)
+	<-ctx.Done()
+}
+
+// A host that cannot be ended blocks its machine's restart.
+func TestStopIsBounded(t *testing.T) {
+	run := func(limit time.Duration, second bool) time.Duration {
+		signals := make(chan os.Signal, 2)
+		s := &slowStop{stopping: make(chan struct{})}
+		signals <- syscall.SIGTERM
+		if second {
+			go func() {
+				<-s.stopping
+				signals <- syscall.SIGTERM
+			}()
+		}
+		start := time.Now()
+		So(serve(signals, s, limit, hclog.NewNullLogger()), ShouldBeNil)
+		return time.Since(start)
+	}
+	Convey("a second signal ends the stop", t, func() {
+		So(run(time.Minute, true), ShouldBeLessThan, 5*time.Second)
+	})
+	Convey("the limit ends the stop", t, func() {
+		So(run(50*time.Millisecond, false), ShouldBeBetween, 40*time.Millisecond, 5*time.Second)
+	})
+}
+
 // The first steps of a new user are the printed command lines.
 func TestEmbedded(t *testing.T) {
 	Convey("the embedded system prints its commands and stops on a signal", t, func() {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -31,6 +31,8 @@
 	header     http.Header
 	body       *body
 	idempotent bool
+	// target is the one tried last, for the log.
+	target string
 	// decided says that the ledger of the issuer has spoken about the
 	// identifier, so that the outcome of an error is exact.
 	decided bool
--- a/internal/forward/front.go
+++ b/internal/forward/front.go
@@ -43,18 +43,19 @@
 		// another host, so few idle connections remain when this one stops.
 		w.Header().Set("Connection", "close")
 	}
-	id, e := s.serveFront(w, r)
+	id, target, e := s.serveFront(w, r)
 	if id == "" {
 		id = s.newID()
 	}
 	if e == nil {
 		s.m.answers.Add(1)
-		s.cfg.Log.Debug("request answered", "request_id", id, "method", r.Method, "duration_ms", time.Since(start).Milliseconds())
+		s.cfg.Log.Debug("request answered", "request_id", id, "method", r.Method, "target", target,
+			"duration_ms", time.Since(start).Milliseconds())
 		return
 	}
 	s.m.errors.Add(string(e.Code), 1)
 	s.cfg.Log.Info("request failed", "request_id", id, "customer", r.Header.Get(platform.HeaderCustomer), "method", r.Method,
-		"code", e.Code, "outcome", e.Outcome, "duration_ms", time.Since(start).Milliseconds(), "detail", e.Detail, "error", e.Err)
+		"target", target, "code", e.Code, "outcome", e.Outcome, "duration_ms", time.Since(start).Milliseconds(), "detail", e.Detail, "error", e.Err)
 	if e.Code == codeAborted {
 		s.m.aborted.Add(1)
 		panic(http.ErrAbortHandler)
@@ -85,16 +86,17 @@
 	return v.Self.Name + "-" + v.Self.Incarnation + "-" + n
 }
 
-// serveFront handles one request and returns its identifier.
-func (s *Server) serveFront(w http.ResponseWriter, r *http.Request) (id string, e *retry.Error) {
+// serveFront handles one request and returns its identifier and the target that
+// was tried last.
+func (s *Server) serveFront(w http.ResponseWriter, r *http.Request) (id, target string, e *retry.Error) {
 	v := s.cfg.Source.View()
 	given := r.Header.Get(platform.HeaderRequestID)
 	c, e := s.accept(w, r, v)
 	if e == nil && c != nil {
 		e = s.serveCall(w, r, v, c, given)
 	}
-	if c != nil && c.id != "" {
-		id = c.id
+	if c != nil {
+		id, target = c.id, c.target
 	}
 	settled := safeMethod(r.Method)
 	if c != nil {
@@ -103,7 +105,7 @@
 	if e != nil && given != "" && !settled {
 		e = s.exact(e, v, r.Header.Get(platform.HeaderCustomer), given)
 	}
-	return id, e
+	return id, target, e
 }
 
 // safeMethod reports whether a method is idempotent for any workload that does
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -194,6 +194,13 @@
 	return loadHint{queued: s.Queued + s.InFlight + s.Foreign, latency: s.Service}
 }
 
+// wait estimates how long a new request would wait here.
+func (h *home) wait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lim.Stats(boottime.Now()).Wait
+}
+
 // silentAfter returns how long a connection may stay without data before it is
 // tested, relative to the target's latency.
 func (h *home) silentAfter(least time.Duration) time.Duration {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -54,6 +54,7 @@
 	for n := 1; ; n++ {
 		r, changed, e := s.resolve(ctx, c, avoid)
 		if e == nil {
+			c.target = r.target
 			var ans *answer
 			if ans, e = s.sendRoute(ctx, c, r); e == nil {
 				s.succeeded(c, n)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -26,6 +26,8 @@
 	// maxExcuses is how often a target's word that the request runs is
 	// believed, since its report may be wrong.
 	maxExcuses = 4
+	// minRetryAfter is the least hint after a refusal by a target.
+	minRetryAfter = 5 * time.Millisecond
 )
 
 // fenceError says that this host may no longer send the request.
@@ -86,6 +88,10 @@
 		}
 		h.leave(version)
 		h.release(slot, admission.Sample{Latency: latency, Outcome: sampleOf(err)})
+		if err.Code == retry.CodeShed {
+			// The target gives no hint; its queue here does.
+			err = err.WithRetryAfter(max(h.wait(), minRetryAfter))
+		}
 		return nil, err
 	}
 }
