Measure what entry hosts use by size and cut the granter's idle cost

Cause: no figure existed for the control plane at other sizes. A profile without I/O showed a plan for all shards ten times a second, a scan of all targets for each unassigned shard, a sorted copy of all target names at each step, and hellos from hosts that are no granters. Change: boragelock-bench -capacity; a plan only when the state or a judgement has changed or after a second; the order of targets is kept; only granters send hellos while a granter answers.

--- a/cmd/boragelock-bench/main.go
+++ b/cmd/boragelock-bench/main.go
@@ -47,6 +47,7 @@
 	only     bool
 	json     string
 	baseline string
+	capacity bool
 	verbose  bool
 }
 
@@ -76,6 +77,9 @@
 		level = hclog.Info
 	}
 	cfg.opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "bench", Output: stderr, Level: level})
+	if cfg.capacity {
+		return exitOK, capacity(ctx, cfg, stdout)
+	}
 	results, err := play(ctx, cfg)
 	if err != nil {
 		return exitFailed, err
@@ -106,6 +110,7 @@
 	fs.StringVar(&cfg.json, "json", "", "file for the results as JSON; - is standard output")
 	fs.BoolVar(&cfg.verbose, "verbose", false, "log the steps")
 	fs.StringVar(&cfg.baseline, "baseline-router", "", "run as a baseline router with this configuration (used by the bench itself)")
+	fs.BoolVar(&cfg.capacity, "capacity", false, "measure what idle entry hosts use at several sizes, one JSON line each")
 	if err := fs.Parse(args); err != nil {
 		return cfg, err
 	}
@@ -115,7 +120,7 @@
 func (c config) validate() error {
 	o := c.opts
 	switch {
-	case c.baseline != "":
+	case c.baseline != "" || c.capacity:
 		return nil
 	case o.Deployment != "andaimes" && o.Deployment != "toise":
 		return &UsageError{Flag: "deployment", Value: o.Deployment, Allowed: "andaimes, toise"}
--- /dev/null
+++ b/internal/bench/capacity.go
@@ -0,0 +1,215 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/boottime"
+)
+
+const (
+	// settleTime passes between readiness and the measurement, so that the
+	// first assignment and the opening of connections are not counted.
+	settleTime = 4 * time.Second
+	// capacityTime is the length of the measurement.
+	capacityTime = 6 * time.Second
+)
+
+// Size is one point of a capacity measurement.
+type Size struct {
+	Domains          int   `json:"domains"`
+	HostsPerDomain   int   `json:"hosts_per_domain"`
+	TargetsPerDomain int   `json:"targets_per_domain"`
+	Shards           int32 `json:"shards"`
+	Contracts        int   `json:"contracts"`
+}
+
+// RoleUse is what the entry hosts of one role use on average, without load.
+type RoleUse struct {
+	Hosts      int     `json:"hosts"`
+	CPUPercent float64 `json:"cpu_percent"`
+	MemoryMB   float64 `json:"memory_mb"`
+	// PeerBytes is the traffic with other entry hosts, PlatformBytes that with
+	// the log, the list of hosts and targets, both directions, in bytes per second.
+	PeerBytes     float64 `json:"peer_bytes_per_s"`
+	PlatformBytes float64 `json:"platform_bytes_per_s"`
+	LogReads      float64 `json:"log_reads_per_s"`
+}
+
+// CapacityPoint is the use of each role at one size. The roles are leader,
+// granter and plain.
+type CapacityPoint struct {
+	Size
+	Roles   map[string]RoleUse `json:"roles"`
+	Appends float64            `json:"log_appends_per_s"`
+}
+
+// DefaultSizes vary one dimension at a time from a common base.
+var DefaultSizes = []Size{
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 24, Shards: 1024, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 48, Shards: 1024, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 10, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 20, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
+	{Domains: 3, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
+	{Domains: 6, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 16384, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 65536, Contracts: 3},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 1000},
+	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 10000},
+}
+
+// MeasureCapacity starts a deployment of one size and measures what its entry
+// hosts use without load.
+func MeasureCapacity(ctx context.Context, size Size, bin Binaries, log hclog.Logger) (CapacityPoint, error) {
+	dir, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return CapacityPoint{}, &RunError{Op: "make a directory", Err: err}
+	}
+	defer os.RemoveAll(dir)
+	plan := sizedPlan(size)
+	c, err := StartCluster(ctx, ClusterConfig{Plan: plan, Policy: PolicyOwn, Binaries: bin, Dir: dir, Seed: 1, Logger: log})
+	if err != nil {
+		return CapacityPoint{}, err
+	}
+	defer c.Close()
+	b := newBalancer(c)
+	bctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go b.run(bctx)
+	for deadline := boottime.Now() + readyLimit; !b.allUp(); {
+		if boottime.Now() > deadline {
+			return CapacityPoint{}, &TimeoutError{What: "readiness of all entry hosts"}
+		}
+		if !sleepUntil(ctx, boottime.Now()+20*time.Millisecond) {
+			return CapacityPoint{}, ctx.Err()
+		}
+	}
+	sleepUntil(ctx, boottime.Now()+settleTime)
+	return c.measureRoles(ctx, size)
+}
+
+// sizedPlan returns a deployment with one keyed workload.
+func sizedPlan(size Size) *Plan {
+	w := contract.Workload{Name: "lookups", Keyed: true, Shards: size.Shards, Fencing: true}
+	p := &Plan{
+		Name: "capacity", Workloads: map[string]WorkloadPlan{}, Utilization: utilization,
+		Deployment: contract.Deployment{Name: "capacity", IsolatedServeMS: -1, Workloads: []contract.Workload{w}},
+	}
+	p.Workloads[w.Name] = WorkloadPlan{Workload: w, Role: RoleRead, ServiceMS: 10, Keys: 1000, Slots: 2}
+	for d := range size.Domains {
+		name := fmt.Sprintf("d%02d", d)
+		p.Deployment.Domains = append(p.Deployment.Domains, contract.Domain{Name: name})
+		for i := range size.TargetsPerDomain {
+			p.Deployment.Targets = append(p.Deployment.Targets, contract.Target{
+				Name: fmt.Sprintf("%s-t%03d", name, i), Workload: w.Name, Domain: name, Addr: "127.0.0.1:1", Slots: 2, Connections: 130,
+			})
+		}
+		for i := range size.HostsPerDomain {
+			p.Entries = append(p.Entries, EntryPlan{Name: fmt.Sprintf("%s-e%03d", name, i), Domain: name})
+		}
+	}
+	for i := range size.Contracts {
+		p.Deployment.Contracts = append(p.Deployment.Contracts, contract.Contract{
+			Customer: fmt.Sprintf("customer-%05d", i), CredentialHashes: []string{fmt.Sprintf("%064x", i)},
+			Workloads: []string{w.Name}, RatePerSecond: 100, Burst: 100, Concurrency: 10, Weight: 1,
+		})
+	}
+	return p
+}
+
+// hostSample is what one entry host had used at a time.
+type hostSample struct {
+	cpu                            time.Duration
+	memory                         int64
+	peer, platform, reads, appends float64
+	rank                           int
+}
+
+func (c *Cluster) measureRoles(ctx context.Context, size Size) (CapacityPoint, error) {
+	before, err := c.samples(ctx)
+	if err != nil {
+		return CapacityPoint{}, err
+	}
+	start := boottime.Now()
+	sleepUntil(ctx, start+capacityTime)
+	after, err := c.samples(ctx)
+	if err != nil {
+		return CapacityPoint{}, err
+	}
+	seconds := (boottime.Now() - start).Seconds()
+	point := CapacityPoint{Size: size, Roles: map[string]RoleUse{}}
+	for name, a := range after {
+		b := before[name]
+		role := [...]string{"plain", "leader", "granter", "granter"}[min(a.rank+1, 3)]
+		u := point.Roles[role]
+		u.Hosts++
+		u.CPUPercent += 100 * (a.cpu - b.cpu).Seconds() / seconds
+		u.MemoryMB += float64(a.memory) / (1 << 20)
+		u.PeerBytes += (a.peer - b.peer) / seconds
+		u.PlatformBytes += (a.platform - b.platform) / seconds
+		u.LogReads += (a.reads - b.reads) / seconds
+		point.Appends += (a.appends - b.appends) / seconds
+		point.Roles[role] = u
+	}
+	for role, u := range point.Roles {
+		n := float64(u.Hosts)
+		u.CPUPercent, u.MemoryMB, u.PeerBytes, u.PlatformBytes, u.LogReads = u.CPUPercent/n, u.MemoryMB/n, u.PeerBytes/n, u.PlatformBytes/n, u.LogReads/n
+		point.Roles[role] = u
+	}
+	return point, nil
+}
+
+func (c *Cluster) samples(ctx context.Context) (map[string]hostSample, error) {
+	out := map[string]hostSample{}
+	for name, n := range c.entries {
+		s, err := n.sample(ctx)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = s
+	}
+	return out, nil
+}
+
+// sample reads the metrics of an entry host.
+func (n *entryNode) sample(ctx context.Context) (hostSample, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.operator+"/debug/vars", nil)
+	if err != nil {
+		return hostSample{}, &RunError{Op: "read the metrics of " + n.Name, Err: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return hostSample{}, &RunError{Op: "read the metrics of " + n.Name, Err: err}
+	}
+	defer resp.Body.Close()
+	var v struct {
+		PeerIn      float64            `json:"peer_received_bytes"`
+		PeerOut     float64            `json:"peer_sent_bytes"`
+		PlatformIn  float64            `json:"platform_received_bytes"`
+		PlatformOut float64            `json:"platform_sent_bytes"`
+		Reads       float64            `json:"log_reads_count"`
+		Appends     map[string]float64 `json:"log_appends_count"`
+		Rank        map[string]int     `json:"granter_rank"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+		return hostSample{}, &RunError{Op: "decode the metrics of " + n.Name, Err: err}
+	}
+	s := hostSample{
+		cpu: n.proc.cpu(), memory: n.proc.memory(), peer: v.PeerIn + v.PeerOut,
+		platform: v.PlatformIn + v.PlatformOut, reads: v.Reads, rank: v.Rank[n.Name],
+	}
+	for kind, count := range v.Appends {
+		if kind != "failed" {
+			s.appends += count
+		}
+	}
+	return s, nil
+}
--- a/internal/control/fitness.go
+++ b/internal/control/fitness.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +22,9 @@
 	mu      sync.Mutex
 	tracker *membership.Tracker
 	replies map[string]platform.GrantReply
+
+	// changes counts the judgements that changed.
+	changes atomic.Uint64
 }
 
 func newFitness(cfg Config) *fitness {
@@ -38,6 +42,7 @@
 	for _, ch := range changes {
 		switch e := ch.(type) {
 		case membership.Judged:
+			f.changes.Add(1)
 			f.log.Info("state changed", "kind", e.Kind, "name", e.Name, "from", e.From, "to", e.To, "reason", e.Reason)
 		case membership.OwnSide:
 			f.log.Warn("fault on own side", "assumed", e.Assumed)
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -83,6 +83,8 @@
 	givenUp  map[string]bool
 	suspects map[string]bool
 	stopping bool
+	// failed says that no granter answered the last request.
+	failed bool
 }
 
 func newHomeTable(cfg Config) *homeTable {
@@ -209,6 +211,19 @@
 	return changed
 }
 
+// unanswered reports whether no granter answered the last request for homes.
+func (h *homeTable) unanswered() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+func (h *homeTable) setFailed(failed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = failed
+}
+
 func (h *homeTable) homeOf(target string) (view.Home, bool) {
 	for _, d := range h.domains {
 		if home, ok := d.Homes[target]; ok {
@@ -271,8 +286,10 @@
 		if c.homes.take(sent, req, rep) {
 			c.publish()
 		}
+		c.homes.setFailed(false)
 		return
 	}
+	c.homes.setFailed(true)
 }
 
 func (c *Control) callHome(ctx context.Context, st *journal.State, host string, req HomeRequest) (HomeReply, error) {
@@ -419,7 +436,7 @@
 	dc.mu.Lock()
 	defer dc.mu.Unlock()
 	if st.Config.Workloads[st.Config.Targets[target].Workload].Fencing {
-		if dc.core.Status(c.cfg.Now()).Authority == lease.AuthorityNone {
+		if !dc.core.MayRenewAny(c.cfg.Now()) {
 			return 0
 		}
 		return c.cfg.Timing.Permit.Milliseconds()
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"sync"
 	"time"
@@ -98,7 +99,10 @@
 			}
 			continue
 		}
-		c.helloGranters(ctx, st)
+		c.noteRank(st)
+		if c.isGranter(st) || c.homes.unanswered() {
+			c.helloGranters(ctx, st)
+		}
 		c.keepGranters(ctx, st, now)
 		if c.leads(st) && now-lastRemote > remoteInterval {
 			lastRemote = now
@@ -107,6 +111,15 @@
 	}
 }
 
+// noteRank publishes this host's place among the granters.
+func (c *Control) noteRank(st *journal.State) {
+	rank := new(expvar.Int)
+	rank.Set(int64(slices.IndexFunc(st.Granters[c.cfg.Self.Domain].Members, func(m journal.Member) bool {
+		return m.Host == c.cfg.Self.Name && m.Incarnation == c.cfg.Self.Incarnation
+	})))
+	granterRank.Set(c.cfg.Self.Name, rank)
+}
+
 func (c *Control) announce(ctx context.Context) {
 	if _, err := c.Append(ctx, journal.KindEntryHost, c.entryHost()); err != nil {
 		c.log.Warn("host not announced", "error", err)
@@ -123,7 +136,8 @@
 }
 
 // helloGranters calls the other granters of the domain side by side. A host
-// that is not a granter calls them too, to replace a list that is all silent.
+// that is not a granter calls them only when none of them answers its request
+// for homes, to replace a list that is all silent.
 func (c *Control) helloGranters(ctx context.Context, st *journal.State) {
 	g := st.Granters[c.cfg.Self.Domain]
 	var wg sync.WaitGroup
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -12,4 +12,7 @@
 	grantsTotal    = expvar.NewMap("grants_count")
 	eventsDropped  = expvar.NewMap("events_dropped_count")
 	snapshotsTotal = expvar.NewMap("snapshots_count")
+	// granterRank holds, by host, the place among the granters of its domain:
+	// 0 leads, -1 is none.
+	granterRank = expvar.NewMap("granter_rank")
 )
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -14,6 +14,9 @@
 const (
 	// maxMovesPerRecord keeps one record well below the size limits of logs.
 	maxMovesPerRecord = 2048
+	// planAtLeast is the longest time between two plans; otherwise one is made
+	// when the state or the judgement of a target has changed.
+	planAtLeast = time.Second
 	// firstPlanWait is how long the first assignment waits for the targets of
 	// all domains, so that the shards are spread over all of them at once.
 	firstPlanWait = 3 * time.Second
@@ -24,7 +27,12 @@
 
 // planner is the state of the planning duty.
 type planner struct {
-	since      time.Duration
+	since time.Duration
+	// last is when, seen the state and changes the count of judgements at
+	// which the last plan was made.
+	last       time.Duration
+	seen       *journal.State
+	changes    uint64
 	rebalanced map[string]time.Duration
 	loads      *loadTable
 }
@@ -48,8 +56,19 @@
 		if p.since == 0 {
 			p.since = c.cfg.Now()
 		}
-		c.plan(ctx, st, p)
+		if p.due(c.cfg.Now(), st, c.domains.fitness.changes.Load()) {
+			c.plan(ctx, st, p)
+		}
+	}
+}
+
+// due reports whether a plan is to be made, and notes that it is.
+func (p *planner) due(now time.Duration, st *journal.State, changes uint64) bool {
+	if st == p.seen && changes == p.changes && now-p.last < planAtLeast {
+		return false
 	}
+	p.last, p.seen, p.changes = now, st, changes
+	return true
 }
 
 // plan proposes what the state and the fitness of targets call for. The
@@ -61,8 +80,9 @@
 	in.Load, in.Hot = p.loads.plan()
 	plan := ownership.MakePlan(ownership.DefaultPlanConfig(), in)
 	coordinator := c.isFirstDomain(st)
+	mayStart := coordinator && c.allKnown(st, p)
 	for _, m := range plan.Moves {
-		m = c.ownPart(st, m, coordinator, p)
+		m = c.ownPart(st, m, coordinator, mayStart)
 		for _, part := range splitMove(m) {
 			if !c.appendPlan(ctx, journal.KindMove, part, "reason", m.Reason, "shards", len(part.Shards)) {
 				return
@@ -95,13 +115,14 @@
 	return true
 }
 
-// ownPart returns the entries of a move that this host proposes.
-func (c *Control) ownPart(st *journal.State, m journal.Move, coordinator bool, p *planner) journal.Move {
+// ownPart returns the entries of a move that this host proposes. mayStart says
+// that it may make the first assignment.
+func (c *Control) ownPart(st *journal.State, m journal.Move, coordinator, mayStart bool) journal.Move {
 	m.Shards = slices.DeleteFunc(slices.Clone(m.Shards), func(e ownership.MoveShard) bool {
 		s, _ := st.Table.Get(e.ID)
 		switch {
 		case s.Owner == "":
-			return !coordinator || !c.allKnown(st, p)
+			return !mayStart
 		case m.Reason == ownership.ReasonHot || m.Reason == ownership.ReasonRebalance:
 			return !coordinator
 		}
--- a/internal/httpplatform/client.go
+++ b/internal/httpplatform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -73,7 +74,13 @@
 	}}
 }
 
-// countedConn counts calls of Write, successful or not.
+// Bytes to and from the platform and, for control, targets.
+var (
+	sentBytes     = expvar.NewInt("platform_sent_bytes")
+	receivedBytes = expvar.NewInt("platform_received_bytes")
+)
+
+// countedConn counts calls of Write, successful or not, and bytes.
 type countedConn struct {
 	net.Conn
 	writes atomic.Int64
@@ -82,7 +89,16 @@
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	sentBytes.Add(int64(n))
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	receivedBytes.Add(int64(n))
+	return n, err
 }
 
 // sending watches the connections that one request is given.
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -29,6 +29,8 @@
 	// peers holds what is known of each incarnation of the other granters.
 	peers   map[memberKey]*peer
 	targets map[string]*target
+	// order holds the keys of targets, sorted.
+	order []string
 	// indexed is the last table change that targets were built from.
 	indexed int64
 	// told is the authority last reported by AuthorityChanged.
--- a/lease/status.go
+++ b/lease/status.go
@@ -28,6 +28,16 @@
 	return s
 }
 
+// MayRenewAny reports whether the authority lasts now, so that permits for
+// targets that check fences may be given.
+func (g *Granter) MayRenewAny(now time.Duration) bool {
+	if g.state == nil {
+		return false
+	}
+	a, _ := g.authority(now)
+	return a != AuthorityNone
+}
+
 // unaccounted reports whether a release still needs something of the granter.
 func (g *Granter) unaccounted(now time.Duration, t *target, k memberKey) bool {
 	for _, m := range g.others() {
--- a/lease/target.go
+++ b/lease/target.go
@@ -182,4 +182,11 @@
 	}
 }
 
-func (g *Granter) sortedTargets() []string { return slices.Sorted(maps.Keys(g.targets)) }
+// sortedTargets returns the names of the targets in order. Targets are added
+// and never removed, so their number tells whether the list is current.
+func (g *Granter) sortedTargets() []string {
+	if len(g.order) != len(g.targets) {
+		g.order = slices.Sorted(maps.Keys(g.targets))
+	}
+	return g.order
+}
