admission: test that a warming target is never sent more than it bears

Cause: the tests of the ramp checked the limit, not what reaches the target. What changed: a simulated target whose capacity grows with its work from 2 to 6 counts the requests above it. Measured: none at 0.5 and 1.5 times the capacity.

--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -212,6 +212,25 @@
 		So(l.Limit(), ShouldEqual, 6)
 		So(l.Stats(now).Cold, ShouldBeFalse)
 	})
+	Convey("a target that warms as configured is never sent more than it bears", t, func() {
+		for _, load := range []float64{0.5, 1.5} {
+			l := mustNew(limits, Start{})
+			done, over := time.Duration(0), 0
+			s := newSimulation(8, l, simCustomer{name: "a", rate: load * 600, weight: 1, deadline: 500 * ms})
+			s.service = func(r *rand.Rand, _ time.Duration, inFlight int) time.Duration {
+				bears := min(6, 2+int(4*float64(done)/float64(limits.Ramp)))
+				if inFlight > bears {
+					over++
+				}
+				d := time.Duration((0.5 + 0.5*r.ExpFloat64()) * float64(30*ms))
+				done += d / time.Duration(bears)
+				return d
+			}
+			s.run(10 * time.Second)
+			So(over, ShouldEqual, 0)
+			So(l.Limit(), ShouldEqual, 6)
+		}
+	})
 	Convey("one late answer after a freeze is not the work of a ramp", t, func() {
 		l := mustNew(limits, Start{})
 		run(l, 0, 2, constant(time.Minute))
