retry: smaller default minimum of the retry budget

Cause: 10 hosts with a minimum of 10 retries/s each were 100/s, 62% of the capacity of 8 targets with 2 slots and a service time of 100 ms (160/s). What changed: the defaults are 2/s for a host (1/s for a customer as before); at most 50 and 10 are saved up. Test changed: the test of the 10% rule now names the numbers it was written with; a new one holds the default minimum. Measured: a host without successes gets 20 to 23 retries in 10 s. Conclusion: the minimum is 20/s for 10 hosts, an eighth of that capacity.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -11,10 +11,13 @@
 	// the customer's budget, without unit. Default: 0.1.
 	Ratio float64
 	// HostMinimum and CustomerMinimum are the retries per second that are
-	// permitted without any success. Defaults: 10 and 1.
+	// permitted without any success. Defaults: 2 and 1. The minimum of all
+	// hosts together must stay small beside the capacity of the slowest
+	// workload: 10 hosts with 2 are 20/s, an eighth of 8 targets with 2 slots
+	// and a service time of 100 ms.
 	HostMinimum, CustomerMinimum float64
 	// HostMax and CustomerMax limit the retries that can be saved up.
-	// Defaults: 200 and 20.
+	// Defaults: 50 and 10.
 	HostMax, CustomerMax float64
 	// MaxCustomers limits the customers that are remembered; idle ones are
 	// forgotten first. Default: 4096.
@@ -50,10 +53,10 @@
 		}
 	}
 	set(&cfg.Ratio, 0.1)
-	set(&cfg.HostMinimum, 10)
+	set(&cfg.HostMinimum, 2)
 	set(&cfg.CustomerMinimum, 1)
-	set(&cfg.HostMax, 200)
-	set(&cfg.CustomerMax, 20)
+	set(&cfg.HostMax, 50)
+	set(&cfg.CustomerMax, 10)
 	if cfg.MaxCustomers <= 0 {
 		cfg.MaxCustomers = 4096
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -84,7 +84,7 @@
 // Unlimited retries multiply the load of a target in trouble.
 func TestBudget(t *testing.T) {
 	Convey("retries are at most 10% of successes and a minimum, for each customer", t, func() {
-		b := NewBudget(BudgetConfig{}, 0)
+		b := NewBudget(BudgetConfig{HostMinimum: 10, CustomerMax: 20}, 0)
 		take := func(now time.Duration, customer string) (n int) {
 			for b.Take(now, customer) {
 				n++
@@ -105,6 +105,15 @@
 		So(b.Take(time.Second, "new"), ShouldBeFalse)
 		So(b.Take(2*time.Second, "new"), ShouldBeTrue)
 	})
+	Convey("the default minimum of 10 hosts is small beside the slowest workload", t, func() {
+		b, n := NewBudget(BudgetConfig{}, 0), 0
+		for ms := range 10_000 {
+			if b.Take(time.Duration(ms)*time.Millisecond, string(rune('a'+ms%20))) {
+				n++
+			}
+		}
+		So(n, ShouldBeBetween, 20, 23)
+	})
 	Convey("the number of customers remembered is bounded", t, func() {
 		b := NewBudget(BudgetConfig{MaxCustomers: 10}, 0)
 		for i := range 1000 {
