--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -367,12 +368,26 @@
 	lastPort  = 32000
 )
 
-// freePorts returns addresses on the loopback interface that are free now.
+// givenPorts holds the addresses that were given out, since a process binds its
+// own only some time later.
+var givenPorts = struct {
+	sync.Mutex
+	addrs map[string]bool
+}{addrs: map[string]bool{}}
+
+// freePorts returns addresses on the loopback interface that are free now and
+// were not given out before.
 func freePorts(n int) ([]string, error) {
+	givenPorts.Lock()
+	defer givenPorts.Unlock()
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
 		ln, err := net.Listen("tcp", addr)
+		if err == nil && givenPorts.addrs[addr] {
+			_ = ln.Close()
+			continue
+		}
 		if err != nil {
 			if tries > 1000 {
 				return nil, &RunError{Op: "find a free port", Err: err}
@@ -380,6 +395,7 @@
 			continue
 		}
 		defer ln.Close()
+		givenPorts.addrs[addr] = true
 		out = append(out, addr)
 	}
 	return out, nil
--- a/internal/bench/plan.go
+++ b/internal/bench/plan.go
@@ -153,13 +153,15 @@
 	}
 }
 
+// addCustomers scales the rates of the contracts. Their concurrency stays: at a
+// small scale one target holds a large part of the requests, so that a scaled
+// limit would turn the loss of a target into refusals by contract.
 func (p *Plan) addCustomers(scale float64) {
 	shares := []float64{0.5, 0.35, 0.15}
 	for i := range p.Deployment.Contracts {
 		c := &p.Deployment.Contracts[i]
 		c.RatePerSecond *= scale
 		c.Burst = max(20, c.Burst*scale)
-		c.Concurrency = max(30, int(float64(c.Concurrency)*scale))
 		p.Customers = append(p.Customers, CustomerPlan{Contract: *c, Token: examples.TokenPrefix + c.Customer, Share: shares[min(i, len(shares)-1)]})
 	}
 	sum := sha256.Sum256([]byte(probeToken))
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -46,10 +46,10 @@
 	// name.
 	Custom   Scenario
 	Seed     uint64
-	Duration   time.Duration
-	Scale      float64
-	Break      string
-	Binaries   Binaries
+	Duration time.Duration
+	Scale    float64
+	Break    string
+	Binaries Binaries
 	// KeepDir keeps logs and records there; empty means a temporary directory
 	// that is removed.
 	KeepDir string
