Balance by decayed counts and stop splitting and merging the same key

The shard of a key that was just split had no counts, so the key looked cold; each split and merge changes epochs, so requests were refused with not_owner meanwhile. Balancing also began after a dozen requests. Ruled out: the sketch (its keys were the right ones). Change: counts decay with a half-life of 5 s; the load of a split key is its own count, whichever shard it was counted under; loads are used from 200 requests a target on; a split lasts at least 30 s.

--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +18,17 @@
 	// loadInterval is the interval at which homes report the load of their
 	// shards. The hottest keys change within minutes, so seconds suffice.
 	loadInterval = 2 * time.Second
-	// loadLife is how long a report counts.
-	loadLife = 3 * loadInterval
+	// loadHalfLife is the time in which a count loses half its weight.
+	loadHalfLife = 5 * time.Second
+	// leastCount is the decayed count below which a shard or key is forgotten.
+	leastCount = 0.5
+	// leastSample is the decayed number of requests per target from which on
+	// loads are believed: the random error of a target's load is then 7 %,
+	// below the imbalance of 10 % that starts a move.
+	leastSample = 200
+	// leastSplitAge is how long a split key keeps its shard, so that a key near
+	// the limit is not split and merged in turn.
+	leastSplitAge = 30 * time.Second
 	// topKeys is the number of keys of a workload in one report.
 	topKeys = 32
 	// topKeysMerged is the number of keys that a leader passes on.
@@ -29,76 +40,132 @@
 type LoadReport struct {
 	// From is the host, or "domain/NAME".
 	From string `json:"from"`
-	// PeriodMS is the time over which requests were counted, in milliseconds.
-	PeriodMS int64          `json:"period_ms"`
-	Counts   hotkeys.Report `json:"counts"`
+	// Counts are the requests since the last report.
+	Counts hotkeys.Report `json:"counts"`
 }
 
-// loadTable holds the reports that the planner balances by.
+// loadTable holds the measured load that the planner balances by: counts of
+// requests that decay with time, so that they are both a rate and the size of
+// the sample behind it.
 type loadTable struct {
 	now     func() time.Duration
 	counter *hotkeys.Counter
 
 	mu      sync.Mutex
-	reports map[string]timedReport
+	at      time.Duration
+	shards  map[ownership.ID]float64
+	keys    map[loadKey]float64
+	pending hotkeys.Report
 }
 
-type timedReport struct {
-	LoadReport
-	at time.Duration
-}
+// loadKey names a key of a workload.
+type loadKey struct{ workload, key string }
 
 func newLoadTable(now func() time.Duration) *loadTable {
-	return &loadTable{now: now, counter: hotkeys.New(hotkeys.Config{}), reports: map[string]timedReport{}}
+	return &loadTable{
+		now: now, counter: hotkeys.New(hotkeys.Config{}),
+		shards: map[ownership.ID]float64{}, keys: map[loadKey]float64{},
+	}
 }
 
-func (l *loadTable) take(r LoadReport) {
+// take adds the counts of a report.
+func (l *loadTable) take(r hotkeys.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reports[r.From] = timedReport{r, l.now()}
+	l.decay()
+	for _, s := range r.Shards {
+		l.shards[s.ID] += float64(s.Count)
+	}
+	for _, k := range r.Keys {
+		l.keys[loadKey{k.Workload, k.Key}] += float64(k.Count - k.Error)
+	}
+	l.pending.Shards = append(l.pending.Shards, r.Shards...)
+	l.pending.Keys = append(l.pending.Keys, r.Keys...)
 }
 
-// plan returns the loads, in requests a second, in the form that the planner
-// takes.
-func (l *loadTable) plan() (map[ownership.ID]float64, []ownership.KeyLoad) {
+// decay lets the counts fade; l.mu is held.
+func (l *loadTable) decay() {
+	now := l.now()
+	factor := math.Exp2(-float64(now-l.at) / float64(loadHalfLife))
+	l.at = now
+	fade(l.shards, factor)
+	fade(l.keys, factor)
+}
+
+// fade multiplies counts and forgets those that no longer matter.
+func fade[K comparable](m map[K]float64, factor float64) {
+	for k, v := range m {
+		if v *= factor; v < leastCount {
+			delete(m, k)
+		} else {
+			m[k] = v
+		}
+	}
+}
+
+// takePending returns what has been taken since the last call, summed up, for
+// the coordinator.
+func (l *loadTable) takePending() hotkeys.Report {
+	l.mu.Lock()
+	p := l.pending
+	l.pending = hotkeys.Report{}
+	l.mu.Unlock()
+	shards := map[ownership.ID]uint64{}
+	for _, s := range p.Shards {
+		shards[s.ID] += s.Count
+	}
+	var out hotkeys.Report
+	for id, n := range shards {
+		out.Shards = append(out.Shards, hotkeys.ShardCount{ID: id, Count: n})
+	}
+	// A key has one home, so each report of it is for other requests.
+	slices.SortFunc(p.Keys, func(a, b hotkeys.KeyCount) int { return cmp.Compare(b.Count, a.Count) })
+	out.Keys = p.Keys[:min(len(p.Keys), topKeysMerged)]
+	return out
+}
+
+// loads are the figures for one plan.
+type loads struct {
+	shards map[ownership.ID]float64
+	hot    []ownership.KeyLoad
+	// total is the size of the sample of each workload.
+	total map[string]float64
+}
+
+// plan returns the present loads. The requests for a split key are counted
+// partly under its parent's shard while the views of the homes differ, and the
+// decayed counts remember the time before the split; so the two shards are
+// taken together and divided by the count of the key itself.
+func (l *loadTable) plan(t *ownership.Table) loads {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	shards := map[ownership.ID]float64{}
-	keys := map[[2]string]float64{}
-	for from, r := range l.reports {
-		if l.now()-r.at > loadLife {
-			delete(l.reports, from)
-			continue
-		}
-		perSecond := 1000 / float64(max(r.PeriodMS, 1))
-		for _, s := range r.Counts.Shards {
-			shards[s.ID] += float64(s.Count) * perSecond
-		}
-		for _, k := range r.Counts.Keys {
-			keys[[2]string{k.Workload, k.Key}] += float64(k.Count-k.Error) * perSecond
-		}
+	l.decay()
+	out := loads{shards: maps.Clone(l.shards), total: map[string]float64{}}
+	for id, n := range l.shards {
+		out.total[id.Workload] += n
+	}
+	for k, n := range l.keys {
+		out.hot = append(out.hot, ownership.KeyLoad{Workload: k.workload, Key: k.key, Load: n})
 	}
-	hot := make([]ownership.KeyLoad, 0, len(keys))
-	for k, load := range keys {
-		hot = append(hot, ownership.KeyLoad{Workload: k[0], Key: k[1], Load: load})
+	for name, w := range t.Workloads {
+		for key, n := range w.Hot {
+			own, parent := ownership.ID{Workload: name, Shard: n}, ownership.ID{Workload: name, Shard: w.HashShard(key)}
+			both := out.shards[own] + out.shards[parent]
+			out.shards[own] = min(l.keys[loadKey{name, key}], both)
+			out.shards[parent] = both - out.shards[own]
+		}
 	}
-	slices.SortFunc(hot, func(a, b ownership.KeyLoad) int {
+	slices.SortFunc(out.hot, func(a, b ownership.KeyLoad) int {
 		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Key, b.Key))
 	})
-	return shards, hot
+	return out
 }
 
-// merged returns all reports as one with the counts of one second.
-func (l *loadTable) merged(from string) LoadReport {
-	shards, hot := l.plan()
-	r := LoadReport{From: from, PeriodMS: 1000}
-	for id, load := range shards {
-		r.Counts.Shards = append(r.Counts.Shards, hotkeys.ShardCount{ID: id, Count: uint64(load)})
-	}
-	for _, k := range hot[:min(len(hot), topKeysMerged)] {
-		r.Counts.Keys = append(r.Counts.Keys, hotkeys.KeyCount{Workload: k.Workload, Key: k.Key, Count: uint64(k.Load)})
-	}
-	return r
+// known reports whether the sample of a workload suffices to balance it by.
+// Without any load the numbers of shards are balanced, which needs no sample.
+func (l loads) known(workload string, targets int) bool {
+	n := l.total[workload]
+	return n == 0 || n >= leastSample*float64(targets)
 }
 
 // Observe counts a request that this host handles as the home of its target.
@@ -112,16 +179,13 @@
 func (c *Control) serveLoads(ctx context.Context) error {
 	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
-	last := c.cfg.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 		}
-		now := c.cfg.Now()
-		own := LoadReport{From: c.cfg.Self.Name, PeriodMS: (now - last).Milliseconds(), Counts: c.loads.counter.Take(topKeys)}
-		last = now
+		own := LoadReport{From: c.cfg.Self.Name, Counts: c.loads.counter.Take(topKeys)}
 		st := c.state()
 		if st == nil || st.Config == nil {
 			continue
@@ -130,9 +194,10 @@
 			c.sendLoad(ctx, st, c.cfg.Self.Domain, own)
 			continue
 		}
-		c.loads.take(own)
+		c.loads.take(own.Counts)
+		sum := c.loads.takePending()
 		if first := c.coordinatorDomain(st); first != "" && first != c.cfg.Self.Domain {
-			c.sendLoad(ctx, st, first, c.loads.merged("domain/"+c.cfg.Self.Domain))
+			c.sendLoad(ctx, st, first, LoadReport{From: "domain/" + c.cfg.Self.Domain, Counts: sum})
 		}
 	}
 }
@@ -152,6 +217,6 @@
 }
 
 func (c *Control) hotReport(_ context.Context, r LoadReport) (struct{}, error) {
-	c.loads.take(r)
+	c.loads.take(r.Counts)
 	return struct{}{}, nil
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -34,6 +34,7 @@
 	seen       *journal.State
 	changes    uint64
 	rebalanced map[string]time.Duration
+	splitAt    map[loadKey]time.Duration
 	loads      *loadTable
 }
 
@@ -77,11 +78,15 @@
 // proposers at once are harmless, since a move names the epoch it replaces.
 func (c *Control) plan(ctx context.Context, st *journal.State, p *planner) {
 	in := ownership.PlanInput{Table: st.Table, Targets: c.planTargets(st), Now: c.cfg.Now(), Rebalanced: p.rebalanced}
-	in.Load, in.Hot = p.loads.plan()
+	known := p.loads.plan(st.Table)
+	in.Load, in.Hot = known.shards, known.hot
 	plan := ownership.MakePlan(ownership.DefaultPlanConfig(), in)
 	coordinator := c.isFirstDomain(st)
 	mayStart := coordinator && c.allKnown(st, p)
 	for _, m := range plan.Moves {
+		if len(m.Shards) == 0 || !p.mayBalance(st, known, m.Reason, m.Shards[0].Workload) {
+			continue
+		}
 		m = c.ownPart(st, m, coordinator, mayStart)
 		for _, part := range splitMove(m) {
 			if !c.appendPlan(ctx, journal.KindMove, part, "reason", m.Reason, "shards", len(part.Shards)) {
@@ -97,14 +102,51 @@
 	if !coordinator {
 		return
 	}
+	p.noteSplits(st, in.Now)
 	for _, s := range plan.Splits {
+		if !p.mayBalance(st, known, ownership.ReasonHot, s.Workload) {
+			continue
+		}
 		c.appendPlan(ctx, journal.KindSplit, s, "workload", s.Workload)
 	}
 	for _, m := range plan.Merges {
+		if in.Now-p.splitAt[loadKey{m.Workload, m.Key}] < leastSplitAge || !p.mayBalance(st, known, ownership.ReasonHot, m.Workload) {
+			continue
+		}
 		c.appendPlan(ctx, journal.KindMerge, m, "workload", m.Workload)
 	}
 }
 
+// mayBalance reports whether moves for a reason may be made: those that
+// balance need a sample of the load.
+func (p *planner) mayBalance(st *journal.State, known loads, reason ownership.Reason, workload string) bool {
+	if reason != ownership.ReasonHot && reason != ownership.ReasonRebalance {
+		return true
+	}
+	targets := 0
+	for _, t := range st.Config.Targets {
+		if t.Workload == workload {
+			targets++
+		}
+	}
+	return known.known(workload, targets)
+}
+
+// noteSplits remembers when each split key was first seen.
+func (p *planner) noteSplits(st *journal.State, now time.Duration) {
+	seen := map[loadKey]time.Duration{}
+	for name, w := range st.Table.Workloads {
+		for key := range w.Hot {
+			k := loadKey{name, key}
+			seen[k] = now
+			if at, ok := p.splitAt[k]; ok {
+				seen[k] = at
+			}
+		}
+	}
+	p.splitAt = seen
+}
+
 func (c *Control) appendPlan(ctx context.Context, kind journal.Kind, body any, fields ...any) bool {
 	res, err := c.Append(ctx, kind, body)
 	if err != nil {
