--- a/lease/config.go
+++ b/lease/config.go
@@ -19,6 +19,10 @@
 	// FollowAfter is how long a target must have gone without renewal before a
 	// granter other than the first one renews it. Default 400 ms.
 	FollowAfter time.Duration
+	// ProbeEvery is the time between the grants without a nonce by which a
+	// granter that does not renew a target learns its incarnation, so that it
+	// need not wait for a log read when it takes over. Default 2 s.
+	ProbeEvery time.Duration
 	// RetryAfter is the time between a failed renewal and the next. Default 50 ms.
 	RetryAfter time.Duration
 	// AnswerWithin is when an unanswered grant no longer holds back the next
@@ -30,7 +34,8 @@
 	// AskEvery is the time between repeats of a request to a peer. Default 100 ms.
 	AskEvery time.Duration
 	// ReleaseStep delays the released records of the granters after the first
-	// one, per rank, to avoid duplicates. Default 100 ms.
+	// one, per rank, to avoid duplicates. It adds to the unavailable time when
+	// the first one is lost as well. Default 30 ms.
 	ReleaseStep time.Duration
 	// ReleaseRetry is when a released record that has not shown up in the
 	// state is offered again. Default 1 s.
@@ -48,9 +53,9 @@
 	return Config{
 		Lease: 800 * time.Millisecond, Authority: 500 * time.Millisecond, RateBound: 0.001,
 		RenewEvery: 200 * time.Millisecond, FollowAfter: 400 * time.Millisecond,
-		RetryAfter: 50 * time.Millisecond, AnswerWithin: 200 * time.Millisecond,
+		ProbeEvery: 2 * time.Second, RetryAfter: 50 * time.Millisecond, AnswerWithin: 200 * time.Millisecond,
 		ConsentAfter: 250 * time.Millisecond, AskEvery: 100 * time.Millisecond,
-		ReleaseStep: 100 * time.Millisecond, ReleaseRetry: time.Second,
+		ReleaseStep: 30 * time.Millisecond, ReleaseRetry: time.Second,
 		PermitFor: 1500 * time.Millisecond, TickEvery: 20 * time.Millisecond,
 	}
 }
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -20,8 +20,10 @@
 	known bool
 	// stale is the version that the incarnation holds from another granter.
 	stale uint64
-	// seq and sentAt belong to the grant in flight; seq is 0 when there is none.
+	// seq belongs to the grant in flight, 0 when there is none; sentAt and
+	// version to the last one that was sent.
 	seq     uint64
+	sent    bool
 	sentAt  time.Duration
 	version uint64
 	// listed and nonced say what that grant carried.
@@ -50,16 +52,24 @@
 // due reports whether a grant should be sent to the target now.
 func (g *Granter) due(now time.Duration, t *target) bool {
 	r := &t.renewal
-	if !t.fencing || now < r.nextAt || !g.mayGrant(t) {
+	if !t.fencing || !g.mayGrant(t) || (r.seq != 0 && now < r.sentAt+g.cfg.AnswerWithin) {
 		return false
 	}
-	if r.seq != 0 && now < r.sentAt+g.cfg.AnswerWithin {
-		return false
+	if g.follows(now, t) {
+		return !r.sent || now >= r.sentAt+g.cfg.ProbeEvery
 	}
 	if r.nonce != "" && now-r.nonceAt < g.cfg.Authority && !g.mayUseNonce(t) {
 		return false
 	}
-	return g.rank == 0 || now >= t.otherAt+g.followAfter()
+	// A change of the list does not wait for the schedule.
+	changed := r.known && r.holds != t.version && r.version != t.version
+	return changed || now >= r.nextAt
+}
+
+// follows reports whether the renewal of the target is left to a granter of
+// higher rank.
+func (g *Granter) follows(now time.Duration, t *target) bool {
+	return g.rank > 0 && now < t.otherAt+g.followAfter()
 }
 
 // followAfter grows with the rank, so that the granters after the first one do
@@ -95,8 +105,9 @@
 	g.seq++
 	msg := platform.Grant{Granter: g.self.Host, LeaseMS: g.cfg.Lease.Milliseconds(), Version: t.version}
 	r.seq, r.sentAt, r.version, r.listed, r.nonced = g.seq, now, t.version, false, false
-	r.nextAt = now + g.cfg.RenewEvery
-	if r.nonce != "" && now-r.nonceAt < g.cfg.Lease && g.mayUseNonce(t) {
+	r.sent, r.nextAt = true, now+g.cfg.RenewEvery
+	// An old nonce would give a short lease; a new one costs one exchange.
+	if r.nonce != "" && now-r.nonceAt < g.cfg.Lease/2 && !g.follows(now, t) && g.mayUseNonce(t) {
 		msg.Nonce, r.nonced = r.nonce, true
 		r.bound = max(r.bound, r.nonceAt+g.cfg.stretch(g.cfg.Lease))
 		if !r.known || r.holds != t.version {
