Keep shards at targets of which nothing is known yet

Cause: a planning host that has just started has not heard from its targets. MakePlan took a target that is neither fit nor lost as leaving, and would have moved its shards away. What: PlanTarget.Unknown; such a target keeps what it holds and receives nothing. Plans resolve the owner of each shard once. Conclusion: callers have to set Unknown.

--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -54,9 +54,9 @@
 // heldByWeight returns the active shards of each target, heaviest first.
 func (w *workloadPlan) heldByWeight() map[string][]int {
 	held := map[string][]int{}
-	for n, s := range w.table.Shards {
-		if s.Active() {
-			held[s.Owner] = append(held[s.Owner], n)
+	for n, t := range w.owners {
+		if t != nil && w.table.Shards[n].Active() {
+			held[t.Name] = append(held[t.Name], n)
 		}
 	}
 	for _, shards := range held {
@@ -150,7 +150,7 @@
 	}
 	slices.SortStableFunc(shards, func(a, b int) int { return cmp.Compare(w.weights[b], w.weights[a]) })
 	for _, n := range shards {
-		from := w.targets[w.table.Shards[n].Owner]
+		from := w.owners[n]
 		if len(m.Shards) == w.cfg.HotMoves || from == nil || from.relative <= w.cfg.Imbalance*w.mean() {
 			continue
 		}
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -62,6 +62,10 @@
 	Ready bool
 	// Lost says that its shards are to be taken away without its word.
 	Lost bool
+	// Unknown says that nothing has been heard of the target yet, for example
+	// because the planning host has just started: it keeps what it holds. A
+	// target that is neither Fit, Lost nor Unknown leaves.
+	Unknown bool
 }
 
 // KeyLoad is the measured load of one key.
@@ -132,8 +136,10 @@
 	targets map[string]*planTarget
 	// fit are the targets that may own shards, in order of name.
 	fit []*planTarget
-	// weights holds the load of each shard.
+	// weights holds the load of each shard, owners its owner, nil when it has
+	// none or an unknown one.
 	weights []float64
+	owners  []*planTarget
 	// capacity is that of all fit targets, total the load of all shards.
 	capacity, total float64
 	// waiting counts the shards that wait for a release.
@@ -172,8 +178,10 @@
 	}
 	slices.SortFunc(w.fit, func(a, b *planTarget) int { return cmp.Compare(a.Name, b.Name) })
 	w.weigh()
+	w.owners = make([]*planTarget, len(w.table.Shards))
 	for n, s := range w.table.Shards {
 		if t := w.targets[s.Owner]; t != nil {
+			w.owners[n] = t
 			t.add(w.weights[n])
 			if s.Waiting != 0 {
 				t.inbound++
@@ -193,9 +201,14 @@
 func (w *workloadPlan) weigh() {
 	w.weights = make([]float64, len(w.table.Shards))
 	sum := 0.0
-	for n := range w.weights {
-		w.weights[n] = max(w.in.Load[w.id(n)], 0)
-		sum += w.weights[n]
+	for id, load := range w.in.Load {
+		if id.Workload == w.name && id.Shard >= 0 && int(id.Shard) < len(w.weights) && load > 0 {
+			w.weights[id.Shard] = load
+		}
+	}
+	// Summed in order, since the sum of floats depends on it.
+	for _, load := range w.weights {
+		sum += load
 	}
 	base := 1.0
 	if sum > 0 {
@@ -219,9 +232,10 @@
 func (w *workloadPlan) assign(m *Move, n int, to *planTarget) {
 	s := w.table.Shards[n]
 	m.Shards = append(m.Shards, MoveShard{ID: w.id(n), FromEpoch: s.Epoch, To: to.Name})
-	if from := w.targets[s.Owner]; from != nil {
+	if from := w.owners[n]; from != nil {
 		from.add(-w.weights[n])
 	}
+	w.owners[n] = to
 	to.add(w.weights[n])
 	w.moved = true
 }
@@ -270,16 +284,13 @@
 	return m
 }
 
-func (w *workloadPlan) isLost(name string) bool {
-	t := w.targets[name]
-	return t != nil && t.Lost
-}
+func (t *planTarget) isLost() bool { return t != nil && t.Lost }
 
 func (w *workloadPlan) lost() Move {
 	m := Move{Reason: ReasonLost}
 	for n, s := range w.table.Shards {
-		if s.Active() && w.isLost(s.Owner) {
-			w.assign(&m, n, w.replace(n, w.targets[s.Owner].Domain))
+		if from := w.owners[n]; from.isLost() && s.Active() {
+			w.assign(&m, n, w.replace(n, from.Domain))
 		}
 	}
 	return m
@@ -290,7 +301,7 @@
 func (w *workloadPlan) escalated() Move {
 	m := Move{Reason: ReasonLost}
 	for n, s := range w.table.Shards {
-		if s.Waiting != 0 && !s.Lost && w.isLost(s.Previous) && !w.isLost(s.Owner) {
+		if s.Waiting != 0 && !s.Lost && w.targets[s.Previous].isLost() && !w.owners[n].isLost() {
 			m.Shards = append(m.Shards, MoveShard{ID: w.id(n), FromEpoch: s.Epoch, To: s.Owner})
 			w.moved = true
 		}
@@ -303,8 +314,8 @@
 func (w *workloadPlan) orphaned() Move {
 	m := Move{Reason: ReasonLeaving}
 	for n, s := range w.table.Shards {
-		if s.Waiting != 0 && w.isLost(s.Owner) {
-			w.assign(&m, n, w.replace(n, w.targets[s.Owner].Domain))
+		if from := w.owners[n]; s.Waiting != 0 && from.isLost() {
+			w.assign(&m, n, w.replace(n, from.Domain))
 		}
 	}
 	return m
@@ -321,12 +332,11 @@
 	return t.Ready && t.inbound < w.cfg.ReceiverBatches*w.batch()
 }
 
-// leaving moves shards away from targets that are neither fit nor lost.
+// leaving moves shards away from targets that leave.
 func (w *workloadPlan) leaving() Move {
 	m := Move{Reason: ReasonLeaving}
-	for n, s := range w.table.Shards {
-		from := w.targets[s.Owner]
-		if s.Owner == "" || (from != nil && (from.Fit || from.Lost)) {
+	for n, from := range w.owners {
+		if from == nil || from.Fit || from.Lost || from.Unknown {
 			continue
 		}
 		to := w.receiver(n, from)
@@ -342,11 +352,9 @@
 // receiver returns the target that gets a shard in a planned move, of the same
 // domain while that is not overloaded, or nil when all have enough to do.
 func (w *workloadPlan) receiver(n int, from *planTarget) *planTarget {
-	if from != nil {
-		near := w.least(func(t *planTarget) bool { return w.receives(t) && t.Domain == from.Domain })
-		if near != nil && w.fits(near, n, w.cfg.Imbalance) {
-			return near
-		}
+	near := w.least(func(t *planTarget) bool { return w.receives(t) && t.Domain == from.Domain })
+	if near != nil && w.fits(near, n, w.cfg.Imbalance) {
+		return near
 	}
 	return w.least(w.receives)
 }
--- a/ownership/plan_test.go
+++ b/ownership/plan_test.go
@@ -203,6 +203,16 @@
 		for _, id := range tab.Held("t0000") {
 			in.Load[id] = 1
 		}
+		Convey("a target of which nothing is known yet keeps its shards and gets none", func() {
+			targets[0].Fit, targets[0].Unknown = false, true
+			for _, m := range MakePlan(cfg, in).Moves {
+				for _, s := range m.Shards {
+					sh, _ := tab.Get(s.ID)
+					So(sh.Owner, ShouldNotEqual, "t0000")
+					So(s.To, ShouldNotEqual, "t0000")
+				}
+			}
+		})
 		Convey("balancing waits for the interval and for moves to complete", func() {
 			in.Rebalanced, in.Now = map[string]time.Duration{"w": 5 * time.Second}, 14*time.Second
 			So(MakePlan(cfg, in).Moves, ShouldBeEmpty)
