--- a/lease/authority.go
+++ b/lease/authority.go
@@ -154,6 +154,9 @@
 
 // forgetBack drops the granters that have left the list.
 func (g *Granter) forgetBack() {
+	if len(g.consent.back) == 0 {
+		return
+	}
 	maps.DeleteFunc(g.consent.back, func(k memberKey, _ journal.Member) bool {
 		return g.peers[k] == nil || g.peers[k].dead || !slices.ContainsFunc(g.others(), func(m journal.Member) bool { return keyOf(m) == k })
 	})
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -29,6 +29,9 @@
 	// peers holds what is known of each incarnation of the other granters.
 	peers   map[memberKey]*peer
 	targets map[string]*target
+	// order holds the targets by name, waiting those with shards that wait for
+	// release, so that a step with nothing to do costs little.
+	order, waiting []*target
 	// indexed is the last table change that targets were built from.
 	indexed int64
 	// told is the authority last reported by AuthorityChanged.
--- a/lease/release.go
+++ b/lease/release.go
@@ -19,15 +19,11 @@
 const never = time.Duration(math.MaxInt64)
 
 func (g *Granter) releaseActions(now time.Duration, out []Action) []Action {
-	for _, name := range g.sortedTargets() {
-		t := g.targets[name]
-		if len(t.waiting) == 0 {
-			continue
-		}
+	for _, t := range g.waiting {
 		out = g.askToStop(now, t, out)
 		for _, proof := range []ownership.Proof{ownership.ProofLost, ownership.ProofLapse, ownership.ProofAck} {
 			if body := g.provable(now, t, proof); len(body) > 0 {
-				out = append(out, AppendReleased{Target: name, Body: ownership.Released{Shards: body, Proof: proof}})
+				out = append(out, AppendReleased{Target: t.name, Body: ownership.Released{Shards: body, Proof: proof}})
 			}
 		}
 	}
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -40,8 +40,7 @@
 	if a, _ := g.authority(now); a == AuthorityNone {
 		return out
 	}
-	for _, name := range g.sortedTargets() {
-		t := g.targets[name]
+	for _, t := range g.order {
 		if g.due(now, t) {
 			out = append(out, g.grant(now, t))
 		}
--- a/lease/status.go
+++ b/lease/status.go
@@ -9,14 +9,13 @@
 		return s
 	}
 	s.Authority, s.Until = g.authority(now)
-	for _, name := range g.sortedTargets() {
-		t := g.targets[name]
+	for _, t := range g.waiting {
 		if t.lost {
-			s.Lapsing = append(s.Lapsing, name)
+			s.Lapsing = append(s.Lapsing, t.name)
 		}
 		for _, m := range g.others() {
-			if len(t.waiting) > 0 && g.unaccounted(now, t, keyOf(m)) {
-				s.Unaccounted[name] = append(s.Unaccounted[name], m.Host)
+			if g.unaccounted(now, t, keyOf(m)) {
+				s.Unaccounted[t.name] = append(s.Unaccounted[t.name], m.Host)
 			}
 		}
 	}
--- a/lease/target.go
+++ b/lease/target.go
@@ -119,10 +119,16 @@
 			}
 		}
 	}
-	for _, t := range g.targets {
+	g.order, g.waiting = g.order[:0], g.waiting[:0]
+	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
+		t := g.targets[name]
 		g.setHotKeys(t)
 		t.setLost()
 		t.forget()
+		g.order = append(g.order, t)
+		if len(t.waiting) > 0 {
+			g.waiting = append(g.waiting, t)
+		}
 	}
 }
 
@@ -181,5 +187,3 @@
 		}
 	}
 }
-
-func (g *Granter) sortedTargets() []string { return slices.Sorted(maps.Keys(g.targets)) }
