--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -14,6 +14,9 @@
 const (
 	// maxMovesPerRecord keeps one record well below the size limits of logs.
 	maxMovesPerRecord = 2048
+	// planAtLeast is the longest time between two plans; otherwise one is made
+	// when the state or the judgement of a target has changed.
+	planAtLeast = time.Second
 	// firstPlanWait is how long the first assignment waits for the targets of
 	// all domains, so that the shards are spread over all of them at once.
 	firstPlanWait = 3 * time.Second
@@ -24,8 +27,14 @@
 
 // planner is the state of the planning duty.
 type planner struct {
-	since      time.Duration
+	since time.Duration
+	// last is when, seen the state and changes the count of judgements at
+	// which the last plan was made.
+	last       time.Duration
+	seen       *journal.State
+	changes    uint64
 	rebalanced map[string]time.Duration
+	splitAt    map[loadKey]time.Duration
 	loads      *loadTable
 }
 
@@ -48,8 +57,19 @@
 		if p.since == 0 {
 			p.since = c.cfg.Now()
 		}
-		c.plan(ctx, st, p)
+		if p.due(c.cfg.Now(), st, c.domains.fitness.changes.Load()) {
+			c.plan(ctx, st, p)
+		}
+	}
+}
+
+// due reports whether a plan is to be made, and notes that it is.
+func (p *planner) due(now time.Duration, st *journal.State, changes uint64) bool {
+	if st == p.seen && changes == p.changes && now-p.last < planAtLeast {
+		return false
 	}
+	p.last, p.seen, p.changes = now, st, changes
+	return true
 }
 
 // plan proposes what the state and the fitness of targets call for. The
@@ -58,11 +78,16 @@
 // proposers at once are harmless, since a move names the epoch it replaces.
 func (c *Control) plan(ctx context.Context, st *journal.State, p *planner) {
 	in := ownership.PlanInput{Table: st.Table, Targets: c.planTargets(st), Now: c.cfg.Now(), Rebalanced: p.rebalanced}
-	in.Load, in.Hot = p.loads.plan()
+	known := p.loads.plan(st.Table)
+	in.Load, in.Hot = known.shards, known.hot
 	plan := ownership.MakePlan(ownership.DefaultPlanConfig(), in)
 	coordinator := c.isFirstDomain(st)
+	mayStart := coordinator && c.allKnown(st, p)
 	for _, m := range plan.Moves {
-		m = c.ownPart(st, m, coordinator, p)
+		if len(m.Shards) == 0 || !p.mayBalance(st, known, m.Reason, m.Shards[0].Workload) {
+			continue
+		}
+		m = c.ownPart(st, m, coordinator, mayStart)
 		for _, part := range splitMove(m) {
 			if !c.appendPlan(ctx, journal.KindMove, part, "reason", m.Reason, "shards", len(part.Shards)) {
 				return
@@ -77,14 +102,51 @@
 	if !coordinator {
 		return
 	}
+	p.noteSplits(st, in.Now)
 	for _, s := range plan.Splits {
+		if !p.mayBalance(st, known, ownership.ReasonHot, s.Workload) {
+			continue
+		}
 		c.appendPlan(ctx, journal.KindSplit, s, "workload", s.Workload)
 	}
 	for _, m := range plan.Merges {
+		if in.Now-p.splitAt[loadKey{m.Workload, m.Key}] < leastSplitAge || !p.mayBalance(st, known, ownership.ReasonHot, m.Workload) {
+			continue
+		}
 		c.appendPlan(ctx, journal.KindMerge, m, "workload", m.Workload)
 	}
 }
 
+// mayBalance reports whether moves for a reason may be made: those that
+// balance need a sample of the load.
+func (p *planner) mayBalance(st *journal.State, known loads, reason ownership.Reason, workload string) bool {
+	if reason != ownership.ReasonHot && reason != ownership.ReasonRebalance {
+		return true
+	}
+	targets := 0
+	for _, t := range st.Config.Targets {
+		if t.Workload == workload {
+			targets++
+		}
+	}
+	return known.known(workload, targets)
+}
+
+// noteSplits remembers when each split key was first seen.
+func (p *planner) noteSplits(st *journal.State, now time.Duration) {
+	seen := map[loadKey]time.Duration{}
+	for name, w := range st.Table.Workloads {
+		for key := range w.Hot {
+			k := loadKey{name, key}
+			seen[k] = now
+			if at, ok := p.splitAt[k]; ok {
+				seen[k] = at
+			}
+		}
+	}
+	p.splitAt = seen
+}
+
 func (c *Control) appendPlan(ctx context.Context, kind journal.Kind, body any, fields ...any) bool {
 	res, err := c.Append(ctx, kind, body)
 	if err != nil {
@@ -95,13 +157,14 @@
 	return true
 }
 
-// ownPart returns the entries of a move that this host proposes.
-func (c *Control) ownPart(st *journal.State, m journal.Move, coordinator bool, p *planner) journal.Move {
+// ownPart returns the entries of a move that this host proposes. mayStart says
+// that it may make the first assignment.
+func (c *Control) ownPart(st *journal.State, m journal.Move, coordinator, mayStart bool) journal.Move {
 	m.Shards = slices.DeleteFunc(slices.Clone(m.Shards), func(e ownership.MoveShard) bool {
 		s, _ := st.Table.Get(e.ID)
 		switch {
 		case s.Owner == "":
-			return !coordinator || !c.allKnown(st, p)
+			return !mayStart
 		case m.Reason == ownership.ReasonHot || m.Reason == ownership.ReasonRebalance:
 			return !coordinator
 		}
