Serve profiles on the operator address; name the connection counter rightly

The time that an entry host spends could not be seen from outside. The counter target_connections also counted connections to entry hosts; it is now connections_open.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -43,8 +44,8 @@
 	Logger hclog.Logger
 	// Tracer records spans. Default: none.
 	Tracer trace.Tracer
-	// Operator builds the handler of the operator interface; /debug/vars is
-	// served next to it. Default: none.
+	// Operator builds the handler of the operator interface; /debug/vars and
+	// /debug/pprof/ are served next to it. Default: none.
 	Operator func(*control.Control) http.Handler
 }
 
@@ -233,6 +234,8 @@
 	h.inner = server("inner", inner, h.forward.Peers(), serverIdle)
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	if h.cfg.Operator != nil {
 		mux.Handle("/", h.cfg.Operator(h.control))
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -28,7 +28,7 @@
 		"hedges_won_total": &m.hedgesWon, "requests_in_flight": &m.inFlight,
 		"front_time_us_total": &m.frontUS, "home_time_us_total": &m.homeUS, "queue_time_us_total": &m.queueUS,
 		"dials_total": &m.dials, "dials_failed_total": &m.dialsFailed, "dials_waited_total": &m.dialsWaited,
-		"target_connections": &m.connections, "replays_prevented_total": &m.replaysPrevented,
+		"connections_open": &m.connections, "replays_prevented_total": &m.replaysPrevented,
 		"silent_connections_total": &m.silent, "crossed_answers_total": &m.crossed,
 		"answers_aborted_total": &m.aborted, "borrows_failed_total": &m.borrowsFailed,
 	}
