--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,6 +26,7 @@
 	leader   *leader
 	hosts    *hostTable
 	loads    *loadTable
+	stalls   *stallMeter
 	stopping atomic.Bool
 
 	current atomic.Pointer[journal.State]
@@ -63,6 +64,7 @@
 	c.leader = newLeader()
 	c.hosts = newHostTable()
 	c.loads = newLoadTable(cfg.Now)
+	c.stalls = newStallMeter(cfg.Now)
 	c.domains = newDomainSet(c)
 	return c
 }
@@ -77,6 +79,7 @@
 		service{"planner", c.servePlanner},
 		service{"snapshots", c.serveSnapshots},
 		service{"host_list", c.serveHostList},
+		service{"stalls", c.stalls.serve},
 		service{"probes", c.serveProbes},
 		service{"loads", c.serveLoads},
 		service{"events", c.serveEvents},
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -298,11 +298,12 @@
 		return
 	}
 	fresh := !w.open
+	start := d.now()
 	reply, err := w.client.Grant(ctx, g.grant.Grant)
 	w.open = err == nil
 	if err != nil {
 		grantsTotal.Add("failed", 1)
-		d.fitness.step(membership.Failed{Node: targetNode(g.grant.Target), Fresh: fresh})
+		d.c.blame(targetNode(g.grant.Target), fresh, start)
 		d.step(g.domain, lease.GrantFailed{Target: g.grant.Target, Seq: g.grant.Seq})
 		return
 	}
@@ -311,6 +312,16 @@
 	d.step(g.domain, lease.GrantAnswer{Target: g.grant.Target, Seq: g.grant.Seq, Reply: reply})
 }
 
+// blame counts a failed attempt that began at a time against a node, unless
+// this host itself was stalled meanwhile.
+func (c *Control) blame(n membership.Node, fresh bool, start time.Duration) {
+	if c.stalls.since(start) {
+		grantsTotal.Add("failed_while_stalled", 1)
+		return
+	}
+	c.domains.fitness.step(membership.Failed{Node: n, Fresh: fresh})
+}
+
 // isRefused reports whether a peer call was refused by the host's kernel.
 func isRefused(err error) bool {
 	var ce *peer.CallError
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -480,18 +480,19 @@
 			}
 		}
 	}
-	alive := l.alive(now, st)
+	alive := l.alive(now, c.stalls.lastEnd(), st)
 	if len(alive) > 0 && c.mayAssign(l, st, now) {
 		c.assign(l, st, now, alive)
 	}
 	c.rebuild(l, st, alive)
 }
 
-// alive lists the hosts that can be homes.
-func (l *leader) alive(now time.Duration, st *journal.State) []string {
+// alive lists the hosts that can be homes. A host need not have called while
+// this one was stalled.
+func (l *leader) alive(now, stalled time.Duration, st *journal.State) []string {
 	var out []string
 	for name, k := range l.callers {
-		if !k.dead && !k.stopping && now-k.last <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
+		if !k.dead && !k.stopping && now-max(k.last, stalled) <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
 			out = append(out, name)
 		}
 	}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -170,7 +170,7 @@
 		}
 	})
 	if err != nil {
-		c.domains.fitness.step(membership.Failed{Node: hostNode(e.Name), Fresh: true})
+		c.blame(hostNode(e.Name), true, sent)
 		if isRefused(err) {
 			c.homes.suspect(e.Name)
 		}
@@ -222,7 +222,7 @@
 	if s.stopping || (s.lastOK > 0 && s.incarnation != m.Incarnation) {
 		return true
 	}
-	since := now - max(s.lastOK, s.firstTry)
+	since := now - max(s.lastOK, s.firstTry, c.stalls.lastEnd())
 	if s.firstTry == 0 {
 		return false
 	}
@@ -313,7 +313,7 @@
 		}
 	}
 	c.leader.mu.Lock()
-	alive := c.leader.alive(now, st)
+	alive := c.leader.alive(now, c.stalls.lastEnd(), st)
 	c.leader.mu.Unlock()
 	var out []journal.Member
 	for _, name := range c.domainHosts(st) {
@@ -329,7 +329,7 @@
 
 func (c *Control) recentlySilent(host string, now time.Duration) bool {
 	s := c.hosts.get(host)
-	return host != c.cfg.Self.Name && s.firstTry > 0 && now-max(s.lastOK, s.firstTry) > deadAfter
+	return host != c.cfg.Self.Name && s.firstTry > 0 && now-max(s.lastOK, s.firstTry, c.stalls.lastEnd()) > deadAfter
 }
 
 func (c *Control) retired() []journal.Member {
--- a/internal/control/probes.go
+++ b/internal/control/probes.go
@@ -7,7 +7,6 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/membership"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -81,12 +80,13 @@
 	defer tick.Stop()
 	open := false
 	for {
+		start := c.cfg.Now()
 		load, err := loadWithin(ctx, client, c.cfg.Timing.GrantTimeout)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			c.domains.fitness.step(membership.Failed{Node: targetNode(name), Fresh: !open})
+			c.blame(targetNode(name), !open, start)
 		} else {
 			c.domains.fitness.reported(name, !open, load)
 		}
