--- a/lease/status.go
+++ b/lease/status.go
@@ -9,14 +9,13 @@
 		return s
 	}
 	s.Authority, s.Until = g.authority(now)
-	for _, name := range g.sortedTargets() {
-		t := g.targets[name]
+	for _, t := range g.waiting {
 		if t.lost {
-			s.Lapsing = append(s.Lapsing, name)
+			s.Lapsing = append(s.Lapsing, t.name)
 		}
 		for _, m := range g.others() {
-			if len(t.waiting) > 0 && g.unaccounted(now, t, keyOf(m)) {
-				s.Unaccounted[name] = append(s.Unaccounted[name], m.Host)
+			if g.unaccounted(now, t, keyOf(m)) {
+				s.Unaccounted[t.name] = append(s.Unaccounted[t.name], m.Host)
 			}
 		}
 	}
@@ -28,6 +27,16 @@
 	return s
 }
 
+// MayRenewAny reports whether the authority lasts now, so that permits for
+// targets that check fences may be given.
+func (g *Granter) MayRenewAny(now time.Duration) bool {
+	if g.state == nil {
+		return false
+	}
+	a, _ := g.authority(now)
+	return a != AuthorityNone
+}
+
 // unaccounted reports whether a release still needs something of the granter.
 func (g *Granter) unaccounted(now time.Duration, t *target, k memberKey) bool {
 	for _, m := range g.others() {
