--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -164,11 +164,11 @@
 	// lease lets them take effect for long after it.
 	{Name: "target-cut", About: "slow targets are cut off from their own domain's entry hosts", LeaseMS: 3000, Steps: []Step{
 		{At: 0.20, Action: ActSlowTarget, Role: RoleRead, Index: 0, Factor: 50, ForMS: 1500},
-		{At: 0.20, Action: ActCutTarget, Role: RoleRead, Index: 0, AfterMS: 300, ForMS: 1500},
+		{At: 0.20, Action: ActCutTarget, Role: RoleRead, Index: 0, AfterMS: 100, ForMS: 1500},
 		{At: 0.40, Action: ActSlowTarget, Role: RoleWrite, Index: 0, Factor: 30, ForMS: 1500},
-		{At: 0.40, Action: ActCutTarget, Role: RoleWrite, Index: 0, AfterMS: 300, ForMS: 1500},
+		{At: 0.40, Action: ActCutTarget, Role: RoleWrite, Index: 0, AfterMS: 100, ForMS: 1500},
 		{At: 0.60, Action: ActSlowTarget, Role: RoleRead, Index: 1, Factor: 50, ForMS: 1500},
-		{At: 0.60, Action: ActCutTarget, Role: RoleRead, Index: 1, AfterMS: 300, ForMS: 1500},
+		{At: 0.60, Action: ActCutTarget, Role: RoleRead, Index: 1, AfterMS: 100, ForMS: 1500},
 	}},
 	{Name: "two-faults", About: "faults at the same time", Steps: []Step{
 		{At: 0.15, Action: ActLogDown, ForPart: 0.15},
