Play the bench's scenarios for missing safeguards in the proofs

Cause: the bench now has a scenario for each safeguard that shows its absence; the proofs had tables of their own that were less certain to show it.

--- a/proofs/promises_test.go
+++ b/proofs/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/boragelock/boragelock/internal/bench"
 )
@@ -132,22 +133,14 @@
 // Without its safeguard each promise must be found broken, or the checker
 // proves nothing.
 func TestCheckerFindsMissingSafeguards(t *testing.T) {
-	freeze := []bench.Step{
-		{At: 0.15, Action: bench.ActFreezeTarget, Role: bench.RoleWrite, Index: 0, ForMS: 650},
-		{At: 0.35, Action: bench.ActFreezeTarget, Role: bench.RoleRead, Index: 0, ForMS: 700},
-		{At: 0.55, Action: bench.ActCutTarget, Role: bench.RoleWrite, Index: 1, ForMS: 1500},
-		{At: 0.60, Action: bench.ActCutTarget, Role: bench.RoleRead, Index: 1, ForMS: 1500},
-	}
-	lost := []bench.Step{
-		{At: 0.10, Action: bench.ActLoseAnswers, Role: bench.RoleWrite, Index: 0, Count: 15},
-		{At: 0.40, Action: bench.ActLoseAnswers, Role: bench.RoleWrite, Index: 1, Count: 15},
-	}
 	for _, p := range []proof{
-		{name: "lease-wait", broken: "lease-wait", deployment: "andaimes", must: []bench.Kind{bench.DualOwner}, steps: freeze},
-		{name: "retry-rule", broken: "retry-rule", deployment: "andaimes", must: []bench.Kind{bench.DoubleRun}, steps: lost},
+		{name: "fence", broken: "fence", scenario: "target-freeze", must: []bench.Kind{bench.DualOwner}},
+		{name: "lease-wait", broken: "lease-wait", scenario: "target-cut", must: []bench.Kind{bench.DualOwner}},
+		{name: "retry-rule", broken: "retry-rule", scenario: "target-loss", must: []bench.Kind{bench.DoubleRun}},
+		{name: "limit-share", broken: "limit-share", scenario: "overload", must: []bench.Kind{bench.OverLimit}},
 	} {
 		t.Run(p.name, func(t *testing.T) {
-			p.seed, p.scale = 31, 0.2
+			p.deployment, p.seed, p.scale, p.length = "andaimes", 1, 0.2, 10*time.Second
 			p.play(t)
 		})
 	}
--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -21,7 +21,12 @@
 	deployment string
 	seed       uint64
 	scale      float64
-	steps      []bench.Step
+	// steps are the faults; when there are none, scenario names a scenario of
+	// the bench.
+	steps    []bench.Step
+	scenario string
+	// length of the load; 0 means loadTime.
+	length time.Duration
 	// must lists the kinds that the checker has to have judged, so that a
 	// proof cannot pass because nothing was looked at.
 	must []bench.Kind
@@ -68,10 +73,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
 	o := bench.Options{
-		Deployment: p.deployment, Seed: p.seed, Scale: p.scale, Duration: loadTime, Break: p.broken, Binaries: binaries,
-		Custom: bench.Scenario{Name: p.name, About: p.name, Steps: p.steps},
+		Deployment: p.deployment, Seed: p.seed, Scale: p.scale, Duration: loadTime, Break: p.broken, Binaries: binaries, Scenario: p.scenario,
 		Logger: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(os.Getenv("BORAGELOCK_TEST_LOG"))}),
 	}
+	if p.scenario == "" {
+		o.Custom = bench.Scenario{Name: p.name, About: p.name, Steps: p.steps}
+	}
+	if p.length != 0 {
+		o.Duration = p.length
+	}
 	r, err := bench.Play(ctx, o, bench.PolicyOwn)
 	if err != nil {
 		t.Fatal(err)
