Reload certificates, separate the roles of hosts and operators

Cause: certificates were read once at the start, any certificate of the authority could open any interface, and the operator interface could be opened to the network without TLS. Change: files are read again when they change; a certificate names its role as organizational unit; without TLS the operator interface must be on loopback. Peers are still trusted with the records that they pass on.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -88,7 +88,7 @@
 	}
 	h := &Host{cfg: cfg, log: cfg.Logger.Named(cfg.Settings.Name)}
 	var err error
-	if h.tls, err = loadTLS(cfg.Settings.TLS); err != nil {
+	if h.tls, err = loadTLS(cfg.Settings.Name, cfg.Settings.TLS, h.log); err != nil {
 		return nil, err
 	}
 	if err := h.open(); err != nil {
@@ -239,7 +239,11 @@
 	if h.cfg.Operator != nil {
 		mux.Handle("/", h.cfg.Operator(h.control))
 	}
-	h.operator = server("operator", h.listen.operator, mux, serverIdle)
+	operators := h.listen.operator
+	if h.tls.operator != nil {
+		operators = tls.NewListener(operators, h.tls.operator)
+	}
+	h.operator = server("operator", operators, mux, serverIdle)
 }
 
 func (h *Host) supervise() {
@@ -253,6 +257,7 @@
 		h.sup.Add(svc)
 	}
 	h.sup.Add(rpc)
+	h.sup.Add(h.tls)
 	h.sup.Add(h.forward.Upkeep())
 	h.sup.Add(h.forward.Borrower())
 	h.sup.Add(h.callers)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,17 @@
 			So(invalid.Allowed, ShouldNotBeBlank)
 		}
 	})
+	// Anyone on the network could change contracts and take domains out.
+	Convey("an operator interface on the network needs tls", t, func() {
+		const listen = `"operator":{"listen":"127.0.0.1:`
+		So(minimal, ShouldContainSubstring, listen)
+		open := strings.Replace(minimal, listen, `"operator":{"listen":"10.0.0.1:`, 1)
+		_, err := Parse([]byte(open + "}"))
+		So(err, ShouldNotBeNil)
+		So(err.(*InvalidError).Field, ShouldEqual, "operator.listen")
+		_, err = Parse([]byte(open + `,"tls":{"cert":"a","key":"b","ca":"c"}}`))
+		So(err, ShouldBeNil)
+	})
 	Convey("each required field is missed", t, func() {
 		_, err := Parse([]byte(`{}`))
 		So(err, ShouldNotBeNil)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -186,6 +186,19 @@
 			return &InvalidError{Field: f.path, Value: quoted(""), Allowed: "a file, since another field of tls is set"}
 		}
 	}
+	if given == 0 {
+		return s.validateLoopback()
+	}
+	return nil
+}
+
+// validateLoopback keeps the operator interface, which can change everything,
+// off the network when it cannot tell who connects.
+func (s *Settings) validateLoopback() error {
+	addr, err := netip.ParseAddrPort(s.Operator.Listen)
+	if err == nil && !addr.Addr().IsLoopback() {
+		return &InvalidError{Field: "operator.listen", Value: quoted(s.Operator.Listen), Allowed: "a loopback address, or set tls"}
+	}
 	return nil
 }
 
