--- a/journal/state.go
+++ b/journal/state.go
@@ -27,17 +27,27 @@
 	// TargetVersion is, for each target, the offset of the last record that
 	// changed what it holds. Grants carry it as their version.
 	TargetVersion map[string]int64 `json:"target_version"`
+	// IsolatedAt is the offset of the record that set Config.IsolatedServeMS.
+	// A granter that has not read it may still go by the value before.
+	IsolatedAt int64 `json:"isolated_at"`
 	// Recent holds the identifiers of the last records, oldest first.
 	Recent []string `json:"recent"`
+	// LastSnapshot is the Next of the last snapshot that was written whole.
+	LastSnapshot int64 `json:"last_snapshot"`
 	// Skipped counts the records that were not understood.
 	Skipped int64 `json:"skipped"`
 
 	recentSet map[string]bool
 }
 
+// FirstOffset is the offset of the first record of a log. It is not 0, so
+// that 0 can mean "none" in versions made from offsets.
+const FirstOffset = 1
+
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
+		Next:  FirstOffset,
 		Table: ownership.NewTable(), Granters: map[string]Granters{},
 		Entries: map[string]EntryHost{}, TargetVersion: map[string]int64{},
 		recentSet: map[string]bool{},
@@ -129,6 +139,9 @@
 		return s.skip(res, "not a record"), nil
 	}
 	res.ID, res.Kind = env.ID, env.Kind
+	if env.V < 1 {
+		return s.skip(res, fmt.Sprintf("format %d", env.V)), nil
+	}
 	if env.V > FormatVersion {
 		return s.skip(res, fmt.Sprintf("format %d is newer than %d", env.V, FormatVersion)), nil
 	}
@@ -185,8 +198,7 @@
 	case KindEntryHost:
 		return decodeAnd(s, res, env, s.applyEntryHost)
 	case KindSnapshot:
-		res.Outcome = Applied
-		return res
+		return decodeAnd(s, res, env, s.applySnapshot)
 	}
 	return s.skip(res, fmt.Sprintf("unknown kind %q", env.Kind))
 }
@@ -221,6 +233,7 @@
 		return refuse(res, err)
 	}
 	s.setConfig(cfg)
+	s.IsolatedAt = res.Offset
 	return applied(res)
 }
 
@@ -238,6 +251,9 @@
 	if err != nil {
 		return refuse(res, err)
 	}
+	if next.IsolatedServeMS != s.Config.IsolatedServeMS {
+		s.IsolatedAt = res.Offset
+	}
 	s.setConfig(next)
 	return applied(res)
 }
@@ -287,14 +303,19 @@
 }
 
 // bump sets the version of each target that held or now holds one of the
-// changed shards.
+// changed shards, and of a former owner that is now taken as lost: granters
+// promise to give no lower version, and this one they give to nobody.
 func (s *State) bump(offset int64, shards []ownership.ID, before []ownership.Shard) {
 	for i, id := range shards {
 		now, _ := s.Table.Get(id)
 		if now == before[i] {
 			continue
 		}
-		for _, target := range []string{before[i].Owner, now.Owner} {
+		changed := []string{before[i].Owner, now.Owner}
+		if now.Lost && !before[i].Lost {
+			changed = append(changed, now.Previous)
+		}
+		for _, target := range changed {
 			if target != "" {
 				s.TargetVersion[target] = offset
 			}
@@ -348,30 +369,45 @@
 	}
 	g.Version, g.Offset = old.Version+1, res.Offset
 	for i, m := range g.Members {
+		if _, ok := find(old.Retiring, m); ok {
+			return refuse(res, &StateError{Reason: "granter " + m.Host + " is still retiring"})
+		}
 		g.Members[i].AddedAt = res.Offset
-		for _, was := range old.Members {
-			if was.Host == m.Host && was.Incarnation == m.Incarnation {
-				g.Members[i].AddedAt = was.AddedAt
-			}
+		if was, ok := find(old.Members, m); ok {
+			g.Members[i].AddedAt = was.AddedAt
 		}
 	}
-	g.Retiring = withRemoved(g, old.Members)
+	g.Retiring = retiring(old, g)
 	s.Granters[g.Domain] = g
 	return applied(res)
 }
 
-// withRemoved returns the retiring members of g with those of the list before
-// it that g no longer names. A removed member that cannot read the log goes on
-// renewing, so it must stay known until a later record drops it.
-func withRemoved(g Granters, before []Member) []Member {
-	retiring := slices.Clone(g.Retiring)
-	for _, was := range before {
-		same := func(m Member) bool { return m.Host == was.Host && m.Incarnation == was.Incarnation }
-		if !slices.ContainsFunc(g.Members, same) && !slices.ContainsFunc(retiring, same) {
-			retiring = append(retiring, was)
+func find(members []Member, m Member) (Member, bool) {
+	for _, x := range members {
+		if x.Host == m.Host && x.Incarnation == m.Incarnation {
+			return x, true
+		}
+	}
+	return Member{}, false
+}
+
+// retiring returns the retiring members of the list next that replaces old.
+// Each member that the new list leaves out retires, whether the record says so
+// or not, because it may renew leases until it has read the record. The record
+// can only leave out members that were retiring before.
+func retiring(old, next Granters) []Member {
+	var out []Member
+	for _, m := range old.Members {
+		if _, stays := find(next.Members, m); !stays {
+			out = append(out, m)
 		}
 	}
-	return retiring
+	for _, m := range old.Retiring {
+		if _, kept := find(next.Retiring, m); kept {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 func (s *State) applyEntryHost(res Result, h EntryHost) Result {
@@ -384,3 +420,12 @@
 	s.Entries[h.Name] = h
 	return applied(res)
 }
+
+// applySnapshot notes a snapshot by its last part; the state in it is only
+// used by hosts that start.
+func (s *State) applySnapshot(res Result, p Snapshot) Result {
+	if p.Part == p.Parts-1 && p.Next <= res.Offset {
+		s.LastSnapshot = max(s.LastSnapshot, p.Next)
+	}
+	return applied(res)
+}
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -24,6 +24,10 @@
 	Waiting uint64 `json:"w,omitempty"`
 	// Previous is the owner at the epoch Waiting; empty when Waiting is 0.
 	Previous string `json:"p,omitempty"`
+	// Lost says that the shard was taken from Previous with ReasonLost. No
+	// granter renews Previous until the shard is released, so that its lease
+	// lapses as a whole, including requests that it still drains.
+	Lost bool `json:"l,omitempty"`
 }
 
 // Active reports whether the owner may act.
@@ -174,7 +178,11 @@
 
 // HashShard returns the hashed shard of a key, without regard to hot keys.
 func (w *WorkloadTable) HashShard(key string) int32 {
-	return int32(xxhash.Sum64String(key) % uint64(w.Base))
+	return hashShard(key, w.Base)
+}
+
+func hashShard(key string, base int32) int32 {
+	return int32(xxhash.Sum64String(key) % uint64(base))
 }
 
 // Locate returns the shard number of a key. It does not allocate.
@@ -215,16 +223,21 @@
 		case s.Epoch != e.FromEpoch:
 			refused = append(refused, &Refusal{ID: e.ID, Code: RefusedEpoch, Want: e.FromEpoch, Have: s.Epoch})
 		default:
-			s.move(e.To)
+			s.move(e.To, m.Reason)
 		}
 	}
 	return refused
 }
 
-func (s *Shard) move(to string) {
+func (s *Shard) move(to string, why Reason) {
 	if s.Active() {
 		s.Waiting, s.Previous = s.Epoch, s.Owner
 	}
+	// A waiting shard whose new owner is lost waits for Previous as before; a
+	// move to the same owner says that Previous is lost.
+	if why == ReasonLost && (s.Waiting == s.Epoch || to == s.Owner) && s.Waiting != 0 {
+		s.Lost = true
+	}
 	s.Owner = to
 	s.Epoch++
 }
@@ -241,7 +254,7 @@
 		case s.Waiting == 0 || s.Waiting != e.Epoch:
 			refused = append(refused, &Refusal{ID: e.ID, Code: RefusedEpoch, Want: e.Epoch, Have: s.Waiting})
 		default:
-			s.Waiting, s.Previous = 0, ""
+			s.Waiting, s.Previous, s.Lost = 0, "", false
 		}
 	}
 	return refused
@@ -271,7 +284,7 @@
 	parent.Epoch++
 	n := w.freeHotShard()
 	hot := &w.Shards[n]
-	hot.Owner, hot.Waiting, hot.Previous = owner, 0, ""
+	hot.Owner, hot.Waiting, hot.Previous, hot.Lost = owner, 0, "", false
 	hot.Epoch++
 	if w.Hot == nil {
 		w.Hot = map[string]int32{}
