--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -115,14 +115,14 @@
 			record(each[c.Workload], c.End-c.Due)
 		case CallNotRun:
 			r.NotRun++
-			if c.Limited() {
-				r.Limited++
-			}
 		default:
 			r.MayHaveRun++
 		}
 		if c.Outcome != CallOK {
 			r.Codes[c.Code]++
+			if c.Limited() {
+				r.Limited++
+			}
 		}
 		r.Workloads[c.Workload] = w
 	}
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -1,6 +1,9 @@
 package bench
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // CallOutcome is what a caller knows of its request in the end.
 type CallOutcome string
@@ -54,8 +57,8 @@
 	codeTimeout      = "caller_timeout"
 )
 
-// Limited reports whether the request exceeded its customer's contract.
-func (c *Call) Limited() bool { return c.Outcome == CallNotRun && c.Status == 429 }
+// Limited reports whether the last attempt exceeded its customer's contract.
+func (c *Call) Limited() bool { return c.Status == http.StatusTooManyRequests }
 
 // Applied is a step that was performed.
 type Applied struct {
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -80,7 +80,8 @@
 	OK         int `json:"ok"`
 	NotRun     int `json:"not_run"`
 	MayHaveRun int `json:"may_have_run"`
-	// Limited is the part of NotRun that exceeded a contract.
+	// Limited is the part of NotRun and MayHaveRun whose last attempt exceeded a
+	// contract.
 	Limited int `json:"limited"`
 	// Codes counts the error codes of calls that failed.
 	Codes map[string]int `json:"codes,omitempty"`
