Let targets report their load late or falsely in two scenarios

Load reports lag or mislead on the platform, but no scenario made them do so. Steps that only slow a target or change its reports no longer make its shards count as affected by a loss.

--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -53,7 +53,7 @@
 func (r *run) apply(ctx context.Context, a *Applied) (undo func() error, err error) {
 	s := a.Step
 	switch s.Action {
-	case ActKillTarget, ActFreezeTarget, ActSlowTarget, ActCoolTarget, ActLeaveTarget, ActSilence, ActLoseAnswers, ActCutTarget:
+	case ActKillTarget, ActFreezeTarget, ActSlowTarget, ActFalseLoad, ActLateLoad, ActCoolTarget, ActLeaveTarget, ActSilence, ActLoseAnswers, ActCutTarget:
 		return r.applyToTargets(ctx, a)
 	case ActPauseEntry, ActKillEntry, ActStopEntry:
 		return r.applyToEntry(a)
@@ -122,6 +122,11 @@
 		return func() error { n.proc.signal(syscall.SIGCONT); return nil }, nil
 	case ActSlowTarget:
 		return r.switchTarget(ctx, n, map[string]any{"slow_factor": s.Factor}, map[string]any{"slow_factor": 1})
+	case ActFalseLoad:
+		idle := platform.LoadReport{State: platform.TargetServing, Bears: n.Slots}
+		return r.switchTarget(ctx, n, map[string]any{"false_load": idle}, map[string]any{"false_load": nil})
+	case ActLateLoad:
+		return r.switchTarget(ctx, n, map[string]any{"load_lag_ms": s.Count}, map[string]any{"load_lag_ms": 0})
 	case ActCoolTarget:
 		return nil, post(ctx, "http://"+n.admin+"/admin/cool", nil)
 	case ActLeaveTarget:
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -38,11 +38,12 @@
 	}
 }
 
+// takesAway lists the actions that can leave shards without service.
+var takesAway = []Action{ActKillTarget, ActFreezeTarget, ActCutTarget, ActSilence, ActLoseAnswers, ActLeaveTarget, ActPauseEntry,
+	ActKillEntry, ActStopEntry, ActDomainOut, ActCutDomain, ActCutDomainOneWay, ActLogDown, ActLogSilent}
+
 // measuresAvailability reports whether the scenario takes something away.
-func (s Scenario) measuresAvailability() bool {
-	return s.has(ActKillTarget, ActFreezeTarget, ActCutTarget, ActSilence, ActLoseAnswers, ActLeaveTarget, ActPauseEntry,
-		ActKillEntry, ActStopEntry, ActDomainOut, ActCutDomain, ActCutDomainOneWay, ActLogDown, ActLogSilent)
-}
+func (s Scenario) measuresAvailability() bool { return s.has(takesAway...) }
 
 // hitsEntries reports whether the scenario takes entry hosts away. Which
 // shards that affects is known to the router only, so all count as affected.
@@ -208,7 +209,7 @@
 		}
 		at := time.Duration(r.StartMono)
 		for _, s := range e.Steps {
-			if slices.Contains(s.Targets, r.Target) && at < s.At && at > s.At-hitMemory {
+			if slices.Contains(takesAway, s.Step.Action) && slices.Contains(s.Targets, r.Target) && at < s.At && at > s.At-hitMemory {
 				out[shardName{r.Workload, int32(xxhash.Sum64String(r.Key) % uint64(w.Shards))}] = true
 			}
 		}
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -306,6 +306,9 @@
 	}
 	hit := map[string]bool{}
 	for _, s := range r.scenario.Steps {
+		if !slices.Contains(takesAway, s.Action) {
+			continue
+		}
 		for _, t := range r.hit(s).Targets {
 			hit[t] = true
 		}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -18,6 +18,10 @@
 	ActFreezeTarget Action = "freeze_target"
 	// ActSlowTarget multiplies the service times of a target by Factor.
 	ActSlowTarget Action = "slow_target"
+	// ActFalseLoad makes a target report that it is idle.
+	ActFalseLoad Action = "false_load"
+	// ActLateLoad makes a target report its load Count milliseconds late.
+	ActLateLoad Action = "late_load"
 	// ActCoolTarget makes a target cold without warning.
 	ActCoolTarget Action = "cool_target"
 	// ActLeaveTarget makes a target leave: its own word and the host list.
@@ -145,6 +149,7 @@
 		{At: 0.10, Action: ActSlowTarget, Role: RoleRead, Index: 1, Every: 8, Factor: 10},
 		{At: 0.10, Action: ActSlowTarget, Role: RoleWrite, Index: 1, Every: 8, Factor: 10},
 		{At: 0.10, Action: ActSlowTarget, Role: RolePlain, Index: 1, Every: 8, Factor: 10},
+		{At: 0.50, Action: ActFalseLoad, Role: RolePlain, Index: 1, Every: 8},
 	}},
 	{Name: "config-change", About: "configuration changes, some made at the same time", Steps: []Step{
 		{At: 0.15, Action: ActConfig},
@@ -171,6 +176,7 @@
 		{At: 0.60, Action: ActCutTarget, Role: RoleRead, Index: 1, AfterMS: 100, ForMS: 1500},
 	}},
 	{Name: "two-faults", About: "faults at the same time", Steps: []Step{
+		{At: 0.10, Action: ActLateLoad, Role: RoleRead, Every: 2, Count: 1000},
 		{At: 0.15, Action: ActLogDown, ForPart: 0.15},
 		{At: 0.18, Action: ActFreezeTarget, Role: RoleWrite, Index: 0, ForMS: 1500},
 		{At: 0.40, Action: ActPauseEntry, Index: 0, ForMS: 1800},
