Excuse a dead granter from consent only after a later read of the log

Cause: the model check found two owners. A granter that cannot read the log took a dead member's consent for granted; before it died, the member may have waited out this granter's lease and released its targets' shards. Change: a dead member is excused only when the last complete read of the log began after its death was known. Measured: the new test fails on the former code and passes now; the other tests of the package pass.

--- a/lease/authority.go
+++ b/lease/authority.go
@@ -96,7 +96,7 @@
 
 // consentUntil returns the end of the right to renew without the log. All
 // other members must have consented in this spell, except those that are
-// proven dead: they account for nothing any more.
+// excused.
 func (g *Granter) consentUntil() (time.Duration, bool) {
 	if g.omit.consent {
 		return g.isolatedUntil(), true
@@ -105,13 +105,22 @@
 		return 0, false
 	}
 	for _, m := range g.list.Members {
-		if !g.isSelf(m) && !g.consent.granted[keyOf(m)] && !g.peers[keyOf(m)].dead {
+		if !g.isSelf(m) && !g.consent.granted[keyOf(m)] && !g.excused(m) {
 			return 0, false
 		}
 	}
 	return g.isolatedUntil(), true
 }
 
+// excused reports whether another member need not consent: it is proven dead,
+// and the log has been read to its end since that was heard. Before it died
+// the member may have waited out this granter's lease and released shards; only
+// a later read is certain to hold the moves that it acted on.
+func (g *Granter) excused(m journal.Member) bool {
+	p := g.peers[keyOf(m)]
+	return p.dead && g.log.start > p.deadAt
+}
+
 func (g *Granter) isolatedUntil() time.Duration {
 	ms := g.state.Config.IsolatedServeMS
 	if ms < 0 {
--- /dev/null
+++ b/lease/consent_test.go
@@ -0,0 +1,47 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/journal"
+)
+
+// The model check found two owners: a granter that could not read the log took
+// a dead member's consent for granted, although that member had waited out its
+// lease and released shards before it died.
+func TestDeadMemberIsExcusedOnlyAfterALaterRead(t *testing.T) {
+	Convey("a dead member excuses consent only when the log was read since", t, func() {
+		cfg := DefaultConfig()
+		st := journal.NewState()
+		apply := func(id string, kind journal.Kind, body any) {
+			data, err := journal.Encode(id, kind, body)
+			So(err, ShouldBeNil)
+			_, err = st.Apply(st.Next, data)
+			So(err, ShouldBeNil)
+		}
+		apply("1", journal.KindBootstrap, contract.Deployment{Name: "x", IsolatedServeMS: -1, Domains: []contract.Domain{{Name: "d"}}})
+		apply("2", journal.KindGranters, journal.Granters{Domain: "d", Members: []journal.Member{{Host: "a", Incarnation: "1"}, {Host: "b", Incarnation: "1"}}})
+		g := New(cfg, Self{Host: "b", Incarnation: "1", Domain: "d"})
+		now := time.Second
+		read := func() { g.Step(now, LogRead{Start: now, End: st.Next}) }
+		wait := func(d time.Duration) {
+			for end := now + d; now < end; now += cfg.TickEvery {
+				g.Step(now, Tick{})
+			}
+		}
+		g.Step(now, Published{State: st.Clone()})
+		read()
+		wait(100 * time.Millisecond)
+		g.Step(now, PeerSeen{Host: "a", Incarnation: "2", SentAt: now, Next: st.Next})
+		wait(cfg.Authority)
+		So(g.MayRenewAny(now), ShouldBeFalse)
+
+		read()
+		wait(2 * cfg.Authority)
+		So(g.MayRenewAny(now), ShouldBeTrue)
+	})
+}
