Cut the control traffic between entry hosts; stop loops of granter lists

Cause: three faults showed up as traffic while nothing happened. - Granters asked each other for consent to serve without the log in each read cycle: consent was due at a read age of 250 ms, and two waits of 150 ms bring the age to 300 ms. That was 13 consents and 13 notices of the end a second from each granter. - A leader proposed hosts as granters that still retired. The fold refuses such a list, so the leader appended a refused record at each interval and the domain kept a single granter. - A host that is no granter judged the granters by its last call to them, although it no longer calls them, and replaced a living leader.

Changed: consent is asked for at 70% of the authority and not below two waits. Retiring hosts are no candidates until a record has ended their retirement. Hosts that do not call the granters forget what they knew of them. Hosts that are no granters read through a granter chosen by their name, with waits of 600 ms instead of 150 ms (new records are passed on at once), and step their lease cores every 200 ms. A leader assigns homes at most every 25 ms instead of at each call, and finds the targets of its domain once per configuration. Requests to the platform carry no user agent. The capacity measurement takes dimensions, writes a fit for each, goes on after a size that failed and gives large sizes more time.

--- a/cmd/boragelock-bench/capacity.go
+++ b/cmd/boragelock-bench/capacity.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/boragelock/boragelock/internal/bench"
 )
 
-// capacity measures all sizes and writes one JSON line for each.
+// capacity measures the chosen dimensions and writes one JSON line for each
+// size, and after the sizes of a dimension one for each fit. A size that fails
+// is written with its error, and the series goes on.
 func capacity(ctx context.Context, cfg config, stdout io.Writer) error {
 	dir, err := os.MkdirTemp("", "capacity-bin-")
 	if err != nil {
@@ -21,14 +25,36 @@
 		return err
 	}
 	enc := json.NewEncoder(stdout)
-	for _, size := range bench.DefaultSizes {
+	for _, d := range bench.Dimensions {
+		if cfg.dimensions != "" && !slices.Contains(strings.Split(cfg.dimensions, ","), d.Name) {
+			continue
+		}
+		if err := capacityOf(ctx, d, bin, cfg, enc); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func capacityOf(ctx context.Context, d bench.Dimension, bin bench.Binaries, cfg config, enc *json.Encoder) error {
+	var points []bench.CapacityPoint
+	for _, size := range d.Sizes() {
 		p, err := bench.MeasureCapacity(ctx, size, bin, cfg.opts.Logger)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if err != nil {
-			return err
+			p = bench.CapacityPoint{Size: size, Error: err.Error()}
 		}
 		if err := enc.Encode(p); err != nil {
 			return err
 		}
+		points = append(points, p)
+	}
+	for _, f := range bench.FitDimension(d, points) {
+		if err := enc.Encode(f); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/cmd/boragelock-bench/main.go
+++ b/cmd/boragelock-bench/main.go
@@ -48,7 +48,9 @@
 	json     string
 	baseline string
 	capacity bool
-	verbose  bool
+	// dimensions limits a capacity measurement, separated by commas.
+	dimensions string
+	verbose    bool
 }
 
 func main() {
@@ -111,6 +113,7 @@
 	fs.BoolVar(&cfg.verbose, "verbose", false, "log the steps")
 	fs.StringVar(&cfg.baseline, "baseline-router", "", "run as a baseline router with this configuration (used by the bench itself)")
 	fs.BoolVar(&cfg.capacity, "capacity", false, "measure what idle entry hosts use at several sizes, one JSON line each")
+	fs.StringVar(&cfg.dimensions, "capacity-dimensions", "", "dimensions to measure, separated by commas: targets, hosts, domains, shards, contracts; empty means all")
 	if err := fs.Parse(args); err != nil {
 		return cfg, err
 	}
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -41,29 +41,63 @@
 	PeerBytes     float64 `json:"peer_bytes_per_s"`
 	PlatformBytes float64 `json:"platform_bytes_per_s"`
 	LogReads      float64 `json:"log_reads_per_s"`
+	// Calls counts the calls to other entry hosts by method, Grants those to
+	// targets, per second.
+	Calls  map[string]float64 `json:"peer_calls_per_s,omitempty"`
+	Grants float64            `json:"grants_per_s"`
 }
 
 // CapacityPoint is the use of each role at one size. The roles are leader,
 // granter and plain.
 type CapacityPoint struct {
 	Size
-	Roles   map[string]RoleUse `json:"roles"`
+	Roles   map[string]RoleUse `json:"roles,omitempty"`
 	Appends float64            `json:"log_appends_per_s"`
+	// Ready is the time from the start of the entry hosts to readiness of all,
+	// in seconds.
+	Ready float64 `json:"ready_s"`
+	// Load is the machine's load average over one minute after the measurement.
+	Load float64 `json:"load_average"`
+	// Error says why there is no measurement at this size.
+	Error string `json:"error,omitempty"`
 }
 
-// DefaultSizes vary one dimension at a time from a common base.
-var DefaultSizes = []Size{
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 24, Shards: 1024, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 48, Shards: 1024, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 10, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 20, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
-	{Domains: 3, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
-	{Domains: 6, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 16384, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 65536, Contracts: 3},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 1000},
-	{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 10000},
+// baseSize is the size that each dimension is varied from.
+var baseSize = Size{Domains: 1, HostsPerDomain: 4, TargetsPerDomain: 8, Shards: 1024, Contracts: 3}
+
+// Dimension is one quantity of a Size with the values that it is measured at.
+type Dimension struct {
+	Name   string
+	values []int
+	set    func(*Size, int)
+}
+
+// Dimensions are the quantities that a capacity measurement varies one at a
+// time.
+var Dimensions = []Dimension{
+	{"targets", []int{8, 24, 48, 90}, func(s *Size, n int) { s.TargetsPerDomain = n }},
+	{"hosts", []int{4, 10, 20, 40}, func(s *Size, n int) { s.HostsPerDomain = n }},
+	{"domains", []int{1, 3, 6, 13}, func(s *Size, n int) { s.Domains = n }},
+	{"shards", []int{1024, 16384, 65536}, func(s *Size, n int) { s.Shards = int32(n) }},
+	{"contracts", []int{3, 1000, 10000}, func(s *Size, n int) { s.Contracts = n }},
+}
+
+// Sizes returns the sizes at which the dimension is measured.
+func (d Dimension) Sizes() []Size {
+	out := make([]Size, len(d.values))
+	for i, n := range d.values {
+		out[i] = baseSize
+		d.set(&out[i], n)
+	}
+	return out
+}
+
+// readyLimitFor returns how long a deployment of a size may take until all its
+// entry hosts are ready: the processes start side by side on one machine.
+func readyLimitFor(size Size) time.Duration {
+	processes := size.Domains * (size.HostsPerDomain + size.TargetsPerDomain)
+	records := int(size.Shards)/4096 + size.Contracts/1000
+	return readyLimit + time.Duration(processes)*time.Second/4 + time.Duration(records)*time.Second
 }
 
 // MeasureCapacity starts a deployment of one size and measures what its entry
@@ -84,7 +118,8 @@
 	bctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go b.run(bctx)
-	for deadline := boottime.Now() + readyLimit; !b.allUp(); {
+	started := boottime.Now()
+	for deadline := started + readyLimitFor(size); !b.allUp(); {
 		if boottime.Now() > deadline {
 			return CapacityPoint{}, &TimeoutError{What: "readiness of all entry hosts"}
 		}
@@ -92,8 +127,23 @@
 			return CapacityPoint{}, ctx.Err()
 		}
 	}
+	ready := boottime.Now() - started
 	sleepUntil(ctx, boottime.Now()+settleTime)
-	return c.measureRoles(ctx, size)
+	point, err := c.measureRoles(ctx, size)
+	point.Ready, point.Load = ready.Seconds(), loadAverage()
+	return point, err
+}
+
+// loadAverage returns the machine's load average over one minute, or 0 when it
+// cannot be read.
+func loadAverage() float64 {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	var load float64
+	_, _ = fmt.Sscan(string(raw), &load)
+	return load
 }
 
 // sizedPlan returns a deployment with one keyed workload.
@@ -130,6 +180,8 @@
 	cpu                            time.Duration
 	memory                         int64
 	peer, platform, reads, appends float64
+	grants                         float64
+	calls                          map[string]float64
 	rank                           int
 }
 
@@ -156,12 +208,23 @@
 		u.PeerBytes += (a.peer - b.peer) / seconds
 		u.PlatformBytes += (a.platform - b.platform) / seconds
 		u.LogReads += (a.reads - b.reads) / seconds
+		u.Grants += (a.grants - b.grants) / seconds
+		if u.Calls == nil {
+			u.Calls = map[string]float64{}
+		}
+		for method, n := range a.calls {
+			u.Calls[method] += (n - b.calls[method]) / seconds
+		}
 		point.Appends += (a.appends - b.appends) / seconds
 		point.Roles[role] = u
 	}
 	for role, u := range point.Roles {
 		n := float64(u.Hosts)
-		u.CPUPercent, u.MemoryMB, u.PeerBytes, u.PlatformBytes, u.LogReads = u.CPUPercent/n, u.MemoryMB/n, u.PeerBytes/n, u.PlatformBytes/n, u.LogReads/n
+		u.CPUPercent, u.MemoryMB, u.PeerBytes, u.PlatformBytes = u.CPUPercent/n, u.MemoryMB/n, u.PeerBytes/n, u.PlatformBytes/n
+		u.LogReads, u.Grants = u.LogReads/n, u.Grants/n
+		for method := range u.Calls {
+			u.Calls[method] /= n
+		}
 		point.Roles[role] = u
 	}
 	return point, nil
@@ -198,6 +261,8 @@
 		Reads       float64            `json:"log_reads_count"`
 		Appends     map[string]float64 `json:"log_appends_count"`
 		Rank        map[string]int     `json:"granter_rank"`
+		Calls       map[string]float64 `json:"peer_calls_count"`
+		Grants      map[string]float64 `json:"grants_count"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
 		return hostSample{}, &RunError{Op: "decode the metrics of " + n.Name, Err: err}
@@ -206,6 +271,10 @@
 		cpu: n.proc.cpu(), memory: n.proc.memory(), peer: v.PeerIn + v.PeerOut,
 		platform: v.PlatformIn + v.PlatformOut, reads: v.Reads, rank: v.Rank[n.Name],
 	}
+	s.calls = v.Calls
+	for _, count := range v.Grants {
+		s.grants += count
+	}
 	for kind, count := range v.Appends {
 		if kind != "failed" {
 			s.appends += count
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -19,6 +19,7 @@
 	DefaultAuthority    = 500 * time.Millisecond
 	DefaultPermit       = 1500 * time.Millisecond
 	DefaultReadWait     = 150 * time.Millisecond
+	DefaultPeerReadWait = 600 * time.Millisecond
 	DefaultViewInterval = 250 * time.Millisecond
 	DefaultPlanInterval = 100 * time.Millisecond
 	DefaultGrantTimeout = 150 * time.Millisecond
@@ -39,6 +40,10 @@
 	// ReadWait is how long one read of the log waits for new records. It
 	// must be well below Authority, which is counted from the read's start.
 	ReadWait time.Duration
+	// PeerReadWait is how long a host that is no granter lets a granter wait
+	// for new records. New records are passed on at once, so a longer wait
+	// costs no time; it must be well below isolationAfter.
+	PeerReadWait time.Duration
 	// ViewInterval is the interval at which a host asks for homes and permits.
 	ViewInterval time.Duration
 	// PlanInterval is the interval at which the leading granter plans moves.
@@ -60,6 +65,7 @@
 	set(&t.Authority, DefaultAuthority)
 	set(&t.Permit, DefaultPermit)
 	set(&t.ReadWait, DefaultReadWait)
+	set(&t.PeerReadWait, DefaultPeerReadWait)
 	set(&t.ViewInterval, DefaultViewInterval)
 	set(&t.PlanInterval, DefaultPlanInterval)
 	set(&t.GrantTimeout, DefaultGrantTimeout)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
 
@@ -30,6 +31,8 @@
 
 	current atomic.Pointer[journal.State]
 	view    atomic.Pointer[view.View]
+	// ownTargets caches the targets of the configuration in force.
+	ownTargets atomic.Pointer[domainTargets]
 
 	mu     sync.Mutex
 	change chan struct{}
@@ -51,7 +54,7 @@
 		cfg: cfg, log: cfg.Logger.Named("control"),
 		change: make(chan struct{}), events: make(chan view.Event, eventBuffer),
 	}
-	c.follower = newFollower(cfg.Now, cfg.Timing.ReadWait, c.log.Named("follower"))
+	c.follower = newFollower(cfg.Now, c.readWait, c.log.Named("follower"))
 	c.follower.sources = c.sources
 	c.follower.published = c.onState
 	c.follower.complete = c.onLogRead
@@ -188,6 +191,16 @@
 	return c.writer.Append(ctx, kind, body)
 }
 
+// readWait returns how long one read waits for new records. The authority of a
+// granter depends on frequent reads; other hosts have no such need.
+func (c *Control) readWait() time.Duration {
+	st := c.state()
+	if st == nil || len(st.Granters[c.cfg.Self.Domain].Members) == 0 || c.isGranter(st) {
+		return c.cfg.Timing.ReadWait
+	}
+	return c.cfg.Timing.PeerReadWait
+}
+
 // sources lists where to read records from, best first. Granters read the log
 // themselves, since their authority depends on it; other hosts read through a
 // granter of their domain first, which keeps the load on the log independent
@@ -201,7 +214,14 @@
 	var out []source
 	granters := st.Granters[c.cfg.Self.Domain].Members
 	isGranter := false
-	for _, m := range granters {
+	// Each host begins with a granter of its own choice, so that the reads are
+	// spread over them.
+	first := 0
+	if len(granters) > 0 {
+		first = int(xxhash.Sum64String(c.cfg.Self.Name) % uint64(len(granters)))
+	}
+	for i := range granters {
+		m := granters[(first+i)%len(granters)]
 		if m.Host == c.cfg.Self.Name {
 			isGranter = true
 			continue
--- a/internal/control/fitness.go
+++ b/internal/control/fitness.go
@@ -61,8 +61,8 @@
 }
 
 // watch sets the nodes to judge from the state in force.
-func (f *fitness) watch(st *journal.State, self view.Self) {
-	w := membership.Watch{Targets: sortedTargets(st, self.Domain)}
+func (f *fitness) watch(st *journal.State, self view.Self, targets []string) {
+	w := membership.Watch{Targets: targets}
 	for _, m := range st.Granters[self.Domain].Members {
 		if m.Host != self.Name {
 			w.Hosts = append(w.Hosts, m.Host)
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -54,8 +54,9 @@
 
 // Follower folds the log. Its Serve is a suture service.
 type Follower struct {
-	now     func() time.Duration
-	wait    time.Duration
+	now func() time.Duration
+	// wait returns how long a read waits for new records.
+	wait    func() time.Duration
 	log     hclog.Logger
 	sources func() []source
 	// published is called with a new state, which the Follower no longer changes.
@@ -73,7 +74,7 @@
 	order   []string
 }
 
-func newFollower(now func() time.Duration, wait time.Duration, log hclog.Logger) *Follower {
+func newFollower(now func() time.Duration, wait func() time.Duration, log hclog.Logger) *Follower {
 	return &Follower{
 		now: now, wait: wait, log: log, state: journal.NewState(),
 		change: make(chan struct{}), results: map[string]journal.Result{},
@@ -114,9 +115,10 @@
 }
 
 func (f *Follower) readFrom(ctx context.Context, src source, next int64) (fetched, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	got, err := src.read(ctx, next, f.wait)
+	got, err := src.read(ctx, next, wait)
 	var pe *platform.Error
 	if errors.As(err, &pe) && pe.Code == platform.CodeExpired {
 		return f.fromSnapshot(ctx, src)
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -49,6 +49,11 @@
 	cfg := lease.DefaultConfig()
 	cfg.Lease, cfg.Authority = d.c.cfg.Timing.Lease, d.c.cfg.Timing.Authority
 	cfg.RenewEvery, cfg.PermitFor = d.c.cfg.Timing.Renew, d.c.cfg.Timing.Permit
+	// Between two reads of a log without news, the age of the last complete
+	// read reaches twice the wait. Consent that is asked for below that age
+	// costs four calls for each read and each other granter; the rest of the
+	// authority leaves time for the answers.
+	cfg.ConsentAfter = max(2*d.c.cfg.Timing.ReadWait, cfg.Authority*7/10)
 	return cfg
 }
 
@@ -92,7 +97,7 @@
 // host that leads its own domain.
 func (d *domainSet) publish(st *journal.State) {
 	if st.Config != nil {
-		d.fitness.watch(st, d.c.cfg.Self)
+		d.fitness.watch(st, d.c.cfg.Self, d.c.targets(st).all)
 	}
 	d.step(d.c.cfg.Self.Domain, lease.Published{State: st})
 	if st.Config == nil || !d.c.leads(st) {
@@ -131,19 +136,40 @@
 			}
 		}
 	}()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			c.domains.fitness.step(membership.Tick{})
-			for _, name := range c.domains.all() {
-				c.domains.step(name, lease.Tick{})
-			}
+			c.tick(n)
 		}
 	}
 }
 
+const (
+	// fitnessTicks and idleTicks are the numbers of ticks between two steps of
+	// the judgement of targets and, on hosts that are no granters, of the
+	// lease cores.
+	fitnessTicks = 2
+	idleTicks    = 10
+)
+
+// tick lets time pass. A host that is no granter renews nothing and judges no
+// targets, so it steps less often.
+func (c *Control) tick(n int) {
+	st := c.state()
+	idle := st == nil || !c.isGranter(st)
+	if idle && n%idleTicks != 0 {
+		return
+	}
+	if idle || n%fitnessTicks == 0 {
+		c.domains.fitness.step(membership.Tick{})
+	}
+	for _, name := range c.domains.all() {
+		c.domains.step(name, lease.Tick{})
+	}
+}
+
 func (c *Control) carryOut(ctx context.Context, da domainAction) {
 	switch a := da.action.(type) {
 	case lease.SendGrant:
--- a/internal/control/homes.go
+++ b/internal/control/homes.go
@@ -149,7 +149,7 @@
 }
 
 // request builds the next request of this host.
-func (h *homeTable) request(st *journal.State) HomeRequest {
+func (h *homeTable) request(st *journal.State, targets *domainTargets) HomeRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	req := HomeRequest{
@@ -167,8 +167,8 @@
 			req.Holds[t] = p.epoch
 		}
 	}
-	for t, cfg := range st.Config.Targets {
-		if cfg.Domain == h.self.Domain && !st.Config.Workloads[cfg.Workload].Fencing {
+	for t, cfg := range targets.probed {
+		if !st.Config.Workloads[cfg.Workload].Fencing {
 			req.Versions[t] = uint64(st.TargetVersion[t])
 		}
 	}
@@ -269,7 +269,7 @@
 	// The request path works by the published view, so its state counts.
 	st := v.State
 	for _, m := range st.Granters[c.cfg.Self.Domain].Members {
-		req := c.homes.request(st)
+		req := c.homes.request(st, c.targets(st))
 		if c.drained != nil {
 			for t, version := range req.Versions {
 				req.Drained[t] = c.drained(t, version)
@@ -308,6 +308,8 @@
 	mu sync.Mutex
 	// since is when this host began to lead; zero while it does not.
 	since time.Duration
+	// ledAt is when homes were last assigned and the view was rebuilt.
+	ledAt time.Duration
 	// homes and expires are what this leader has assigned or adopted.
 	homes   map[string]view.Home
 	expires map[string]time.Duration
@@ -341,6 +343,9 @@
 	dead bool
 }
 
+// leadInterval is the least time between two assignments of homes.
+const leadInterval = 25 * time.Millisecond
+
 // aliveFor is how long after its last call a host counts as alive.
 const aliveFor = time.Second
 
@@ -361,7 +366,12 @@
 		c.renewPermits(l, st, now, req, &rep)
 	}
 	if rep.Leader {
-		c.lead(l, st, now)
+		// A large domain has hundreds of calls a second; each needs homes that
+		// are a few milliseconds old at most, not a new assignment.
+		if l.since == 0 || now-l.ledAt >= leadInterval {
+			l.ledAt = now
+			c.lead(l, st, now)
+		}
 		c.newPermits(l, st, now, req, &rep)
 	} else {
 		l.since = 0
@@ -521,7 +531,7 @@
 func (c *Control) assign(l *leader, st *journal.State, now time.Duration, alive []string) {
 	load := map[string]int{}
 	var free []string
-	for _, t := range sortedTargets(st, c.cfg.Self.Domain) {
+	for _, t := range c.targets(st).all {
 		home, ok := l.homes[t]
 		if ok && slices.Contains(alive, home.Host) && l.expires[t] > 0 {
 			load[home.Host]++
@@ -546,22 +556,11 @@
 // rank orders the hosts for one target by rendezvous hashing.
 func rank(target, host string) uint64 { return xxhash.Sum64String(target + "\x00" + host) }
 
-func sortedTargets(st *journal.State, domain string) []string {
-	var out []string
-	for name, t := range st.Config.Targets {
-		if t.Domain == domain {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // rebuild publishes a new version of the domain's view when it has changed.
 func (c *Control) rebuild(l *leader, st *journal.State, alive []string) {
 	last := l.views[c.cfg.Self.Domain]
 	next := DomainView{Homes: maps.Clone(l.homes), Targets: map[string]view.Target{}, Alive: alive}
-	for _, t := range sortedTargets(st, c.cfg.Self.Domain) {
+	for _, t := range c.targets(st).all {
 		if next.Targets[t] = c.domains.fitness.target(t); !next.Targets[t].Known {
 			// A new leader keeps the word of the one before until it has its own.
 			next.Targets[t] = last.Targets[t]
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -41,7 +41,8 @@
 type hostTable struct {
 	mu sync.Mutex
 	m  map[string]seen
-	// emptySince is when the domain was first seen without granters.
+	// emptySince is when the domain was first seen without living granters,
+	// since it last had one; 0 while it has.
 	emptySince time.Duration
 }
 
@@ -69,6 +70,14 @@
 	return h.m[host]
 }
 
+// forget drops what hellos have shown. A host that has stopped calling the
+// granters must not take the age of its last call for their silence.
+func (h *hostTable) forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.m)
+}
+
 // serveHosts announces this host, watches the granters and keeps their list.
 func (c *Control) serveHosts(ctx context.Context) error {
 	tick := time.NewTicker(helloInterval)
@@ -102,6 +111,8 @@
 		c.noteRank(st)
 		if c.isGranter(st) || c.homes.unanswered() {
 			c.helloGranters(ctx, st)
+		} else {
+			c.hosts.forget()
 		}
 		c.keepGranters(ctx, st, now)
 		if c.leads(st) && now-lastRemote > remoteInterval {
@@ -189,7 +200,7 @@
 	if rep.RenewedMS == 0 || st == nil || st.Config == nil {
 		return out
 	}
-	for _, t := range c.granted(st) {
+	for _, t := range c.targets(st).granted {
 		if !slices.Contains(rep.NotRenewed, t) {
 			out[t] = time.Duration(rep.RenewedMS) * time.Millisecond
 		}
@@ -249,7 +260,7 @@
 	if len(gone) == 0 && len(living) >= want && len(keepRetiring) == len(g.Retiring) && g.Version > 0 {
 		return
 	}
-	if !c.mayPropose(st, g, living, now) {
+	if !c.mayPropose(st, living, now) {
 		return
 	}
 	next := journal.Granters{Domain: c.cfg.Self.Domain, FromVersion: g.Version, Members: living}
@@ -271,11 +282,14 @@
 }
 
 // mayPropose reports whether it is this host's turn to propose a list.
-func (c *Control) mayPropose(st *journal.State, g journal.Granters, living []journal.Member, now time.Duration) bool {
+func (c *Control) mayPropose(st *journal.State, living []journal.Member, now time.Duration) bool {
 	if c.stopping.Load() {
 		return len(living) == 0
 	}
 	if len(living) > 0 {
+		c.hosts.mu.Lock()
+		c.hosts.emptySince = 0
+		c.hosts.mu.Unlock()
 		return living[0].Host == c.cfg.Self.Name
 	}
 	rank := slices.Index(c.domainHosts(st), c.cfg.Self.Name)
@@ -283,7 +297,7 @@
 		return false
 	}
 	c.hosts.mu.Lock()
-	if c.hosts.emptySince == 0 || g.Version > 0 && now-c.hosts.emptySince > time.Minute {
+	if c.hosts.emptySince == 0 {
 		c.hosts.emptySince = now
 	}
 	since := c.hosts.emptySince
@@ -312,6 +326,11 @@
 			listed[m.Host] = true
 		}
 	}
+	// The fold refuses a list with a member that is still retiring. Such a host
+	// is added after a record has ended its retirement.
+	for _, m := range g.Retiring {
+		listed[m.Host] = true
+	}
 	c.leader.mu.Lock()
 	alive := c.leader.alive(now, st)
 	c.leader.mu.Unlock()
--- a/internal/control/probes.go
+++ b/internal/control/probes.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
-	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/membership"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -36,7 +34,7 @@
 		}
 		want := map[string]contract.Target{}
 		if st := c.state(); st != nil && st.Config != nil && c.leads(st) {
-			want = c.probed(st)
+			want = c.targets(st).probed
 		}
 		for name, p := range running {
 			if want[name].Addr != p.addr {
@@ -55,26 +53,6 @@
 	}
 }
 
-// granted lists the domain's targets whose leases are renewed, in order.
-func (c *Control) granted(st *journal.State) []string {
-	probed := c.probed(st)
-	return slices.DeleteFunc(sortedTargets(st, c.cfg.Self.Domain), func(name string) bool {
-		_, ok := probed[name]
-		return ok
-	})
-}
-
-func (c *Control) probed(st *journal.State) map[string]contract.Target {
-	out := map[string]contract.Target{}
-	for name, t := range st.Config.Targets {
-		w := st.Config.Workloads[t.Workload]
-		if t.Domain == c.cfg.Self.Domain && !(w.Keyed && w.Fencing) {
-			out[name] = t
-		}
-	}
-	return out
-}
-
 // probe asks one target for its load until the context ends.
 func (c *Control) probe(ctx context.Context, name string, client platform.Target) {
 	tick := time.NewTicker(probeInterval)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -69,8 +69,8 @@
 		return rep, nil
 	}
 	rep.ConfigVersion = st.Config.Version
-	targets := sortedTargets(st, c.cfg.Self.Domain)
-	rep.Failing = c.domains.fitness.failing(targets)
+	targets := c.targets(st)
+	rep.Failing = c.domains.fitness.failing(targets.all)
 	dc := c.domains.own()
 	dc.mu.Lock()
 	renewed := dc.core.Renewed(c.cfg.Now())
@@ -78,7 +78,7 @@
 	if len(renewed) == 0 {
 		return rep, nil
 	}
-	for _, t := range c.granted(st) {
+	for _, t := range targets.granted {
 		age, ok := renewed[t]
 		if !ok {
 			rep.NotRenewed = append(rep.NotRenewed, t)
--- a/internal/httpplatform/client.go
+++ b/internal/httpplatform/client.go
@@ -151,6 +151,9 @@
 		return &platform.Error{Op: op, Code: platform.CodeUnavailable, Detail: "request could not be built", Err: err}
 	}
 	req.GetBody = nil
+	// An empty value keeps the transport from sending its own name, which
+	// would be a tenth of a renewal.
+	req.Header["User-Agent"] = []string{""}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if sent.mayHaveSent(ctx.Err() != nil) {
