Tell the load of a target with refusals as well

Only answers carried the queue length and latency of a target, so a front went on choosing an unkeyed target whose home had just refused a request. Refusals now carry them too; a test fills the slots of a target and checks what the front knows after a refusal.

--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -333,15 +333,19 @@
 	if !s.cfg.DisableFence && s.cfg.Source.Permit(target) <= 0 {
 		return nil
 	}
-	s.homesMu.RLock()
-	h := s.homes[target]
-	s.homesMu.RUnlock()
-	if h != nil {
+	if h := s.opened(target); h != nil {
 		return h
 	}
 	return s.openHome(target)
 }
 
+// opened returns the home of a target if it is open here.
+func (s *Server) opened(target string) *home {
+	s.homesMu.RLock()
+	defer s.homesMu.RUnlock()
+	return s.homes[target]
+}
+
 func (s *Server) openHome(target string) *home {
 	v := s.cfg.Source.View()
 	t, ok := v.State.Config.Targets[target]
--- a/internal/forward/inner.go
+++ b/internal/forward/inner.go
@@ -44,14 +44,16 @@
 	if e != nil {
 		s.cfg.Log.Debug("request of a peer failed", "request_id", id, "code", e.Code, "outcome", e.Outcome, "detail", e.Detail, "error", e.Err)
 		h[headerHop] = []string{hopError}
+		if home := s.opened(r.Header.Get(headerTarget)); home != nil {
+			setHint(h, home.hint())
+		}
 		writeError(w, e)
 		return
 	}
 	copyResponseHeader(h, ans.header)
 	h[headerHop] = []string{hopTarget}
 	if ans.loaded {
-		h[headerQueued] = []string{strconv.Itoa(ans.load.queued)}
-		h[headerLatencyUS] = []string{strconv.FormatInt(ans.load.latency.Microseconds(), 10)}
+		setHint(h, ans.load)
 	}
 	if e := ans.relay(w, s.cfg.BodyPause); e != nil {
 		s.m.aborted.Add(1)
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -90,7 +90,7 @@
 	if failure != nil {
 		return nil, s.peerFailure(ctx, attemptCtx, c, r, failure)
 	}
-	return s.peerAnswer(ctx, c, resp, a)
+	return s.peerAnswer(ctx, c, r, resp, a)
 }
 
 // movedAway reports whether a request whose home does not answer can be sent
@@ -129,9 +129,14 @@
 }
 
 // peerAnswer reads the response of an entry host: the target's, or an error.
-func (s *Server) peerAnswer(ctx context.Context, c *call, resp *http.Response, a *attempt) (*answer, *retry.Error) {
+func (s *Server) peerAnswer(ctx context.Context, c *call, r route, resp *http.Response, a *attempt) (*answer, *retry.Error) {
 	hop := resp.Header.Get(headerHop)
 	if hop == hopError {
+		// A home that refuses a request says how much it has, so that the next
+		// unkeyed request goes elsewhere.
+		if hint, ok := hintFrom(resp.Header); ok {
+			s.loadOf(r.target).hint.Store(&timedHint{hint, time.Now()})
+		}
 		return nil, peerError(resp, a)
 	}
 	if hop != hopTarget || resp.Header.Get(platform.HeaderRequestID) != c.id {
@@ -148,6 +153,11 @@
 	return ans, nil
 }
 
+func setHint(h http.Header, l loadHint) {
+	h[headerQueued] = []string{strconv.Itoa(l.queued)}
+	h[headerLatencyUS] = []string{strconv.FormatInt(l.latency.Microseconds(), 10)}
+}
+
 func hintFrom(h http.Header) (loadHint, bool) {
 	queued, err1 := strconv.Atoi(h.Get(headerQueued))
 	us, err2 := strconv.ParseInt(h.Get(headerLatencyUS), 10, 64)
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -164,3 +164,29 @@
 		So(s.srv.m.answers.Value(), ShouldEqual, 64)
 	})
 }
+
+// A front that does not learn of a full queue sends the next request there too.
+func TestRefusalsCarryLoad(t *testing.T) {
+	Convey("a home that sheds a request tells its load", t, func() {
+		release := make(chan struct{})
+		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/v1/load") {
+				<-release
+			}
+		}))
+		defer h.Close()
+		e1, _ := twoHosts(t, h.Listener.Addr().String())
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() { e1.do("POST", "/v1/keyed/a", nil) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		r := e1.do("POST", "/v1/keyed/a", nil, "Boragelock-Deadline-Ms", "50")
+		So(r.e.Outcome, ShouldEqual, retry.NotRun)
+		hint := e1.srv.loadOf("k").hint.Load()
+		So(hint, ShouldNotBeNil)
+		So(hint.queued, ShouldBeGreaterThanOrEqualTo, 8)
+		close(release)
+		wg.Wait()
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -156,6 +156,9 @@
 	var e *retry.Error
 	if r.home == "" {
 		ans, e = s.serveHome(ctx, c, r)
+		if h := s.opened(r.target); e != nil && h != nil {
+			l.hint.Store(&timedHint{h.hint(), time.Now()})
+		}
 	} else {
 		ans, e = s.sendPeer(ctx, c, r, PathForward)
 	}
