Name the host's role in the certificate of the TLS test

Certificates of entry hosts must name the role entry-host since the roles of hosts and operators are separate; the test's certificate did not, so its hosts refused each other and the test failed. The test now uses the role, and also checks that a client without a certificate is refused.

--- a/internal/embedded/tls_test.go
+++ b/internal/embedded/tls_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -21,6 +22,7 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/examples"
+	"github.com/boragelock/boragelock/internal/entry"
 	"github.com/boragelock/boragelock/internal/settings"
 )
 
@@ -40,7 +42,7 @@
 	}
 	template := func(serial int64, ca bool) *x509.Certificate {
 		return &x509.Certificate{
-			SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"},
+			SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test", OrganizationalUnit: []string{entry.RoleHost}},
 			NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 			IsCA: ca, BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
 			KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
@@ -81,6 +83,9 @@
 			defer resp.Body.Close()
 			So(resp.StatusCode, ShouldEqual, http.StatusBadRequest)
 		}
+		stranger := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+		_, err = stranger.Get("https://" + inner + "/internal/v1/ping")
+		So(err, ShouldNotBeNil)
 	})
 	cancel()
 	<-done
