Show the need of three more rules by histories

What: faults for a target that restarts after a planned move while a granter is without the log, for a list of granters that changes meanwhile, and for a limit on serving without the log that a domain cannot know. Each of the three rules is now taken away by the test as well. The contract of the package names what it relies on.

--- a/lease/doc.go
+++ b/lease/doc.go
@@ -19,6 +19,11 @@
 //   - Times passed as Start or SentAt are never later than the real moment;
 //     ages reported by a peer are stretched by the clock rate bound.
 //
+// Contract with the platform: at most one incarnation of a host or target runs
+// at a time; a target lets nothing take effect once its lease has ended, not
+// even a request that it has begun, and forgets its nonces when it restarts;
+// requests to targets that do not check fences end with their home's permit.
+//
 // A host that is no member of the domain's granters runs a Granter as an
 // observer: it renews nothing, but finds out when shards of a domain that was
 // lost, or that has been cut off for longer than it may serve, are released.
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -50,6 +50,10 @@
 	// of a target declared lost, wait the wait of a release for its proof,
 	// restart the log read before a restarted target gets a lease.
 	stop, lost, wait, restart bool
+	// word is the promise that an acknowledgement waits for, asked the doubt
+	// whether a member had to ask this one, limit the doubt whether a domain
+	// knows the limit for serving without the log.
+	word, asked, limit bool
 }
 
 // memberKey names one incarnation of a host.
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -44,7 +44,7 @@
 	target, extra int
 }
 
-const faultKinds = 19
+const faultKinds = 22
 
 var drawFault = rapid.Custom(func(t *rapid.T) simFault {
 	return simFault{
@@ -102,9 +102,61 @@
 		w.segment(h, t, f)
 	case 18:
 		w.loseDomain(f)
+	case 19:
+		w.offLogRestart(h, t, f)
+	case 20:
+		w.newMember(h, f)
+	case 21:
+		w.changeLimit(f)
 	}
 }
 
+// goOffLog lets a host get the consent of its peers, then leaves it with its
+// targets only.
+func (w *world) goOffLog(h *simHost, until time.Duration) {
+	w.cut[pair(h.name, "log")], h.blindUntil = until, until
+	w.at(w.now+600*ms, func() { w.isolateHost(h, until) })
+}
+
+// offLogRestart has a target acknowledge a planned move to another granter and
+// restart, while a granter without the log still knows the old list.
+func (w *world) offLogRestart(h *simHost, t *simTarget, f simFault) {
+	w.goOffLog(h, w.now+3*time.Second+f.dur/4)
+	w.at(w.now+1100*ms, func() {
+		f.shards, f.extra, f.target = 7, 1, (f.target+1)%3
+		w.move(f)
+	})
+	w.at(w.now+1150*ms+f.dur/10, func() { w.crash(&t.simNode, 5*ms, t.reset) })
+}
+
+// newMember replaces the list of granters while a member is without the log,
+// then has a target declared lost.
+func (w *world) newMember(h *simHost, f simFault) {
+	w.goOffLog(h, w.now+3*time.Second+f.dur/4)
+	w.at(w.now+650*ms, func() { w.replaceGranters(w.hosts[(f.node+1)%4]) })
+	w.at(w.now+900*ms, func() {
+		f.shards, f.extra = 7, 2
+		w.move(f)
+	})
+}
+
+// changeLimit cuts d1 off while it may serve without end, then ends that by a
+// record that d1 cannot read, and declares its targets lost.
+func (w *world) changeLimit(f simFault) {
+	serve := func(serveMS int64) {
+		w.seq++
+		w.append(fmt.Sprint("limit", w.seq), journal.KindChange, contract.Change{FromVersion: w.truth.Config.Version,
+			Items: []contract.Item{{Isolated: &contract.Isolation{ServeMS: serveMS}}}})
+	}
+	serve(-1)
+	w.at(w.now+400*ms, func() { w.isolate(w.now + 3*time.Second + f.dur/4) })
+	w.at(w.now+1200*ms, func() {
+		serve(0)
+		f.shards, f.extra, f.target = 7, 2, 2
+		w.move(f)
+	})
+}
+
 // loseDomain stops all of d1, with an operator's word on it or not, and moves
 // its shards to d2.
 func (w *world) loseDomain(f simFault) {
@@ -385,6 +437,9 @@
 		{"release", 9, func(c *worldConfig) { c.omit.wait = true }},
 		{"stop_renew accounting without fencing", 9, func(c *worldConfig) { c.omit.stop, c.fencing = true, false }},
 		{"release without fencing", 9, func(c *worldConfig) { c.omit.wait, c.fencing = true, false }},
+		{"promise before acknowledgement", 19, func(c *worldConfig) { c.omit.word = true }},
+		{"members that were not asked", 20, func(c *worldConfig) { c.omit.asked = true }},
+		{"limit known to the domain", 21, func(c *worldConfig) { c.omit.limit = true }},
 		{"restart", 16, func(c *worldConfig) { c.omit.restart = true }},
 	} {
 		t.Run(x.name, func(t *testing.T) {
--- a/lease/release.go
+++ b/lease/release.go
@@ -141,7 +141,7 @@
 	}
 	ms := g.state.Config.IsolatedServeMS
 	passed := m.AddedAt >= g.state.IsolatedAt
-	if ms >= 0 && (passed || p.knowsLimit.passed) {
+	if ms >= 0 && (passed || p.knowsLimit.passed || g.omit.limit) {
 		since := known + g.cfg.stretch(g.cfg.Authority+time.Duration(ms)*time.Millisecond)
 		if !passed {
 			since = max(since, p.knowsLimit.at)
@@ -154,7 +154,7 @@
 // asksMe reports whether the other granter would have had to ask this one for
 // consent: its list names this incarnation.
 func (g *Granter) asksMe(m journal.Member) bool {
-	return g.rank >= 0 && (m.AddedAt >= g.me.AddedAt || g.peers[keyOf(m)].knowsMe.passed)
+	return g.rank >= 0 && (m.AddedAt >= g.me.AddedAt || g.peers[keyOf(m)].knowsMe.passed || g.omit.asked)
 }
 
 // asksMeSince returns from when on asksMe is known to hold.
@@ -170,7 +170,7 @@
 // log knows the move before it gives a lease to a restarted target.
 func (g *Granter) needsWord(m journal.Member) bool {
 	p := g.peers[keyOf(m)]
-	return !g.omit.stop && !p.dead && (p.offLog != 0 || !g.asksMe(m))
+	return !g.omit.stop && !g.omit.word && !p.dead && (p.offLog != 0 || !g.asksMe(m))
 }
 
 // acknowledged takes a target's accepted grant as its word on the waiting
