--- a/lease/authority.go
+++ b/lease/authority.go
@@ -118,7 +118,7 @@
 // a later read is certain to hold the moves that it acted on.
 func (g *Granter) excused(m journal.Member) bool {
 	p := g.peers[keyOf(m)]
-	return p.dead && g.log.start > p.deadAt
+	return p.dead && (g.log.start > p.deadAt || g.omit.dead)
 }
 
 func (g *Granter) isolatedUntil() time.Duration {
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -52,8 +52,9 @@
 	stop, lost, wait, restart bool
 	// word is the promise that an acknowledgement waits for, asked the doubt
 	// whether a member had to ask this one, limit the doubt whether a domain
-	// knows the limit for serving without the log.
-	word, asked, limit bool
+	// knows the limit for serving without the log, dead the log read after a
+	// member's death before its consent is excused.
+	word, asked, limit, dead bool
 }
 
 // memberKey names one incarnation of a host.
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -44,7 +44,7 @@
 	target, extra int
 }
 
-const faultKinds = 22
+const faultKinds = 23
 
 var drawFault = rapid.Custom(func(t *rapid.T) simFault {
 	return simFault{
@@ -108,6 +108,16 @@
 		w.newMember(h, f)
 	case 21:
 		w.changeLimit(f)
+	case 22:
+		// The host's peers restart before it can ask them for consent.
+		w.segment(h, t, f)
+		w.at(w.now+1700*ms, func() {
+			for _, x := range w.hosts[:4] {
+				if x != h {
+					w.crash(&x.simNode, 20*ms, func() { w.start(x) })
+				}
+			}
+		})
 	}
 }
 
@@ -440,6 +450,7 @@
 		{"promise before acknowledgement", 19, func(c *worldConfig) { c.omit.word = true }},
 		{"members that were not asked", 20, func(c *worldConfig) { c.omit.asked = true }},
 		{"limit known to the domain", 21, func(c *worldConfig) { c.omit.limit = true }},
+		{"later read after a member's death", 22, func(c *worldConfig) { c.omit.dead = true }},
 		{"restart", 16, func(c *worldConfig) { c.omit.restart = true }},
 	} {
 		t.Run(x.name, func(t *testing.T) {
