--- a/lease/granter.go
+++ b/lease/granter.go
@@ -50,6 +50,11 @@
 	// of a target declared lost, wait the wait of a release for its proof,
 	// restart the log read before a restarted target gets a lease.
 	stop, lost, wait, restart bool
+	// word is the promise that an acknowledgement waits for, asked the doubt
+	// whether a member had to ask this one, limit the doubt whether a domain
+	// knows the limit for serving without the log, dead the log read after a
+	// member's death before its consent is excused.
+	word, asked, limit, dead bool
 }
 
 // memberKey names one incarnation of a host.
