Report the outcome of all attempts of a home

The home had sent it twice; the first response was lost, the second attempt was refused, and only the last outcome was reported. The front joins the outcomes of its attempts, the home did not. Measured: TestOutcomeCoversAllAttempts fails before (not_run) and passes after (may_have_run).

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -326,3 +326,32 @@
 		So(s.src.reported(view.EventNotOwner), ShouldBeTrue)
 	})
 }
+
+// The bench found a lookup that had run and was answered as not run: its first
+// attempt lost its response, and the second was shed.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	Convey("a refusal of the second attempt does not hide the first", t, func() {
+		const shed = "HTTP/1.1 503 Service Unavailable\r\nBoragelock-Outcome: not_run\r\nBoragelock-Code: shed\r\nContent-Length: 0\r\n\r\n"
+		var sent atomic.Int32
+		tgt := newRawTarget(t, func(_ int, c net.Conn) {
+			for {
+				head := readRequest(c)
+				if head == "" {
+					return
+				}
+				if answerProbe(c, head) {
+					continue
+				}
+				if sent.Add(1) == 1 {
+					return
+				}
+				_, _ = io.WriteString(c, shed)
+			}
+		})
+		s := newSystem(t, tgt.addr(), nil)
+		r := s.do("GET", "/v1/keyed/a", nil, "Boragelock-Deadline-Ms", "1000")
+		So(sent.Load(), ShouldBeGreaterThan, 1)
+		So(r.e.Code, ShouldEqual, retry.CodeShed)
+		So(r.e.Outcome, ShouldEqual, retry.MayHaveRun)
+	})
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -73,6 +73,7 @@
 	}
 	start := time.Now()
 	defer addSince(s.m.homeUS, start)
+	outcome := retry.NotRun
 	for n := 1; ; n++ {
 		ans, latency, err := s.send(ctx, h, c, r)
 		if err == nil {
@@ -83,9 +84,11 @@
 			})
 			return ans, nil
 		}
+		outcome = retry.Join(outcome, err.Outcome)
 		if n < maxSends && s.sendAgain(c, h, err) {
 			continue
 		}
+		err = err.WithOutcome(outcome)
 		h.leave(version)
 		h.release(slot, admission.Sample{Latency: latency, Outcome: sampleOf(err)})
 		if err.Code == retry.CodeShed {
