Move shards away from slow targets; report their service times

Cause: keyed requests have one owner, so neither hedging nor another choice helps when it is slow; the planner knew only the number of requests. Change: homes report mean service times each second; a target above 2.5 times the median of its workload counts with the ratio as its capacity, at most half of a workload's targets at once.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -42,6 +42,8 @@
 
 	// drained is set before the duties start; see SetDrained.
 	drained func(target string, version uint64) uint64
+	// serviceTimes is set before the duties start; see SetServiceTimes.
+	serviceTimes func() map[string]time.Duration
 }
 
 // eventBuffer bounds the reports of the request path; when it is full the
@@ -189,6 +191,11 @@
 // do not check fences are released only after their permits have ended.
 func (c *Control) SetDrained(f func(target string, version uint64) uint64) { c.drained = f }
 
+// SetServiceTimes sets how the control plane learns the mean service times of
+// the targets that this host is the home of. Call it before the services are
+// started. Without it slow targets keep their shards.
+func (c *Control) SetServiceTimes(f func() map[string]time.Duration) { c.serviceTimes = f }
+
 // Append writes a record and returns what it did; see Writer.Append.
 func (c *Control) Append(ctx context.Context, kind journal.Kind, body any) (journal.Result, error) {
 	return c.writer.Append(ctx, kind, body)
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -296,7 +296,9 @@
 	case w.queue <- domainGrant{domain, a}:
 	default:
 		grantsTotal.Add("refused_queue_full", 1)
-		d.step(domain, lease.GrantFailed{Target: a.Target, Seq: a.Seq})
+		// This runs in the consumer of the actions, which must not wait for
+		// room among them.
+		go d.step(domain, lease.GrantFailed{Target: a.Target, Seq: a.Seq})
 	}
 }
 
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/hotkeys"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
@@ -16,8 +17,9 @@
 
 const (
 	// loadInterval is the interval at which homes report the load of their
-	// shards. The hottest keys change within minutes, so seconds suffice.
-	loadInterval = 2 * time.Second
+	// shards. The hottest keys change within minutes; a target that has become
+	// slow delays its requests until its shards have moved.
+	loadInterval = time.Second
 	// loadHalfLife is the time in which a count loses half its weight.
 	loadHalfLife = 5 * time.Second
 	// leastCount is the decayed count below which a shard or key is forgotten.
@@ -26,6 +28,15 @@
 	// loads are believed: the random error of a target's load is then 7 %,
 	// below the imbalance of 10 % that starts a move.
 	leastSample = 200
+	// serviceLife is how long a reported service time counts.
+	serviceLife = 5 * loadInterval
+	// slowFactor is the ratio of a target's service time to the median of its
+	// workload from which on it gets less: below it lie the differences between
+	// equal targets.
+	slowFactor = 2.5
+	// leastWeight is the lowest weight of a slow target. It keeps a few shards,
+	// by which its recovery is seen.
+	leastWeight = 0.05
 	// leastSplitAge is how long a split key keeps its shard, so that a key near
 	// the limit is not split and merged in turn.
 	leastSplitAge = 30 * time.Second
@@ -42,6 +53,8 @@
 	From string `json:"from"`
 	// Counts are the requests since the last report.
 	Counts hotkeys.Report `json:"counts"`
+	// ServiceUS is the mean service time of targets in microseconds.
+	ServiceUS map[string]int64 `json:"service_us,omitempty"`
 }
 
 // loadTable holds the measured load that the planner balances by: counts of
@@ -55,7 +68,15 @@
 	at      time.Duration
 	shards  map[ownership.ID]float64
 	keys    map[loadKey]float64
-	pending hotkeys.Report
+	pending LoadReport
+	// service holds the last reported service time of each target.
+	service map[string]timedService
+}
+
+// timedService is a service time and when it was reported.
+type timedService struct {
+	us int64
+	at time.Duration
 }
 
 // loadKey names a key of a workload.
@@ -64,23 +85,30 @@
 func newLoadTable(now func() time.Duration) *loadTable {
 	return &loadTable{
 		now: now, counter: hotkeys.New(hotkeys.Config{}),
-		shards: map[ownership.ID]float64{}, keys: map[loadKey]float64{},
+		shards: map[ownership.ID]float64{}, keys: map[loadKey]float64{}, service: map[string]timedService{},
 	}
 }
 
 // take adds the counts of a report.
-func (l *loadTable) take(r hotkeys.Report) {
+func (l *loadTable) take(r LoadReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay()
-	for _, s := range r.Shards {
+	if l.pending.ServiceUS == nil {
+		l.pending.ServiceUS = map[string]int64{}
+	}
+	for t, us := range r.ServiceUS {
+		l.service[t] = timedService{us, l.at}
+		l.pending.ServiceUS[t] = us
+	}
+	for _, s := range r.Counts.Shards {
 		l.shards[s.ID] += float64(s.Count)
 	}
-	for _, k := range r.Keys {
+	for _, k := range r.Counts.Keys {
 		l.keys[loadKey{k.Workload, k.Key}] += float64(k.Count - k.Error)
 	}
-	l.pending.Shards = append(l.pending.Shards, r.Shards...)
-	l.pending.Keys = append(l.pending.Keys, r.Keys...)
+	l.pending.Counts.Shards = append(l.pending.Counts.Shards, r.Counts.Shards...)
+	l.pending.Counts.Keys = append(l.pending.Counts.Keys, r.Counts.Keys...)
 }
 
 // decay lets the counts fade; l.mu is held.
@@ -105,11 +133,12 @@
 
 // takePending returns what has been taken since the last call, summed up, for
 // the coordinator.
-func (l *loadTable) takePending() hotkeys.Report {
+func (l *loadTable) takePending() LoadReport {
 	l.mu.Lock()
-	p := l.pending
-	l.pending = hotkeys.Report{}
+	pending := l.pending
+	l.pending = LoadReport{}
 	l.mu.Unlock()
+	p := pending.Counts
 	shards := map[ownership.ID]uint64{}
 	for _, s := range p.Shards {
 		shards[s.ID] += s.Count
@@ -121,7 +150,7 @@
 	// A key has one home, so each report of it is for other requests.
 	slices.SortFunc(p.Keys, func(a, b hotkeys.KeyCount) int { return cmp.Compare(b.Count, a.Count) })
 	out.Keys = p.Keys[:min(len(p.Keys), topKeysMerged)]
-	return out
+	return LoadReport{Counts: out, ServiceUS: pending.ServiceUS}
 }
 
 // loads are the figures for one plan.
@@ -161,6 +190,35 @@
 	return out
 }
 
+// weights returns the weights below 1 of the slow targets of each workload: the
+// ratio of the median service time to their own. At most half of a workload's
+// targets get one, since otherwise the workload is slow and not its targets.
+func (l *loadTable) weights(targets map[string]contract.Target) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byWorkload := map[string][]int64{}
+	for name, s := range l.service {
+		if l.now()-s.at > serviceLife {
+			delete(l.service, name)
+			continue
+		}
+		byWorkload[targets[name].Workload] = append(byWorkload[targets[name].Workload], s.us)
+	}
+	out := map[string]float64{}
+	for _, all := range byWorkload {
+		slices.Sort(all)
+	}
+	for name, s := range l.service {
+		all := byWorkload[targets[name].Workload]
+		// The lower median, so that half of the targets are never above it.
+		median := all[(len(all)-1)/2]
+		if float64(s.us) > slowFactor*float64(median) {
+			out[name] = max(float64(median)/float64(s.us), leastWeight)
+		}
+	}
+	return out
+}
+
 // known reports whether the sample of a workload suffices to balance it by.
 // Without any load the numbers of shards are balanced, which needs no sample.
 func (l loads) known(workload string, targets int) bool {
@@ -174,6 +232,19 @@
 	c.loads.counter.Observe(workload, key, shard)
 }
 
+// ownServiceTimes returns the service times of the targets that this host is
+// the home of, in microseconds.
+func (c *Control) ownServiceTimes() map[string]int64 {
+	if c.serviceTimes == nil {
+		return nil
+	}
+	out := map[string]int64{}
+	for t, d := range c.serviceTimes() {
+		out[t] = d.Microseconds()
+	}
+	return out
+}
+
 // serveLoads reports the load of this host's targets to the leader of its
 // domain, and a leader the load of its domain to the coordinator.
 func (c *Control) serveLoads(ctx context.Context) error {
@@ -185,7 +256,7 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		own := LoadReport{From: c.cfg.Self.Name, Counts: c.loads.counter.Take(topKeys)}
+		own := LoadReport{From: c.cfg.Self.Name, Counts: c.loads.counter.Take(topKeys), ServiceUS: c.ownServiceTimes()}
 		st := c.state()
 		if st == nil || st.Config == nil {
 			continue
@@ -194,10 +265,11 @@
 			c.sendLoad(ctx, st, c.cfg.Self.Domain, own)
 			continue
 		}
-		c.loads.take(own.Counts)
+		c.loads.take(own)
 		sum := c.loads.takePending()
+		sum.From = "domain/" + c.cfg.Self.Domain
 		if first := c.coordinatorDomain(st); first != "" && first != c.cfg.Self.Domain {
-			c.sendLoad(ctx, st, first, LoadReport{From: "domain/" + c.cfg.Self.Domain, Counts: sum})
+			c.sendLoad(ctx, st, first, sum)
 		}
 	}
 }
@@ -217,6 +289,6 @@
 }
 
 func (c *Control) hotReport(_ context.Context, r LoadReport) (struct{}, error) {
-	c.loads.take(r.Counts)
+	c.loads.take(r)
 	return struct{}{}, nil
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -212,14 +212,15 @@
 // planTargets describes all targets to the planner.
 func (c *Control) planTargets(st *journal.State) []ownership.PlanTarget {
 	out := make([]ownership.PlanTarget, 0, len(st.Config.Targets))
+	weights := c.loads.weights(st.Config.Targets)
 	for name, t := range st.Config.Targets {
 		known := c.knownTarget(name, t.Domain)
 		own := t.Domain == c.cfg.Self.Domain
 		lost := own && c.domains.fitness.lost(name) || !own && c.actsFor(st, t.Domain)
 		fit := st.Config.TargetIn(name) && known.State != platform.TargetLeaving && (known.Fit || !known.Known && !own) && !lost
 		out = append(out, ownership.PlanTarget{
-			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots),
-			Fit: fit, Ready: known.Ready, Lost: lost,
+			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots) * weightOf(weights, name),
+			Fit: fit, Ready: known.Ready, Lost: lost, Unknown: st.Config.TargetIn(name) && !known.Known && !lost,
 		})
 	}
 	slices.SortFunc(out, func(a, b ownership.PlanTarget) int {
@@ -231,6 +232,13 @@
 	return out
 }
 
+func weightOf(weights map[string]float64, target string) float64 {
+	if w, ok := weights[target]; ok {
+		return w
+	}
+	return 1
+}
+
 // splitMove cuts a move into records of a bearable size.
 func splitMove(m journal.Move) []journal.Move {
 	var out []journal.Move
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -161,6 +161,7 @@
 	})
 	h.forward = forward.New(h.forwardConfig())
 	h.control.SetDrained(h.forward.Drained)
+	h.control.SetServiceTimes(h.forward.ServiceTimes)
 	hostVars.Set(s.Name, h.forward.Vars())
 	h.servers()
 	h.supervise()
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -35,6 +35,8 @@
 	// versions counts the requests in progress by the target's version in the
 	// view with which they began.
 	versions map[uint64]int
+	// done counts the answers since the service time was last reported.
+	done int
 }
 
 // latencyEstimate is a moving mean and mean deviation of response times, with
@@ -132,6 +134,7 @@
 	defer h.mu.Unlock()
 	if s.Outcome == admission.OutcomeOK {
 		h.latency.add(s.Latency)
+		h.done++
 	}
 	h.deliver(h.lim.Done(boottime.Now(), id, s))
 }
@@ -320,6 +323,26 @@
 	return version
 }
 
+// leastAnswers is the number of answers from which a service time is reported.
+const leastAnswers = 5
+
+// ServiceTimes returns the mean service time of each target that this host is
+// the home of and that has answered often enough since the last call.
+func (s *Server) ServiceTimes() map[string]time.Duration {
+	s.homesMu.RLock()
+	defer s.homesMu.RUnlock()
+	out := map[string]time.Duration{}
+	for name, h := range s.homes {
+		h.mu.Lock()
+		if h.done >= leastAnswers {
+			out[name] = h.lim.Stats(boottime.Now()).Service
+			h.done = 0
+		}
+		h.mu.Unlock()
+	}
+	return out
+}
+
 // drain sheds the queue and refuses new requests.
 func (h *home) drain() {
 	h.mu.Lock()
--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -22,12 +22,17 @@
 	return slices.MaxFunc(w.fit, func(a, b *planTarget) int { return cmp.Compare(a.relative, b.relative) })
 }
 
-// rebalance moves at most one batch from each overloaded target. It waits until
+// rebalance moves a batch, or several when it is urgent, from each overloaded
+// target. It waits until
 // all moves of the workload are complete, since their loads are not yet known.
 func (w *workloadPlan) rebalance() Move {
 	m := Move{Reason: ReasonRebalance}
 	last, before := w.in.Rebalanced[w.name]
-	if w.waiting > 0 || w.moved || (before && w.in.Now-last < w.cfg.RebalanceEvery) {
+	every, batches := w.cfg.RebalanceEvery, 1
+	if w.most().relative > w.cfg.Urgent*w.mean() {
+		every, batches = w.cfg.UrgentEvery, w.cfg.UrgentBatches
+	}
+	if w.waiting > 0 || w.moved || (before && w.in.Now-last < every) {
 		return m
 	}
 	if w.most().relative <= w.cfg.Imbalance*w.mean() {
@@ -35,7 +40,7 @@
 	}
 	held := w.heldByWeight()
 	for _, from := range w.fit {
-		for range w.batch() {
+		for range batches * w.batch() {
 			if from.relative <= w.cfg.ImbalanceGoal*w.mean() {
 				break
 			}
