Add operators' interface and the boragelock command

Cause: operators could not change or see anything without writing records. Changed: internal/operator has an HTTP handler over a small interface (View, Append, Status, optionally Changes), its client, the Status type, a JSON Schema for contracts, checks of contracts against each other and of the slots that remain when targets go out. cmd/boragelock has the subcommands and exit codes. A change names its version; a conflict says what changed. A lost answer is never sent again to another host. Conclusion: the control plane has to implement operator.Control; until then no entry host serves the handler.

--- /dev/null
+++ b/cmd/boragelock/state.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/operator"
+)
+
+// stateCommands take domains, hosts and targets out and in.
+func stateCommands() []command {
+	out := []command{
+		listCommand("domain list", "the failure domains", printDomains),
+		listCommand("host list", "the entry hosts", printHosts),
+		listCommand("target list", "the targets", printTargets),
+	}
+	for _, kind := range []string{"domain", "host", "target"} {
+		out = append(out,
+			setCommand(kind, contract.StateOut, "send no new work to the "+kind),
+			setCommand(kind, contract.StateIn, "send new work to the "+kind+" again"))
+	}
+	return append(out, setCommand("domain", contract.StateLost,
+		"declare that nothing in the domain acts any more; if a target still does, two targets act on the same keys"))
+}
+
+func setCommand(kind string, state contract.OperState, help string) command {
+	return command{name: kind + " " + string(state), args: "NAME", help: help,
+		define: func(fs *flag.FlagSet) func(*env, []string) error {
+			var c changeFlags
+			c.define(fs)
+			if state == contract.StateOut {
+				c.defineOut(fs)
+			}
+			return func(e *env, names []string) error {
+				item := stateItem(kind, &contract.SetState{Name: names[0], State: state})
+				err := c.apply(e, func(*contract.State) ([]contract.Item, error) { return []contract.Item{item}, nil })
+				if err != nil || state != contract.StateOut {
+					return err
+				}
+				return c.waitUntilLeft(e, func(s operator.Status) (int, int) { return leftOf(s, kind, names[0]) })
+			}
+		}}
+}
+
+func stateItem(kind string, set *contract.SetState) contract.Item {
+	switch kind {
+	case "domain":
+		return contract.Item{Domain: set}
+	case "target":
+		return contract.Item{Target: set}
+	}
+	return contract.Item{Host: set}
+}
+
+// leftOf returns the shards and requests left of a domain, target or host; for
+// a host, the targets that it is home of count as shards.
+func leftOf(s operator.Status, kind, name string) (shards, requests int) {
+	for _, d := range s.Domains {
+		for _, h := range d.Hosts {
+			if kind == "host" && h.Name == name {
+				shards += h.Permits
+			}
+		}
+		for _, t := range d.Targets {
+			if (kind == "domain" && d.Name == name) || (kind == "target" && t.Name == name) {
+				shards += t.Shards + t.Leaving
+				requests += t.InFlight + t.Queued
+			}
+		}
+	}
+	return shards, requests
+}
+
+// listCommand returns a command that prints a part of the status.
+func listCommand(name, help string, show func(*table, operator.Status)) command {
+	return command{name: name, help: "show " + help,
+		define: func(fs *flag.FlagSet) func(*env, []string) error {
+			var c common
+			c.define(fs)
+			return func(e *env, _ []string) error {
+				client, err := c.client()
+				if err != nil {
+					return err
+				}
+				s, err := client.Status(e.ctx)
+				if err != nil {
+					return err
+				}
+				if c.json {
+					return e.printJSON(s)
+				}
+				t := newTable(e.stdout)
+				show(t, s)
+				return t.flush()
+			}
+		}}
+}
+
+func printDomains(t *table, s operator.Status) {
+	t.row("domain", "state", "granters", "retiring", "hosts", "targets", "shards", "waiting")
+	for _, d := range s.Domains {
+		shards, waiting := 0, 0
+		for _, x := range d.Targets {
+			shards, waiting = shards+x.Shards, waiting+x.Waiting
+		}
+		t.row(d.Name, stateName(d.State), list(d.Granters), list(d.Retiring), len(d.Hosts), len(d.Targets), shards, waiting)
+	}
+}
+
+func printHosts(t *table, s operator.Status) {
+	t.row("host", "domain", "state", "alive", "incarnation", "config", "offset", "lag", "log_reachable", "authority", "permits")
+	for _, d := range s.Domains {
+		for _, h := range d.Hosts {
+			t.row(h.Name, d.Name, stateName(h.State), h.Alive, orNone(h.Incarnation), h.ConfigVersion, h.LogOffset, h.Lag, h.LogReachable, orNone(h.Authority), h.Permits)
+		}
+	}
+}
+
+func printTargets(t *table, s operator.Status) {
+	t.row("target", "domain", "workload", "state", "reported", "fit", "home", "lease_ms", "shards", "waiting", "leaving", "in_flight", "queued", "missing_word")
+	for _, d := range s.Domains {
+		for _, x := range d.Targets {
+			lease := fmt.Sprint(x.LeaseMS)
+			if x.LeaseMS < 0 {
+				lease = "unknown"
+			}
+			t.row(x.Name, d.Name, x.Workload, stateName(x.State), orNone(x.Reported), x.Fit, orNone(x.Home), lease, x.Shards, x.Waiting, x.Leaving, x.InFlight, x.Queued, list(x.MissingWord))
+		}
+	}
+}
--- a/contract/state.go
+++ b/contract/state.go
@@ -158,13 +158,13 @@
 		if !ok {
 			return &InvalidError{Field: path + ".target.name", Value: it.Target.Name, Allowed: "a known target"}
 		}
-		if err := it.Target.validate(path + ".target"); err != nil {
+		if err := it.Target.validateInOut(path + ".target"); err != nil {
 			return err
 		}
 		t.State = it.Target.State
 		s.Targets[t.Name] = t
 	case it.Host != nil:
-		if err := it.Host.validate(path + ".host"); err != nil {
+		if err := it.Host.validateInOut(path + ".host"); err != nil {
 			return err
 		}
 		s.Hosts[it.Host.Name] = it.Host.State
@@ -188,6 +188,9 @@
 		}
 		s.Targets[it.AddTgt.Name] = *it.AddTgt
 	case it.Isolated != nil:
+		if it.Isolated.ServeMS < -1 {
+			return &InvalidError{Field: path + ".isolation.serve_ms", Value: fmt.Sprint(it.Isolated.ServeMS), Allowed: "-1 or more"}
+		}
 		s.IsolatedServeMS = it.Isolated.ServeMS
 	default:
 		return &InvalidError{Field: path, Value: "{}", Allowed: "one of contract, domain, target, host, workload, add_target, isolation"}
--- a/contract/validate.go
+++ b/contract/validate.go
@@ -8,6 +8,10 @@
 // MaxShards limits the shards of one workload.
 const MaxShards = 1 << 17
 
+// MaxCredentials is the number of credentials of a contract: the one in use,
+// and a second one during a rotation.
+const MaxCredentials = 2
+
 // Validate checks a deployment. It returns *InvalidError for the first fault.
 func (d Deployment) Validate() error {
 	if d.Name == "" {
@@ -122,6 +126,9 @@
 	if !c.Ended && len(c.CredentialHashes) == 0 {
 		return &InvalidError{Field: path + ".credential_hashes", Value: "[]", Allowed: "at least one SHA-256 hash"}
 	}
+	if len(c.CredentialHashes) > MaxCredentials {
+		return &InvalidError{Field: path + ".credential_hashes", Value: fmt.Sprintf("%d hashes", len(c.CredentialHashes)), Allowed: fmt.Sprintf("at most %d", MaxCredentials)}
+	}
 	for i, h := range c.CredentialHashes {
 		if !isSHA256Hex(h) {
 			return &InvalidError{Field: fmt.Sprintf("%s.credential_hashes[%d]", path, i), Value: "(hidden)", Allowed: "64 lower-case hexadecimal digits"}
@@ -152,6 +159,18 @@
 	return &InvalidError{Field: path + ".state", Value: string(s.State), Allowed: "in, out or lost"}
 }
 
+// validateInOut checks the state of a target or host. Only a whole domain can
+// be declared lost, since only its granters' leases are released by that word.
+func (s SetState) validateInOut(path string) error {
+	if s.Name == "" {
+		return &InvalidError{Field: path + ".name", Value: "", Allowed: "a name"}
+	}
+	if s.State == StateLost {
+		return &InvalidError{Field: path + ".state", Value: string(s.State), Allowed: "in or out"}
+	}
+	return s.validate(path)
+}
+
 func isSHA256Hex(h string) bool {
 	if len(h) != 64 {
 		return false
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,12 @@
+// Package operator is the operators' interface of an entry host: an HTTP
+// handler with JSON bodies, and its client.
+//
+// The handler reads the state in force through Control and changes it only by
+// change records. A change names the configuration version that it was made
+// from; when another change came first it is refused and the answer says what
+// changed. A change whose outcome is not known is answered as such: it may
+// still come into force, so the operator looks before repeating it.
+//
+// The interface has no authentication of its own. Its address must be
+// reachable for operators only.
+package operator
