--- a/cmd/boragelock/change.go
+++ b/cmd/boragelock/change.go
@@ -43,11 +43,13 @@
 type common struct {
 	entry addrs
 	json  bool
+	tls   tlsFiles
 }
 
 func (c *common) define(fs *flag.FlagSet) {
 	fs.Var(&c.entry, "entry", "operator `ADDR` (IP:port) of an entry host; several are tried in order (default $BORAGELOCK_ENTRY)")
 	fs.BoolVar(&c.json, "json", false, "print JSON")
+	c.tls.define(fs)
 }
 
 func (c *common) client() (*operator.Client, error) {
@@ -58,7 +60,11 @@
 	if len(list) == 0 {
 		return nil, &UsageError{Reason: "-entry ADDR or BORAGELOCK_ENTRY is required"}
 	}
-	return &operator.Client{Addrs: list}, nil
+	config, err := c.tls.config()
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(list, config), nil
 }
 
 // changeFlags holds the flags of commands that change the configuration.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,18 +25,27 @@
 	dialLimit    = 2 * time.Second
 )
 
-var defaultHTTP = &http.Client{
-	Timeout:   requestLimit,
-	Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext},
-}
-
 // Client calls the operators' interface of entry hosts.
 type Client struct {
-	// Addrs are operator addresses of entry hosts, IP:port, tried in order.
-	Addrs []string
-	// HTTP is the client to use; nil means one that waits at most 20 s for an
-	// answer and 2 s for a connection.
-	HTTP *http.Client
+	addrs  []string
+	scheme string
+	http   *http.Client
+}
+
+// NewClient returns a client for the operator addresses (IP:port) of entry
+// hosts, tried in order. Without a TLS configuration it uses plain HTTP.
+func NewClient(addrs []string, config *tls.Config) *Client {
+	c := &Client{addrs: addrs, scheme: "http", http: &http.Client{
+		Timeout: requestLimit,
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext, TLSClientConfig: config,
+			TLSHandshakeTimeout: dialLimit,
+		},
+	}}
+	if config != nil {
+		c.scheme = "https"
+	}
+	return c
 }
 
 // Status returns the status as one entry host sees it. Errors of all methods
@@ -92,7 +102,7 @@
 // tried.
 func (c *Client) each(f func(addr string) (next bool, err error)) error {
 	var err error = &Failure{Code: CodeUnreachable, Message: "no entry host given"}
-	for _, addr := range c.Addrs {
+	for _, addr := range c.addrs {
 		next := false
 		if next, err = f(addr); err == nil || !next {
 			return err
@@ -104,17 +114,13 @@
 // do sends one request. next reports that it had no effect and another host
 // may succeed.
 func (c *Client) do(ctx context.Context, method, addr, path string, body []byte, out any) (next bool, err error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return false, &Failure{Code: CodeInvalid, Message: "address " + addr + " is not IP:port", Field: "entry", Value: addr, Allowed: "IP:port"}
 	}
 	// Without GetBody the transport never sends a change a second time.
 	req.GetBody = nil
-	hc := c.HTTP
-	if hc == nil {
-		hc = defaultHTTP
-	}
-	resp, err := hc.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return lostAnswer(method, addr, err)
 	}
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -7,6 +7,6 @@
 // changed. A change whose outcome is not known is answered as such: it may
 // still come into force, so the operator looks before repeating it.
 //
-// The interface has no authentication of its own. Its address must be
-// reachable for operators only.
+// The handler has no authentication of its own: an entry host serves it with
+// mutual TLS for certificates of the role operator, or on loopback only.
 package operator
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -97,7 +97,7 @@
 		f := newFake()
 		srv := httptest.NewServer(NewHandler(f, nil))
 		Reset(srv.Close)
-		c := &Client{Addrs: []string{srv.Listener.Addr().String()}}
+		c := NewClient([]string{srv.Listener.Addr().String()}, nil)
 
 		Convey("a change takes effect; a dry run does not", func() {
 			req := domainOut(1, "d1")
@@ -171,16 +171,16 @@
 		addr := func(s *httptest.Server) string { return s.Listener.Addr().String() }
 
 		Convey("a change passes over hosts where it had no effect", func() {
-			_, err := (&Client{Addrs: []string{addr(gone), addr(none), addr(good)}}).Change(ctx, domainOut(1, "d1"))
+			_, err := NewClient([]string{addr(gone), addr(none), addr(good)}, nil).Change(ctx, domainOut(1, "d1"))
 			So(err, ShouldBeNil)
 		})
 		Convey("a change is not repeated after a lost answer", func() {
-			_, err := (&Client{Addrs: []string{addr(cut), addr(good)}}).Change(ctx, domainOut(1, "d1"))
+			_, err := NewClient([]string{addr(cut), addr(good)}, nil).Change(ctx, domainOut(1, "d1"))
 			So(failure(err).Code, ShouldEqual, CodeUnknownOutcome)
 			So(f.state.Config.Version, ShouldEqual, 1)
 		})
 		Convey("a read is repeated after a lost answer", func() {
-			s, err := (&Client{Addrs: []string{addr(cut), addr(good)}}).Status(ctx)
+			s, err := NewClient([]string{addr(cut), addr(good)}, nil).Status(ctx)
 			So(err, ShouldBeNil)
 			So(s.Host, ShouldEqual, "e1")
 		})
