Print refusals of the boragelock command as JSON with -json

Cause: scripts could not read what changed in a conflict. Measured: tests of cmd/boragelock and internal/operator pass. Conclusion: done.

--- a/cmd/boragelock/main.go
+++ b/cmd/boragelock/main.go
@@ -42,6 +42,8 @@
 	ctx            context.Context
 	stdin          io.Reader
 	stdout, stderr io.Writer
+	// asJSON says that -json was given, also when the command line is wrong.
+	asJSON bool
 }
 
 // command is one subcommand. define adds its flags and returns what runs it
@@ -72,6 +74,7 @@
 		usage(e.stdout)
 		return exitOK
 	}
+	e.asJSON = slices.Contains(args, "-json") || slices.Contains(args, "--json")
 	for _, c := range commands() {
 		words := strings.Fields(c.name)
 		if len(args) >= len(words) && slices.Equal(args[:len(words)], words) {
@@ -133,7 +136,9 @@
 	fmt.Fprintln(e.stderr, "boragelock:", err)
 	var fail *operator.Failure
 	if errors.As(err, &fail) {
-		if fail.Code == operator.CodeConflict {
+		if e.asJSON {
+			_ = e.printJSON(map[string]*operator.Failure{"error": fail})
+		} else if fail.Code == operator.CodeConflict {
 			e.printConflict(fail)
 		}
 		return failureCode(fail.Code)
--- a/cmd/boragelock/main_test.go
+++ b/cmd/boragelock/main_test.go
@@ -95,6 +95,8 @@
 			So(call("", "domain", "out", "d1"), ShouldEqual, exitOK)
 			So(call("", "domain", "in", "d1", "-from-version", "1"), ShouldEqual, exitConflict)
 			So(errs.String(), ShouldContainSubstring, `domain d1 state: (none) -> "out"`)
+			So(call("", "domain", "in", "d1", "-from-version", "1", "-json"), ShouldEqual, exitConflict)
+			So(out.String(), ShouldContainSubstring, `"in_force": 2`)
 			So(call("", "domain", "out", "d2"), ShouldEqual, exitFailed)
 			f.err = &operator.AppendError{Unknown: true, Err: context.DeadlineExceeded}
 			So(call("", "domain", "in", "d1"), ShouldEqual, exitUnknown)
