--- a/lease/config.go
+++ b/lease/config.go
@@ -41,7 +41,7 @@
 	// state is offered again. Default 1 s.
 	ReleaseRetry time.Duration
 	// PermitFor is the length of a permit to send to a target that does not
-	// check fences. Default 1.5 s.
+	// check fences. Default 900 ms.
 	PermitFor time.Duration
 	// TickEvery is the longest time between two Step calls that keeps the
 	// schedule. Default 20 ms.
@@ -56,7 +56,7 @@
 		ProbeEvery: 2 * time.Second, RetryAfter: 50 * time.Millisecond, AnswerWithin: 200 * time.Millisecond,
 		ConsentAfter: 250 * time.Millisecond, AskEvery: 100 * time.Millisecond,
 		ReleaseStep: 30 * time.Millisecond, ReleaseRetry: time.Second,
-		PermitFor: 1500 * time.Millisecond, TickEvery: 20 * time.Millisecond,
+		PermitFor: 900 * time.Millisecond, TickEvery: 20 * time.Millisecond,
 	}
 }
 
