Refuse a release by the word lost after the word is taken back

Cause: a released record with proof lost was applied whatever the state of the domain. When an operator declared a domain lost that was only cut off, and another took that back, a release whose append was delayed still activated a second owner beside the living one. Changed: the fold applies such a release only while the domain of the former owner is declared lost at that offset.

Conclusion: taking the word back helps until the release is on the log.

--- a/journal/granters_test.go
+++ b/journal/granters_test.go
@@ -6,6 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/ownership"
 )
 
 // A removed granter that cannot read the log may still renew leases; a
@@ -30,3 +31,29 @@
 		So(s.Granters["d"].Retiring, ShouldBeEmpty)
 	})
 }
+
+// Operators may declare a domain lost by mistake and take the word back. A
+// release that arrives late would then make a second owner beside a living one.
+func TestLostProofNeedsLostDomain(t *testing.T) {
+	Convey("a release by the word that a domain is lost holds only while the word does", t, func() {
+		s := started(2, 2)
+		set := func(id string, state contract.OperState) {
+			item := contract.Item{Domain: &contract.SetState{Name: "d1", State: state}}
+			res := feed(s, id, KindChange, Change{FromVersion: s.Config.Version, Operator: "op", Items: []contract.Item{item}})
+			So(res.Outcome, ShouldEqual, Applied)
+		}
+		shard := ownership.ID{Workload: "w", Shard: 0}
+		release := func(id string) Outcome {
+			return feed(s, id, KindReleased, Released{Proof: ownership.ProofLost, Shards: []ownership.ReleasedShard{{ID: shard, Epoch: 1}}}).Outcome
+		}
+		set("lost", contract.StateLost)
+		feed(s, "move", KindMove, Move{Reason: ownership.ReasonLost, Shards: []ownership.MoveShard{{ID: shard, FromEpoch: 1, To: "t0001"}}})
+		set("in", contract.StateIn)
+		So(release("late"), ShouldEqual, Refused)
+		got, _ := s.Table.Get(shard)
+		So(got.Active(), ShouldBeFalse)
+
+		set("lost again", contract.StateLost)
+		So(release("again"), ShouldEqual, Applied)
+	})
+}
--- a/journal/state.go
+++ b/journal/state.go
@@ -275,16 +275,31 @@
 }
 
 func (s *State) applyReleased(res Result, r Released) Result {
-	shards := make([]ownership.ID, len(r.Shards))
-	for i, e := range r.Shards {
-		shards[i] = e.ID
+	valid := Released{Proof: r.Proof}
+	var shards []ownership.ID
+	for _, e := range r.Shards {
+		if r.Proof == ownership.ProofLost && !s.previousLost(e.ID) {
+			res.Refusals = append(res.Refusals, &ownership.Refusal{ID: e.ID, Code: ownership.RefusedProof, Want: e.Epoch})
+			continue
+		}
+		valid.Shards = append(valid.Shards, e)
+		shards = append(shards, e.ID)
 	}
 	before := s.owners(shards)
-	res.Refusals = s.Table.ApplyReleased(r)
+	res.Refusals = append(res.Refusals, s.Table.ApplyReleased(valid)...)
 	s.bump(res.Offset, shards, before)
 	return entries(res, len(r.Shards))
 }
 
+// previousLost reports whether the domain of a shard's former owner is declared
+// lost. A release that was built on this word and arrives after operators took
+// the word back must not make a second owner beside a living one.
+func (s *State) previousLost(id ownership.ID) bool {
+	shard, _ := s.Table.Get(id)
+	domain := s.Config.Targets[shard.Previous].Domain
+	return s.Config.Domains[domain].State == contract.StateLost
+}
+
 func ids(shards []ownership.MoveShard) []ownership.ID {
 	out := make([]ownership.ID, len(shards))
 	for i, e := range shards {
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -133,6 +133,8 @@
 	RefusedFull      RefusalCode = "too_many_hot_keys"
 	RefusedDuplicate RefusalCode = "already_split"
 	RefusedOwner     RefusalCode = "different_owner"
+	// RefusedProof means that the proof of a release does not hold.
+	RefusedProof RefusalCode = "proof"
 )
 
 // Error implements error.
