--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,6 +86,7 @@
 		service{"host_list", c.serveHostList},
 		service{"stalls", c.stalls.serve},
 		service{"probes", c.serveProbes},
+		service{"observers", c.serveObservers},
 		service{"loads", c.serveLoads},
 		service{"events", c.serveEvents},
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -428,3 +428,19 @@
 	}
 	t.Fatal("hot key has no shard of its own")
 }
+
+// A limit for serving in isolation that is set later must lead to a takeover
+// too: the leader of another domain has to learn that the granters knew it.
+func TestIsolationLimitSetLaterLeadsToTakeover(t *testing.T) {
+	s := newTestSystem(t, 2, 1)
+	h := s.startAll(2, 1)
+	s.change(h, contract.Item{Isolated: &contract.Isolation{ServeMS: 0}})
+	time.Sleep(2 * time.Second)
+	s.kill("d1-e0")
+	dead := s.targetsOf("d1")
+	for _, name := range dead {
+		s.killTarget(name)
+	}
+	took := s.eventually(10*time.Second, "shards taken over", func() bool { return s.serving(h, dead...) })
+	t.Logf("taken over after %v", took)
+}
