control: split homes.go and hosts.go by duty; choose homes by a pure function

Changed: messages.go takes the messages, leader.go the leader, assign.go the choice of homes and the wait of a new leader as functions without locks or clocks, granterlist.go, remote.go, hostlist.go and events.go the rest. No behaviour changes.

--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// assignment returns the owner and epoch of each shard.
-func assignment(h *testHost) string {
+// ownersOf returns the owner and epoch of each shard.
+func ownersOf(h *testHost) string {
 	out := ""
 	for n, sh := range h.View().State.Table.Workloads["lookups"].Shards {
 		out += fmt.Sprintf("%d:%s@%d ", n, sh.Owner, sh.Epoch)
@@ -58,7 +58,7 @@
 func TestRestartOfAllHostsKeepsAssignments(t *testing.T) {
 	s := newTestSystem(t, 2, 2)
 	h := s.startAll(2, 2)
-	before := assignment(h)
+	before := ownersOf(h)
 	names := []string{"d0-e0", "d0-e1", "d1-e0", "d1-e1"}
 	for _, name := range names {
 		s.kill(name)
@@ -68,7 +68,7 @@
 	}
 	h = s.hosts["d0-e0"]
 	s.eventually(10*time.Second, "all shards served after the restart", func() bool { return s.serving(h) })
-	if after := assignment(h); after != before {
+	if after := ownersOf(h); after != before {
 		t.Errorf("assignment after the restart\n%s\nwant\n%s", after, before)
 	}
 }
@@ -79,7 +79,7 @@
 	s := newTestSystem(t, 1, 2)
 	s.startAll(1, 3)
 	stays := s.hosts["d0-e2"]
-	before, next := assignment(stays), stays.View().State.Next
+	before, next := ownersOf(stays), stays.View().State.Next
 	s.log.SetSwitches(standin.LogSwitches{Down: standin.DownRefuse})
 	restarted := []string{"d0-e0", "d0-e1"}
 	for _, name := range restarted {
@@ -90,8 +90,8 @@
 		for _, name := range restarted {
 			h := s.hosts[name]
 			s.eventually(5*time.Second, name+" ready "+when, func() bool { return h.View() != nil })
-			if st := h.View().State; st.Next < next || assignment(h) != before {
-				t.Errorf("%s %s: at offset %d, had %d; assignment %s", name, when, st.Next, next, assignment(h))
+			if st := h.View().State; st.Next < next || ownersOf(h) != before {
+				t.Errorf("%s %s: at offset %d, had %d; assignment %s", name, when, st.Next, next, ownersOf(h))
 			}
 		}
 	}
@@ -129,7 +129,7 @@
 			h = other
 		}
 	}
-	before := assignment(h)
+	before := ownersOf(h)
 	gates[leader].Lock()
 	time.Sleep(4 * time.Second)
 	gates[leader].Unlock()
@@ -147,7 +147,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if after := assignment(h); after != before {
+	if after := ownersOf(h); after != before {
 		t.Errorf("assignment after the pause\n%s\nwant\n%s", after, before)
 	}
 	s.eventually(5*time.Second, "all shards served after the pause", func() bool { return s.serving(h) })
@@ -227,7 +227,7 @@
 	wg.Wait()
 	late := s.start("d0-e7", "d0", "1")
 	s.eventually(5*time.Second, "state from the log", func() bool { return s.serving(late) })
-	if got, want := assignment(late), assignment(h); got != want {
+	if got, want := ownersOf(late), ownersOf(h); got != want {
 		t.Errorf("assignment %s, want %s", got, want)
 	}
 }
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/lease"
+)
+
+// leader is the part of a domain's leading granter that assigns homes.
+type leader struct {
+	mu sync.Mutex
+	// since is when this host began to lead; zero while it does not.
+	since time.Duration
+	// ledAt is when homes were last assigned and the view was rebuilt.
+	ledAt time.Duration
+	// homes and expires are what this leader has assigned or adopted.
+	homes   map[string]view.Home
+	expires map[string]time.Duration
+	callers map[string]caller
+	// views are the published domains; serial counts the changes, changedAt
+	// holds the count at the last change of each domain.
+	views     map[string]DomainView
+	serial    uint64
+	changedAt map[string]uint64
+	// remoteKnown is the Known of each other domain's leader.
+	remoteKnown map[string]string
+	// remoteAt is when each other domain's leader last answered.
+	remoteAt map[string]time.Duration
+}
+
+func newLeader() *leader {
+	return &leader{
+		homes: map[string]view.Home{}, expires: map[string]time.Duration{},
+		callers: map[string]caller{}, views: map[string]DomainView{}, changedAt: map[string]uint64{},
+		remoteKnown: map[string]string{},
+		remoteAt:    map[string]time.Duration{},
+	}
+}
+
+// caller is an entry host of the domain that has asked for homes.
+type caller struct {
+	incarnation string
+	last        time.Duration
+	stopping    bool
+	// dead says that the host's kernel refused a connection.
+	dead bool
+}
+
+// leadInterval is the least time between two assignments of homes.
+const leadInterval = 25 * time.Millisecond
+
+// aliveFor is how long after its last call a host counts as alive.
+const aliveFor = time.Second
+
+// homeView answers a host. Any granter renews permits that the caller says it
+// holds; only the leader assigns homes.
+func (c *Control) homeView(_ context.Context, req HomeRequest) (HomeReply, error) {
+	st := c.state()
+	if st == nil || st.Config == nil {
+		return HomeReply{}, &journal.StateError{Reason: "no configuration yet"}
+	}
+	now := c.cfg.Now()
+	l := c.leader
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rep := HomeReply{Leader: c.leads(st), PermitMS: map[string]int64{}, Domains: map[string]DomainView{}}
+	if e, ok := st.Entries[req.Host]; ok && e.Domain == c.cfg.Self.Domain {
+		l.noteCaller(now, req)
+		c.renewPermits(l, st, now, req, &rep)
+	}
+	if rep.Leader {
+		// A large domain has hundreds of calls a second; each needs homes that
+		// are a few milliseconds old at most, not a new assignment.
+		if l.since == 0 || now-l.ledAt >= leadInterval {
+			l.ledAt = now
+			c.lead(l, st, now)
+		}
+		c.newPermits(l, st, now, req, &rep)
+	} else {
+		l.since = 0
+	}
+	l.changedSince(req, c.cfg.Self, &rep)
+	return rep, nil
+}
+
+// changedSince adds the domains that have changed since the caller's Known.
+func (l *leader) changedSince(req HomeRequest, self view.Self, rep *HomeReply) {
+	id := self.Name + "." + self.Incarnation + ":"
+	since := uint64(0)
+	if text, ok := strings.CutPrefix(req.Known, id); ok {
+		since, _ = strconv.ParseUint(text, 10, 64)
+	}
+	rep.Known = id + strconv.FormatUint(l.serial, 10)
+	for name, at := range l.changedAt {
+		if at > since && (req.Domain == "" || req.Domain == name) {
+			rep.Domains[name] = l.views[name]
+		}
+	}
+}
+
+// set replaces what is published of a domain.
+func (l *leader) set(domain string, v DomainView) {
+	l.serial++
+	l.views[domain], l.changedAt[domain] = v, l.serial
+}
+
+func (l *leader) noteCaller(now time.Duration, req HomeRequest) {
+	l.callers[req.Host] = caller{incarnation: req.Incarnation, last: now, stopping: req.Stopping}
+	for _, t := range req.GivenUp {
+		if l.homes[t].Host == req.Host {
+			delete(l.expires, t)
+		}
+	}
+	for _, s := range req.Suspects {
+		if k, ok := l.callers[s]; ok && now-k.last > aliveFor/2 {
+			k.dead = true
+			l.callers[s] = k
+		}
+	}
+}
+
+// renewPermits renews what the caller holds, unless the leader knows of a
+// later home.
+func (c *Control) renewPermits(l *leader, st *journal.State, now time.Duration, req HomeRequest, rep *HomeReply) {
+	e := st.Entries[req.Host]
+	for t, epoch := range req.Holds {
+		if known := l.homes[t]; known.Epoch > epoch || (known.Epoch == epoch && known.Host != req.Host) {
+			continue
+		}
+		ms := c.permitFor(st, t, req)
+		if ms <= 0 {
+			continue
+		}
+		l.homes[t] = view.Home{Host: req.Host, HTTPAddr: e.HTTPAddr, Epoch: epoch}
+		l.expires[t] = max(l.expires[t], now+c.stretched(ms))
+		rep.PermitMS[t] = ms
+	}
+}
+
+// stretched is the longest time that a permit can last on this host's clock.
+func (c *Control) stretched(ms int64) time.Duration {
+	d := time.Duration(ms) * time.Millisecond
+	return d + time.Duration(float64(d)*c.domains.config().RateBound) + time.Millisecond
+}
+
+// permitFor returns the length of a permit that this granter may give now.
+func (c *Control) permitFor(st *journal.State, target string, req HomeRequest) int64 {
+	dc := c.domains.own()
+	dc.mu.Lock()
+	defer dc.mu.Unlock()
+	if st.Config.Workloads[st.Config.Targets[target].Workload].Fencing {
+		if !dc.core.MayRenewAny(c.cfg.Now()) {
+			return 0
+		}
+		return c.cfg.Timing.Permit.Milliseconds()
+	}
+	ans := dc.core.Permit(c.cfg.Now(), lease.PermitRequest{
+		Home: req.Host, Target: target, Version: req.Versions[target], Drained: req.Drained[target],
+	})
+	return ans.PermitMS
+}
+
+// newPermits gives the caller its first permits for targets that it has just
+// become the home of.
+func (c *Control) newPermits(l *leader, st *journal.State, now time.Duration, req HomeRequest, rep *HomeReply) {
+	if req.Stopping {
+		return
+	}
+	for t, home := range l.homes {
+		if home.Host != req.Host || rep.PermitMS[t] > 0 || slices.Contains(req.GivenUp, t) {
+			continue
+		}
+		if l.callers[req.Host].incarnation != req.Incarnation {
+			continue
+		}
+		if ms := c.permitFor(st, t, req); ms > 0 {
+			l.expires[t] = max(l.expires[t], now+c.stretched(ms))
+			rep.PermitMS[t] = ms
+		}
+	}
+}
+
+// lead assigns homes and rebuilds the published view.
+func (c *Control) lead(l *leader, st *journal.State, now time.Duration) {
+	if l.since == 0 {
+		l.since = now
+		former := c.homes.domain(c.cfg.Self.Domain)
+		l.set(c.cfg.Self.Domain, former)
+		for t, h := range former.Homes {
+			if l.homes[t].Epoch < h.Epoch {
+				l.homes[t] = h
+				l.expires[t] = now + c.stretched(c.cfg.Timing.Permit.Milliseconds())
+			}
+		}
+	}
+	alive := l.alive(now, st)
+	if len(alive) > 0 && c.mayAssign(l, st, now) {
+		c.assign(l, st, now, alive)
+	}
+	c.rebuild(l, st, alive)
+}
+
+// alive lists the hosts that can be homes.
+func (l *leader) alive(now time.Duration, st *journal.State) []string {
+	var out []string
+	for name, k := range l.callers {
+		if !k.dead && !k.stopping && now-k.last <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// mayAssign reports whether the homes that an earlier leader assigned are
+// known, or all permits that it can have given have ended.
+func (c *Control) mayAssign(l *leader, st *journal.State, now time.Duration) bool {
+	if now-l.since > c.cfg.Timing.Authority+c.stretched(c.cfg.Timing.Permit.Milliseconds()) {
+		return true
+	}
+	var hosts []string
+	for name, e := range st.Entries {
+		if e.Domain == c.cfg.Self.Domain && !e.Gone {
+			hosts = append(hosts, name)
+		}
+	}
+	return allHeard(hosts, l.callers, l.since)
+}
+
+// assign gives each target without a living home to a host.
+func (c *Control) assign(l *leader, st *journal.State, now time.Duration, alive []string) {
+	in := assignment{targets: c.targets(st).all, homes: l.homes, expires: l.expires, callers: l.callers, alive: alive}
+	for _, a := range in.choose(now) {
+		l.homes[a.target] = view.Home{Host: a.host, HTTPAddr: st.Entries[a.host].HTTPAddr, Epoch: l.homes[a.target].Epoch + 1}
+		l.expires[a.target] = now + c.stretched(c.cfg.Timing.Permit.Milliseconds())
+		c.log.Info("home assigned", "target", a.target, "host", a.host, "epoch", l.homes[a.target].Epoch)
+	}
+}
+
+// rebuild publishes a new version of the domain's view when it has changed.
+func (c *Control) rebuild(l *leader, st *journal.State, alive []string) {
+	last := l.views[c.cfg.Self.Domain]
+	next := DomainView{Homes: maps.Clone(l.homes), Targets: map[string]view.Target{}, Alive: alive}
+	for _, t := range c.targets(st).all {
+		if next.Targets[t] = c.domains.fitness.target(t); !next.Targets[t].Known {
+			// A new leader keeps the word of the one before until it has its own.
+			next.Targets[t] = last.Targets[t]
+		}
+	}
+	if !sameView(next, last) {
+		l.set(c.cfg.Self.Domain, next)
+	}
+}
+
+// sameView compares views without the load of targets, which changes with
+// every grant and which homes report to the request path themselves.
+func sameView(a, b DomainView) bool {
+	sameTarget := func(x, y view.Target) bool {
+		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Ready == y.Ready
+	}
+	return maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -61,3 +62,51 @@
 	// Stopping says that the peer is about to exit.
 	Stopping bool `json:"stopping,omitempty"`
 }
+
+// HomeRequest asks the leader of a domain for homes and, for a host of that
+// domain, renews the permits of the targets that it is the home of.
+type HomeRequest struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	// Domain is the one asked about; "" asks for all that the leader knows.
+	Domain string `json:"domain"`
+	// Holds maps the targets that the host is the home of to the home's epoch.
+	Holds map[string]uint64 `json:"holds,omitempty"`
+	// Versions maps the domain's targets that do not check fences to their
+	// version in the host's state, and Drained to the version for which it has
+	// ended the requests for shards that the target lost. They are needed for
+	// targets that the host is not yet the home of, too.
+	Versions map[string]uint64 `json:"versions,omitempty"`
+	Drained  map[string]uint64 `json:"drained,omitempty"`
+	// Known repeats the Known of the last reply, so that the answer holds only
+	// what has changed since.
+	Known string `json:"known,omitempty"`
+	// Stopping says that the host gives up its homes.
+	Stopping bool `json:"stopping,omitempty"`
+	// GivenUp lists targets that the host is no longer the home of.
+	GivenUp []string `json:"given_up,omitempty"`
+	// Suspects lists hosts that refused a connection.
+	Suspects []string `json:"suspects,omitempty"`
+}
+
+// HomeReply answers HomeRequest.
+type HomeReply struct {
+	Leader bool `json:"leader"`
+	// PermitMS maps the caller's targets to the length of the permit in
+	// milliseconds, counted from the moment at which the request was sent.
+	PermitMS map[string]int64 `json:"permit_ms,omitempty"`
+	// Yield lists targets that the caller is asked to give up.
+	Yield []string `json:"yield,omitempty"`
+	// Known stands for all that the caller now has from this granter.
+	Known string `json:"known"`
+	// Domains holds the domains that have changed since the caller's Known.
+	Domains map[string]DomainView `json:"domains,omitempty"`
+}
+
+// DomainView is what the leader of a domain publishes.
+type DomainView struct {
+	Homes   map[string]view.Home   `json:"homes"`
+	Targets map[string]view.Target `json:"targets"`
+	// Alive lists the domain's entry hosts that have called lately.
+	Alive []string `json:"alive"`
+}
