--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -17,10 +17,10 @@
 	DefaultLease        = 800 * time.Millisecond
 	DefaultRenew        = 200 * time.Millisecond
 	DefaultAuthority    = 500 * time.Millisecond
-	DefaultPermit       = 1500 * time.Millisecond
+	DefaultPermit       = 900 * time.Millisecond
 	DefaultReadWait     = 150 * time.Millisecond
 	DefaultPeerReadWait = 600 * time.Millisecond
-	DefaultViewInterval = 250 * time.Millisecond
+	DefaultViewInterval = 200 * time.Millisecond
 	DefaultPlanInterval = 100 * time.Millisecond
 	DefaultGrantTimeout = 150 * time.Millisecond
 	DefaultAppend       = 2 * time.Second
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -166,7 +166,7 @@
 		}
 	})
 	if err != nil {
-		c.domains.fitness.step(membership.Failed{Node: hostNode(e.Name), Fresh: true})
+		c.blame(hostNode(e.Name), true, sent)
 		if isRefused(err) {
 			c.homes.suspect(e.Name)
 		}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -60,6 +60,10 @@
 // aliveFor is how long after its last call a host counts as alive.
 const aliveFor = time.Second
 
+// refusedHostAfter is how long after its last call a host that refuses
+// connections counts as dead: one call must have been missed.
+const refusedHostAfter = 300 * time.Millisecond
+
 // homeView answers a host. Any granter renews permits that the caller says it
 // holds; only the leader assigns homes.
 func (c *Control) homeView(_ context.Context, req HomeRequest) (HomeReply, error) {
@@ -120,7 +124,8 @@
 		}
 	}
 	for _, s := range req.Suspects {
-		if k, ok := l.callers[s]; ok && now-k.last > aliveFor/2 {
+		// The former leader has never called this one.
+		if k := l.callers[s]; now-k.last > refusedHostAfter {
 			k.dead = true
 			l.callers[s] = k
 		}
@@ -201,18 +206,19 @@
 			}
 		}
 	}
-	alive := l.alive(now, st)
+	alive := l.alive(now, c.stalls.lastEnd(), st)
 	if len(alive) > 0 && c.mayAssign(l, st, now) {
 		c.assign(l, st, now, alive)
 	}
 	c.rebuild(l, st, alive)
 }
 
-// alive lists the hosts that can be homes.
-func (l *leader) alive(now time.Duration, st *journal.State) []string {
+// alive lists the hosts that can be homes. A host need not have called while
+// this one was stalled.
+func (l *leader) alive(now, stalled time.Duration, st *journal.State) []string {
 	var out []string
 	for name, k := range l.callers {
-		if !k.dead && !k.stopping && now-k.last <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
+		if !k.dead && !k.stopping && now-max(k.last, stalled) <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
 			out = append(out, name)
 		}
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -43,8 +44,8 @@
 	Logger hclog.Logger
 	// Tracer records spans. Default: none.
 	Tracer trace.Tracer
-	// Operator builds the handler of the operator interface; /debug/vars is
-	// served next to it. Default: none.
+	// Operator builds the handler of the operator interface; /debug/vars and
+	// /debug/pprof/ are served next to it. Default: none.
 	Operator func(*control.Control) http.Handler
 }
 
@@ -87,7 +88,7 @@
 	}
 	h := &Host{cfg: cfg, log: cfg.Logger.Named(cfg.Settings.Name)}
 	var err error
-	if h.tls, err = loadTLS(cfg.Settings.TLS); err != nil {
+	if h.tls, err = loadTLS(cfg.Settings.Name, cfg.Settings.TLS, h.log); err != nil {
 		return nil, err
 	}
 	if err := h.open(); err != nil {
@@ -233,10 +234,16 @@
 	h.inner = server("inner", inner, h.forward.Peers(), serverIdle)
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	if h.cfg.Operator != nil {
 		mux.Handle("/", h.cfg.Operator(h.control))
 	}
-	h.operator = server("operator", h.listen.operator, mux, serverIdle)
+	operators := h.listen.operator
+	if h.tls.operator != nil {
+		operators = tls.NewListener(operators, h.tls.operator)
+	}
+	h.operator = server("operator", operators, mux, serverIdle)
 }
 
 func (h *Host) supervise() {
@@ -250,6 +257,7 @@
 		h.sup.Add(svc)
 	}
 	h.sup.Add(rpc)
+	h.sup.Add(h.tls)
 	h.sup.Add(h.forward.Upkeep())
 	h.sup.Add(h.forward.Borrower())
 	h.sup.Add(h.callers)
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -194,6 +194,13 @@
 	return loadHint{queued: s.Queued + s.InFlight + s.Foreign, latency: s.Service}
 }
 
+// wait estimates how long a new request would wait here.
+func (h *home) wait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lim.Stats(boottime.Now()).Wait
+}
+
 // silentAfter returns how long a connection may stay without data before it is
 // tested, relative to the target's latency.
 func (h *home) silentAfter(least time.Duration) time.Duration {
@@ -326,15 +333,19 @@
 	if !s.cfg.DisableFence && s.cfg.Source.Permit(target) <= 0 {
 		return nil
 	}
-	s.homesMu.RLock()
-	h := s.homes[target]
-	s.homesMu.RUnlock()
-	if h != nil {
+	if h := s.opened(target); h != nil {
 		return h
 	}
 	return s.openHome(target)
 }
 
+// opened returns the home of a target if it is open here.
+func (s *Server) opened(target string) *home {
+	s.homesMu.RLock()
+	defer s.homesMu.RUnlock()
+	return s.homes[target]
+}
+
 func (s *Server) openHome(target string) *home {
 	v := s.cfg.Source.View()
 	t, ok := v.State.Config.Targets[target]
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -54,6 +54,7 @@
 	for n := 1; ; n++ {
 		r, changed, e := s.resolve(ctx, c, avoid)
 		if e == nil {
+			c.target = r.target
 			var ans *answer
 			if ans, e = s.sendRoute(ctx, c, r); e == nil {
 				s.succeeded(c, n)
@@ -155,6 +156,9 @@
 	var e *retry.Error
 	if r.home == "" {
 		ans, e = s.serveHome(ctx, c, r)
+		if h := s.opened(r.target); e != nil && h != nil {
+			l.hint.Store(&timedHint{h.hint(), time.Now()})
+		}
 	} else {
 		ans, e = s.sendPeer(ctx, c, r, PathForward)
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -26,6 +26,8 @@
 	// maxExcuses is how often a target's word that the request runs is
 	// believed, since its report may be wrong.
 	maxExcuses = 4
+	// minRetryAfter is the least hint after a refusal by a target.
+	minRetryAfter = 5 * time.Millisecond
 )
 
 // fenceError says that this host may no longer send the request.
@@ -71,6 +73,7 @@
 	}
 	start := time.Now()
 	defer addSince(s.m.homeUS, start)
+	outcome := retry.NotRun
 	for n := 1; ; n++ {
 		ans, latency, err := s.send(ctx, h, c, r)
 		if err == nil {
@@ -81,11 +84,17 @@
 			})
 			return ans, nil
 		}
+		outcome = retry.Join(outcome, err.Outcome)
 		if n < maxSends && s.sendAgain(c, h, err) {
 			continue
 		}
+		err = err.WithOutcome(outcome)
 		h.leave(version)
 		h.release(slot, admission.Sample{Latency: latency, Outcome: sampleOf(err)})
+		if err.Code == retry.CodeShed {
+			// The target gives no hint; its queue here does.
+			err = err.WithRetryAfter(max(h.wait(), minRetryAfter))
+		}
 		return nil, err
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -192,7 +192,7 @@
 func Default() Settings {
 	return Settings{
 		Timings: Timings{
-			LeaseMS: 800, RenewMS: 200, AuthorityMS: 500, PermitMS: 1500, HoldMS: 1000,
+			LeaseMS: 800, RenewMS: 200, AuthorityMS: 500, PermitMS: 900, HoldMS: 1000,
 			BalancerDelayMS: 3000, StopLimitMS: 30_000, DeadlineMS: 5000, MaxDeadlineMS: 60_000,
 			DialMS: 250, ReadHeaderMS: 5000, ReadBodyMS: 10_000, IdleMS: 60_000, SilentMinMS: 150,
 		},
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -29,8 +29,9 @@
 	// peers holds what is known of each incarnation of the other granters.
 	peers   map[memberKey]*peer
 	targets map[string]*target
-	// order holds the keys of targets, sorted.
-	order []string
+	// order holds the targets by name, waiting those with shards that wait for
+	// release, so that a step with nothing to do costs little.
+	order, waiting []*target
 	// indexed is the last table change that targets were built from.
 	indexed int64
 	// told is the authority last reported by AuthorityChanged.
@@ -49,6 +50,11 @@
 	// of a target declared lost, wait the wait of a release for its proof,
 	// restart the log read before a restarted target gets a lease.
 	stop, lost, wait, restart bool
+	// word is the promise that an acknowledgement waits for, asked the doubt
+	// whether a member had to ask this one, limit the doubt whether a domain
+	// knows the limit for serving without the log, dead the log read after a
+	// member's death before its consent is excused.
+	word, asked, limit, dead bool
 }
 
 // memberKey names one incarnation of a host.
