Keep two homes from sending at once; give restarted hosts targets again

Cause: two points. A host that was restarted was home of nothing until another one failed, so that homes would gather on few hosts. Change: homes are assigned only with authority; after a stall an old permit counts until a new one would have ended; granters tell the leader of permits that they renewed. The leader asks the host with the most targets to give one up when another has at least two less, one in 2 s.

--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -20,6 +20,9 @@
 	// latest; a home that was given up has none.
 	expires map[string]time.Duration
 	callers map[string]caller
+	// floor is a time before which permits may end that this host knows
+	// nothing of, because it was stalled while other granters renewed them.
+	floor time.Duration
 	// alive are the hosts that can be homes; at least one.
 	alive []string
 }
@@ -38,7 +41,7 @@
 		switch {
 		case ok && slices.Contains(a.alive, home.Host) && a.expires[t] > 0:
 			load[home.Host]++
-		case ok && a.expires[t] > now && !a.callers[home.Host].dead:
+		case ok && a.expires[t] > 0 && max(a.expires[t], a.floor) > now && !a.callers[home.Host].dead:
 			// The permit of a host that does not call any more has yet to end.
 		default:
 			free = append(free, t)
@@ -55,6 +58,24 @@
 	return out
 }
 
+// yield returns a target whose home should give it up because another host has
+// at least two targets less, or "". A host that was restarted has none and gets
+// its part this way, one target at a time.
+func (a assignment) yield() string {
+	held := map[string][]string{}
+	for _, t := range a.targets {
+		if home, ok := a.homes[t]; ok {
+			held[home.Host] = append(held[home.Host], t)
+		}
+	}
+	byLoad := func(x, y string) int { return cmp.Or(cmp.Compare(len(held[x]), len(held[y])), cmp.Compare(x, y)) }
+	least, most := slices.MinFunc(a.alive, byLoad), slices.MaxFunc(a.alive, byLoad)
+	if len(held[most])-len(held[least]) < 2 {
+		return ""
+	}
+	return slices.MaxFunc(held[most], func(x, y string) int { return cmp.Compare(rank(x, least), rank(y, least)) })
+}
+
 // rank orders the hosts for one target by rendezvous hashing.
 func rank(target, host string) uint64 { return xxhash.Sum64String(target + "\x00" + host) }
 
--- a/internal/control/assign_test.go
+++ b/internal/control/assign_test.go
@@ -69,3 +69,32 @@
 		So(allHeard(hosts, map[string]caller{"a": {last: 5}, "b": {dead: true}}, 3), ShouldBeTrue)
 	})
 }
+
+// A leader that was paused does not know the permits that others renewed
+// meanwhile, and a host that was restarted would never get a target again.
+func TestAssignmentAfterPausesAndRestarts(t *testing.T) {
+	const now = 10 * time.Second
+	Convey("an old permit of a silent host counts until a stalled leader's floor", t, func() {
+		in := assignment{
+			targets: []string{"t0"}, homes: map[string]view.Home{"t0": {Host: "a", Epoch: 1}},
+			expires: map[string]time.Duration{"t0": now - time.Second}, alive: []string{"b"}, floor: now + time.Second,
+		}
+		So(in.choose(now), ShouldBeEmpty)
+		So(in.choose(now+time.Second), ShouldResemble, []newHome{{"t0", "b"}})
+		in.expires = map[string]time.Duration{}
+		So(in.choose(now), ShouldResemble, []newHome{{"t0", "b"}})
+	})
+	Convey("a host with two targets less gets one", t, func() {
+		in := assignment{targets: someTargets(4), homes: map[string]view.Home{}, alive: []string{"a", "b"}}
+		for _, name := range in.targets {
+			in.homes[name] = view.Home{Host: "a"}
+		}
+		first := in.yield()
+		So(in.targets, ShouldContain, first)
+		in.homes[first] = view.Home{Host: "b"}
+		second := in.yield()
+		So(second, ShouldNotBeBlank)
+		in.homes[second] = view.Home{Host: "b"}
+		So(in.yield(), ShouldBeBlank)
+	})
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -195,6 +195,7 @@
 
 // noteHello passes on what a granter says of itself and of the targets.
 func (c *Control) noteHello(host string, sent time.Duration, rep HelloReply) {
+	c.notePermits(rep.PermitsMS)
 	f := c.domains.fitness
 	f.step(membership.Answered{Node: hostNode(host), Incarnation: rep.Incarnation})
 	for t, age := range c.renewedBy(rep) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -25,6 +25,10 @@
 	homes   map[string]view.Home
 	expires map[string]time.Duration
 	callers map[string]caller
+	// yields is the target that its home has been asked to give up, and
+	// yieldAt when.
+	yields  string
+	yieldAt time.Duration
 	// views are the published domains; serial counts the changes, changedAt
 	// holds the count at the last change of each domain.
 	views     map[string]DomainView
@@ -64,6 +68,10 @@
 // connections counts as dead: one call must have been missed.
 const refusedHostAfter = 300 * time.Millisecond
 
+// yieldInterval is the least time between two requests to give up a home, since
+// requests for the target are held meanwhile.
+const yieldInterval = 2 * time.Second
+
 // homeView answers a host. Any granter renews permits that the caller says it
 // holds; only the leader assigns homes.
 func (c *Control) homeView(_ context.Context, req HomeRequest) (HomeReply, error) {
@@ -88,6 +96,9 @@
 			c.lead(l, st, now)
 		}
 		c.newPermits(l, st, now, req, &rep)
+		if l.yields != "" && l.homes[l.yields].Host == req.Host {
+			rep.Yield = []string{l.yields}
+		}
 	} else {
 		l.since = 0
 	}
@@ -122,6 +133,9 @@
 		if l.homes[t].Host == req.Host {
 			delete(l.expires, t)
 		}
+		if l.yields == t {
+			l.yields = ""
+		}
 	}
 	for _, s := range req.Suspects {
 		// The former leader has never called this one.
@@ -207,7 +221,7 @@
 		}
 	}
 	alive := l.alive(now, c.stalls.lastEnd(), st)
-	if len(alive) > 0 && c.mayAssign(l, st, now) {
+	if len(alive) > 0 && c.hasAuthority(now) && c.mayAssign(l, st, now) {
 		c.assign(l, st, now, alive)
 	}
 	c.rebuild(l, st, alive)
@@ -243,12 +257,65 @@
 
 // assign gives each target without a living home to a host.
 func (c *Control) assign(l *leader, st *journal.State, now time.Duration, alive []string) {
-	in := assignment{targets: c.targets(st).all, homes: l.homes, expires: l.expires, callers: l.callers, alive: alive}
+	in := assignment{
+		targets: c.targets(st).all, homes: l.homes, expires: l.expires, callers: l.callers, alive: alive,
+		floor: c.stalls.lastEnd() + c.stretched(c.cfg.Timing.Permit.Milliseconds()),
+	}
 	for _, a := range in.choose(now) {
 		l.homes[a.target] = view.Home{Host: a.host, HTTPAddr: st.Entries[a.host].HTTPAddr, Epoch: l.homes[a.target].Epoch + 1}
 		l.expires[a.target] = now + c.stretched(c.cfg.Timing.Permit.Milliseconds())
 		c.log.Info("home assigned", "target", a.target, "host", a.host, "epoch", l.homes[a.target].Epoch)
 	}
+	if now-l.yieldAt > yieldInterval {
+		l.yields, l.yieldAt = in.yield(), now
+	}
+}
+
+// hasAuthority reports whether this host may act as a granter now. A leader
+// that wakes up from a pause may have been replaced, and may not until it has
+// read the log.
+func (c *Control) hasAuthority(now time.Duration) bool {
+	dc := c.domains.own()
+	dc.mu.Lock()
+	defer dc.mu.Unlock()
+	return dc.core.MayRenewAny(now)
+}
+
+// permitsGiven returns the remaining times, in milliseconds, of the permits
+// that this host has renewed although it does not lead.
+func (c *Control) permitsGiven(st *journal.State) map[string]int64 {
+	if c.leads(st) {
+		return nil
+	}
+	l, now := c.leader, c.cfg.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out map[string]int64
+	for t, until := range l.expires {
+		if until <= now {
+			continue
+		}
+		if out == nil {
+			out = map[string]int64{}
+		}
+		out[t] = (until - now).Milliseconds() + 1
+	}
+	return out
+}
+
+// notePermits takes the permits that another granter has renewed into account.
+func (c *Control) notePermits(given map[string]int64) {
+	if len(given) == 0 {
+		return
+	}
+	l, now := c.leader, c.cfg.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for t, ms := range given {
+		if l.expires[t] > 0 {
+			l.expires[t] = max(l.expires[t], now+c.stretched(ms))
+		}
+	}
 }
 
 // rebuild publishes a new version of the domain's view when it has changed.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -57,6 +57,9 @@
 	// of the domain's targets, except those in NotRenewed; 0 when it renews none.
 	RenewedMS  int64    `json:"renewed_ms,omitempty"`
 	NotRenewed []string `json:"not_renewed,omitempty"`
+	// PermitsMS holds, by target, the remaining time in milliseconds of permits
+	// that the peer has renewed although it does not lead.
+	PermitsMS map[string]int64 `json:"permits_ms,omitempty"`
 	// Failing lists the targets that the peer cannot reach.
 	Failing []string `json:"failing,omitempty"`
 	// Stopping says that the peer is about to exit.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -71,6 +71,7 @@
 	rep.ConfigVersion = st.Config.Version
 	targets := c.targets(st)
 	rep.Failing = c.domains.fitness.failing(targets.all)
+	rep.PermitsMS = c.permitsGiven(st)
 	dc := c.domains.own()
 	dc.mu.Lock()
 	renewed := dc.core.Renewed(c.cfg.Now())
