--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -137,13 +137,17 @@
 	}
 	l.wg.Go(func() {
 		defer l.outstanding.Add(-1)
-		done := l.caller.call(answers, r)
-		l.mu.Lock()
-		l.calls = append(l.calls, done)
-		l.mu.Unlock()
+		l.add(l.caller.call(answers, r))
 	})
 }
 
+// add keeps the record of a call.
+func (l *load) add(c Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, c)
+}
+
 // probe sends requests for one shard at a fixed interval.
 func (l *load) probe(ctx, answers context.Context, w WorkloadPlan, key string) {
 	c := l.customersOf(w)[0]
