Do not hold connections back while their class is looked up, unless a link is cut

The router was not at fault. Without a cut the class matters for the delay only, so connections now start in a provisional class and share a scan every 100 ms; while a link is cut they wait as before.

--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -145,9 +145,11 @@
 		return nil, nil
 	case ActCutTarget:
 		n.link.cutFrom = n.Domain
+		r.cluster.net.count()
 		r.cluster.net.applyTo(n.link)
 		return func() error {
 			n.link.cutFrom = ""
+			r.cluster.net.count()
 			r.cluster.net.applyTo(n.link)
 			return nil
 		}, nil
--- a/internal/bench/network.go
+++ b/internal/bench/network.go
@@ -1,11 +1,19 @@
 package bench
 
 import (
+	"net"
+	"sync/atomic"
+	"time"
+
 	"github.com/thejerf/suture/v4"
 
 	"github.com/boragelock/boragelock/internal/faultproxy"
 )
 
+// relaxedScan is how long new connections are gathered for one scan while no
+// link is cut.
+const relaxedScan = 100 * time.Millisecond
+
 // Kinds of links, by what they lead to.
 const (
 	linkCallers = "callers"
@@ -40,6 +48,9 @@
 	links   []*link
 	// cut maps a domain to how it is cut off.
 	cut map[string]Action
+	// cuts is the number of cuts in force. Without any, a connection need not
+	// wait for its class, which only matters for its delay.
+	cuts atomic.Int64
 }
 
 func newNetwork(p *Plan, c *classifier, sup *suture.Supervisor) *network {
@@ -51,7 +62,7 @@
 	l := &link{kind: kind, source: source, domain: domain, name: name, upstream: upstream}
 	o := faultproxy.Options{Upstream: upstream}
 	if source == "" && kind != linkCallers {
-		o.Classify = n.classes.classify
+		o.Classify, o.Provisional = n.classify, n.provisional
 	}
 	var err error
 	if l.proxy, err = faultproxy.New(o); err != nil {
@@ -63,6 +74,17 @@
 	return l, nil
 }
 
+// classify names the domain of a connection. Without cuts it waits first, so
+// that many new connections share one scan.
+func (n *network) classify(remote net.Addr) string {
+	if n.cuts.Load() == 0 {
+		time.Sleep(relaxedScan)
+	}
+	return n.classes.classify(remote)
+}
+
+func (n *network) provisional() (string, bool) { return "", n.cuts.Load() == 0 }
+
 // find returns the link of a kind whose connections come from a domain.
 func (n *network) find(kind, source string) *link {
 	for _, l := range n.links {
@@ -75,11 +97,23 @@
 
 // apply sets the faults of all links from the cuts in force.
 func (n *network) apply() {
+	n.count()
 	for _, l := range n.links {
 		n.applyTo(l)
 	}
 }
 
+// count sets the number of cuts in force.
+func (n *network) count() {
+	cuts := len(n.cut)
+	for _, l := range n.links {
+		if l.cutFrom != "" {
+			cuts++
+		}
+	}
+	n.cuts.Store(int64(cuts))
+}
+
 func (n *network) applyTo(l *link) {
 	switch {
 	case l.kind == linkCallers:
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -37,6 +37,9 @@
 	Upstream string
 	// Classify names the class of a connection by its remote address.
 	Classify func(remote net.Addr) string
+	// Provisional names the class of a connection until Classify, which may
+	// take long, has returned. While ok is false, connections wait for it.
+	Provisional func() (class string, ok bool)
 }
 
 // Proxy is one proxy in front of one server.
@@ -114,7 +117,7 @@
 	if f.Cut != CutReset {
 		return
 	}
-	for _, c := range p.matching(func(c *pair) bool { return p.Faults(c.class).Cut == CutReset }) {
+	for _, c := range p.matching(func(c *pair) bool { return p.Faults(c.className()).Cut == CutReset }) {
 		c.close()
 	}
 }
@@ -122,7 +125,7 @@
 // Silence makes the existing connections of the classes, or of all, stop
 // carrying bytes for good, and returns their number. They stay open.
 func (p *Proxy) Silence(classes ...string) int {
-	found := p.matching(func(c *pair) bool { return len(classes) == 0 || slices.Contains(classes, c.class) })
+	found := p.matching(func(c *pair) bool { return len(classes) == 0 || slices.Contains(classes, c.className()) })
 	for _, c := range found {
 		c.silence()
 	}
@@ -188,11 +191,9 @@
 }
 
 func (p *Proxy) handle(client net.Conn) {
-	class := ""
-	if p.opts.Classify != nil {
-		class = p.opts.Classify(client.RemoteAddr())
-	}
-	if p.Faults(class).Cut == CutReset {
+	c := &pair{p: p, client: client, opened: time.Now(), closed: make(chan struct{})}
+	p.classify(c)
+	if p.Faults(c.className()).Cut == CutReset {
 		reset(client)
 		return
 	}
@@ -201,7 +202,7 @@
 		reset(client)
 		return
 	}
-	c := &pair{p: p, class: class, client: client, server: server, opened: time.Now(), closed: make(chan struct{})}
+	c.server = server
 	if !p.add(c) {
 		c.close()
 		return
@@ -214,6 +215,22 @@
 	c.close()
 }
 
+// classify sets the class of a connection, or a provisional one that is
+// replaced later.
+func (p *Proxy) classify(c *pair) {
+	if p.opts.Classify == nil {
+		return
+	}
+	if p.opts.Provisional != nil {
+		if class, ok := p.opts.Provisional(); ok {
+			c.reclassify(class)
+			p.wg.Go(func() { c.reclassify(p.opts.Classify(c.client.RemoteAddr())) })
+			return
+		}
+	}
+	c.reclassify(p.opts.Classify(c.client.RemoteAddr()))
+}
+
 func (p *Proxy) add(c *pair) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -242,7 +259,7 @@
 // pair is a connection of a client and the one to the server.
 type pair struct {
 	p              *Proxy
-	class          string
+	class          atomic.Pointer[string]
 	client, server net.Conn
 	opened         time.Time
 	silent         atomic.Bool
@@ -250,6 +267,15 @@
 	closed         chan struct{}
 }
 
+func (c *pair) reclassify(class string) { c.class.Store(&class) }
+
+func (c *pair) className() string {
+	if class := c.class.Load(); class != nil {
+		return *class
+	}
+	return ""
+}
+
 func (c *pair) close() {
 	c.once.Do(func() {
 		close(c.closed)
@@ -284,7 +310,7 @@
 				closeWrite(to)
 				return
 			}
-			if d == down && c.p.table.takeLoss(c.class) {
+			if d == down && c.p.table.takeLoss(c.className()) {
 				c.close()
 				return
 			}
@@ -325,7 +351,7 @@
 // It returns false when the connection was closed.
 func (c *pair) await(d direction, at time.Time) bool {
 	for {
-		f, changed := c.p.table.get(c.class)
+		f, changed := c.p.table.get(c.className())
 		if c.silent.Load() {
 			<-c.closed
 			return false
