Keep shards of targets that a new leader has not heard of; settle the bench

Cause: a host that begins to lead has no answer of any target yet. It described its own domain's targets to the planner as unfit, which reads as leaving, so the first plan of a new leader could move shards off living targets. The capacity measurement began 4 s after readiness, while large first assignments still went on, and 10,000 contracts did not start at all: the bootstrap record of 2.6 MB exceeds the log's limit of 1 MiB a record.

Changed: targets without an answer are passed to the planner as unknown. The measurement waits until no record has been appended for 4 s, and adds contracts beyond 2,000 as changes.

Conclusion: a deployment with more than about 3,900 contracts has to add the rest by changes after its first start; a bootstrap in parts is open.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// settleTime passes between readiness and the measurement, so that the
-	// first assignment and the opening of connections are not counted.
+	// settleTime is how long no record must have been appended before the
+	// measurement, so that the first assignment and the opening of connections
+	// are not counted.
 	settleTime = 4 * time.Second
 	// capacityTime is the length of the measurement.
 	capacityTime = 6 * time.Second
@@ -128,12 +129,42 @@
 		}
 	}
 	ready := boottime.Now() - started
-	sleepUntil(ctx, boottime.Now()+settleTime)
+	if err := addContracts(ctx, newLogConfigurer(c.logAddr.Addr), size); err != nil {
+		return CapacityPoint{}, err
+	}
+	if err := c.settle(ctx, started+2*readyLimitFor(size)); err != nil {
+		return CapacityPoint{}, err
+	}
 	point, err := c.measureRoles(ctx, size)
 	point.Ready, point.Load = ready.Seconds(), loadAverage()
 	return point, err
 }
 
+// settle waits until no record has been appended for settleTime, so that the
+// first assignment is not measured, or until a limit.
+func (c *Cluster) settle(ctx context.Context, limit time.Duration) error {
+	for last := -1.0; ; {
+		samples, err := c.samples(ctx)
+		if err != nil {
+			return err
+		}
+		appends := 0.0
+		for _, s := range samples {
+			appends += s.appends
+		}
+		if appends == last {
+			return nil
+		}
+		last = appends
+		if boottime.Now() > limit {
+			return &TimeoutError{What: "end of the first assignment"}
+		}
+		if !sleepUntil(ctx, boottime.Now()+settleTime) {
+			return ctx.Err()
+		}
+	}
+}
+
 // loadAverage returns the machine's load average over one minute, or 0 when it
 // cannot be read.
 func loadAverage() float64 {
@@ -166,15 +197,38 @@
 			p.Entries = append(p.Entries, EntryPlan{Name: fmt.Sprintf("%s-e%03d", name, i), Domain: name})
 		}
 	}
-	for i := range size.Contracts {
-		p.Deployment.Contracts = append(p.Deployment.Contracts, contract.Contract{
-			Customer: fmt.Sprintf("customer-%05d", i), CredentialHashes: []string{fmt.Sprintf("%064x", i)},
-			Workloads: []string{w.Name}, RatePerSecond: 100, Burst: 100, Concurrency: 10, Weight: 1,
-		})
+	for i := range min(size.Contracts, contractsPerRecord) {
+		p.Deployment.Contracts = append(p.Deployment.Contracts, sizedContract(i))
 	}
 	return p
 }
 
+// contractsPerRecord keeps records below the log's limit of 1 MiB. The first
+// configuration is one record, so the other contracts follow as changes.
+const contractsPerRecord = 2000
+
+func sizedContract(i int) contract.Contract {
+	return contract.Contract{
+		Customer: fmt.Sprintf("customer-%05d", i), CredentialHashes: []string{fmt.Sprintf("%064x", i)},
+		Workloads: []string{"lookups"}, RatePerSecond: 100, Burst: 100, Concurrency: 10, Weight: 1,
+	}
+}
+
+// addContracts adds those that the first configuration does not hold.
+func addContracts(ctx context.Context, to configurer, size Size) error {
+	for from := contractsPerRecord; from < size.Contracts; from += contractsPerRecord {
+		var items []contract.Item
+		for i := from; i < min(from+contractsPerRecord, size.Contracts); i++ {
+			c := sizedContract(i)
+			items = append(items, contract.Item{Contract: &c})
+		}
+		if err := to.change(ctx, items...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // hostSample is what one entry host had used at a time.
 type hostSample struct {
 	cpu                            time.Duration
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -216,10 +216,13 @@
 		known := c.knownTarget(name, t.Domain)
 		own := t.Domain == c.cfg.Self.Domain
 		lost := own && c.domains.fitness.lost(name) || !own && c.actsFor(st, t.Domain)
-		fit := st.Config.TargetIn(name) && known.State != platform.TargetLeaving && (known.Fit || !known.Known && !own) && !lost
+		// A host that has just begun to lead has heard of no target; that must
+		// not look as if all of them left.
+		in := st.Config.TargetIn(name) && !lost
+		fit := in && known.Fit && known.State != platform.TargetLeaving
 		out = append(out, ownership.PlanTarget{
 			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots),
-			Fit: fit, Ready: known.Ready, Lost: lost,
+			Fit: fit, Ready: known.Ready, Lost: lost, Unknown: in && !known.Known,
 		})
 	}
 	slices.SortFunc(out, func(a, b ownership.PlanTarget) int {
