--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/boragelock/boragelock/internal/peer"
@@ -326,12 +328,12 @@
 		return
 	}
 	fresh := !w.open
-	start := d.now()
+	start := d.c.stalls.awake()
 	reply, err := w.client.Grant(ctx, g.grant.Grant)
 	w.open = err == nil
 	if err != nil {
 		grantsTotal.Add("failed", 1)
-		d.c.blame(targetNode(g.grant.Target), fresh, start)
+		d.c.blame(targetNode(g.grant.Target), fresh, start, d.c.cfg.Timing.GrantTimeout, refusedByTarget(err))
 		d.step(g.domain, lease.GrantFailed{Target: g.grant.Target, Seq: g.grant.Seq})
 		return
 	}
@@ -340,16 +342,27 @@
 	d.step(g.domain, lease.GrantAnswer{Target: g.grant.Target, Seq: g.grant.Seq, Reply: reply})
 }
 
-// blame counts a failed attempt that began at a time against a node, unless
-// this host itself was stalled meanwhile.
-func (c *Control) blame(n membership.Node, fresh bool, start time.Duration) {
-	if c.stalls.since(start) {
+// blameShare is the share of an attempt's time limit for which this process
+// must have run for the failure to be the other side's.
+const blameShare = 0.6
+
+// blame counts a failed attempt against a node, unless this host itself was
+// stalled for much of it. start is on the clock that stands still in stalls. A
+// refused connection is an answer, however long this host slept.
+func (c *Control) blame(n membership.Node, fresh bool, start, limit time.Duration, refused bool) {
+	if !refused && c.stalls.awake()-start < time.Duration(blameShare*float64(limit)) {
 		grantsTotal.Add("failed_while_stalled", 1)
 		return
 	}
 	c.domains.fitness.step(membership.Failed{Node: n, Fresh: fresh})
 }
 
+// refusedByTarget reports whether the failure proves that nothing listens at
+// the target's address, or that the connection broke.
+func refusedByTarget(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+}
+
 // isRefused reports whether a peer call was refused by the host's kernel.
 func isRefused(err error) bool {
 	var ce *peer.CallError
--- a/internal/control/granterlist.go
+++ b/internal/control/granterlist.go
@@ -12,7 +12,7 @@
 const (
 	// deadAfter is how long a granter must have been silent before the next
 	// one replaces it. It is longer than two lost hellos.
-	deadAfter = 600 * time.Millisecond
+	deadAfter = 500 * time.Millisecond
 	// refusedDeadAfter is the same for a granter whose host refuses
 	// connections, which proves that its process is gone.
 	refusedDeadAfter = 200 * time.Millisecond
@@ -39,7 +39,7 @@
 	if s.stopping || (s.lastOK > 0 && s.incarnation != m.Incarnation) {
 		return true
 	}
-	since := now - max(s.lastOK, s.firstTry, c.stalls.lastEnd())
+	since := c.stalls.awake() - max(s.lastOK, s.firstTry)
 	if s.firstTry == 0 {
 		return false
 	}
@@ -138,7 +138,7 @@
 		listed[m.Host] = true
 	}
 	c.leader.mu.Lock()
-	alive := c.leader.alive(now, c.stalls.lastEnd(), st)
+	alive := c.leader.alive(c.stalls.awake(), st)
 	c.leader.mu.Unlock()
 	var out []journal.Member
 	for _, name := range c.domainHosts(st) {
@@ -154,7 +154,7 @@
 
 func (c *Control) recentlySilent(host string, now time.Duration) bool {
 	s := c.hosts.get(host)
-	return host != c.cfg.Self.Name && s.firstTry > 0 && now-max(s.lastOK, s.firstTry, c.stalls.lastEnd()) > deadAfter
+	return host != c.cfg.Self.Name && s.firstTry > 0 && c.stalls.awake()-max(s.lastOK, s.firstTry) > deadAfter
 }
 
 func (c *Control) retired() []journal.Member {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -53,7 +53,9 @@
 type caller struct {
 	incarnation string
 	last        time.Duration
-	stopping    bool
+	// lastAwake is the same time on the clock that stands still in stalls.
+	lastAwake time.Duration
+	stopping  bool
 	// dead says that the host's kernel refused a connection.
 	dead bool
 }
@@ -85,7 +87,7 @@
 	defer l.mu.Unlock()
 	rep := HomeReply{Leader: c.leads(st), PermitMS: map[string]int64{}, Domains: map[string]DomainView{}}
 	if e, ok := st.Entries[req.Host]; ok && e.Domain == c.cfg.Self.Domain {
-		l.noteCaller(now, req)
+		l.noteCaller(now, c.stalls.awake(), req)
 		c.renewPermits(l, st, now, req, &rep)
 	}
 	if rep.Leader {
@@ -127,8 +129,8 @@
 	l.views[domain], l.changedAt[domain] = v, l.serial
 }
 
-func (l *leader) noteCaller(now time.Duration, req HomeRequest) {
-	l.callers[req.Host] = caller{incarnation: req.Incarnation, last: now, stopping: req.Stopping}
+func (l *leader) noteCaller(now, awake time.Duration, req HomeRequest) {
+	l.callers[req.Host] = caller{incarnation: req.Incarnation, last: now, lastAwake: awake, stopping: req.Stopping}
 	for _, t := range req.GivenUp {
 		if l.homes[t].Host == req.Host {
 			delete(l.expires, t)
@@ -220,19 +222,19 @@
 			}
 		}
 	}
-	alive := l.alive(now, c.stalls.lastEnd(), st)
+	alive := l.alive(c.stalls.awake(), st)
 	if len(alive) > 0 && c.hasAuthority(now) && c.mayAssign(l, st, now) {
 		c.assign(l, st, now, alive)
 	}
 	c.rebuild(l, st, alive)
 }
 
-// alive lists the hosts that can be homes. A host need not have called while
-// this one was stalled.
-func (l *leader) alive(now, stalled time.Duration, st *journal.State) []string {
+// alive lists the hosts that can be homes: those that have called lately on the
+// clock that stands still while this host is stalled.
+func (l *leader) alive(awake time.Duration, st *journal.State) []string {
 	var out []string
 	for name, k := range l.callers {
-		if !k.dead && !k.stopping && now-max(k.last, stalled) <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
+		if !k.dead && !k.stopping && awake-k.lastAwake <= aliveFor && st.Config.Hosts[name].In() && !st.Entries[name].Gone {
 			out = append(out, name)
 		}
 	}
