Do not take a repeated GET for unsent; start again when a port was taken

A request that was given a connection counts as sent now.

Targets then get other ports, and a run whose entry hosts cannot bind starts again.

--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -193,15 +195,22 @@
 	if id != "" {
 		req.Header.Set(platform.HeaderRequestID, id)
 	}
+	// Transport repeats a GET by itself when its connection breaks, and reports
+	// the failure of the last connection only. A request that was given any
+	// connection may have been sent.
+	var connected atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	started := boottime.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return failedAttempt(h.name, started, err)
+		return failedAttempt(h.name, started, connected.Load(), err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failedAttempt(h.name, started, err)
+		return failedAttempt(h.name, started, true, err)
 	}
 	return judgeAnswer(r, resp.StatusCode, data)
 }
@@ -212,8 +221,8 @@
 }
 
 // failedAttempt classifies an attempt without a whole answer.
-func failedAttempt(entry string, started time.Duration, err error) attempt {
-	if isDialError(err) {
+func failedAttempt(entry string, started time.Duration, connected bool, err error) attempt {
+	if isDialError(err) && !connected {
 		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -38,6 +38,9 @@
 // hostsLag is the lag of the platform's list of hosts.
 const hostsLag = 2 * time.Second
 
+// startTries limits the attempts to start a process on free ports.
+const startTries = 3
+
 // balancerDelayMS is how long a stopping entry host goes on serving; the
 // bench's load balancer notices an unready host well within it.
 const balancerDelayMS = 1000
@@ -171,17 +174,13 @@
 	nodes := make([]*targetNode, len(c.cfg.Plan.Deployment.Targets))
 	for i, t := range c.cfg.Plan.Deployment.Targets {
 		group.Go(func() error {
-			ports, err := freePorts(2)
-			if err != nil {
-				return err
+			var err error
+			// Another program may take a free port before the target does.
+			for range startTries {
+				if nodes[i], err = c.startTarget(i, t); err == nil {
+					return nil
+				}
 			}
-			args, err := c.targetArgs(c.service(i, t, false), ports)
-			if err != nil {
-				return err
-			}
-			n := &targetNode{Target: t, proc: newProcess(t.Name, c.path(t.Name+".log"), args...), admin: ports[1]}
-			nodes[i] = n
-			_, err = n.proc.startServing()
 			return err
 		})
 	}
@@ -205,6 +204,23 @@
 	return nil
 }
 
+func (c *Cluster) startTarget(i int, t contract.Target) (*targetNode, error) {
+	ports, err := freePorts(2)
+	if err != nil {
+		return nil, err
+	}
+	args, err := c.targetArgs(c.service(i, t, false), ports)
+	if err != nil {
+		return nil, err
+	}
+	n := &targetNode{Target: t, proc: newProcess(t.Name, c.path(t.Name+".log"), args...), admin: ports[1]}
+	if _, err := n.proc.startServing(); err != nil {
+		n.proc.kill()
+		return nil, err
+	}
+	return n, nil
+}
+
 func (c *Cluster) targetArgs(cfg standin.TargetConfig, ports []string) ([]string, error) {
 	raw, err := json.Marshal(cfg)
 	if err != nil {
--- a/internal/bench/errors.go
+++ b/internal/bench/errors.go
@@ -32,3 +32,9 @@
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body)
 }
+
+// PortTakenError says that a process could not bind a port that had been free.
+type PortTakenError struct{ Detail string }
+
+// Error implements error.
+func (e *PortTakenError) Error() string { return "port was taken: " + e.Detail }
--- a/internal/bench/measure_test.go
+++ b/internal/bench/measure_test.go
@@ -158,6 +158,13 @@
 			reply = func(w http.ResponseWriter, n int) { cut(w) }
 			So(call("GET").Outcome, ShouldEqual, CallMayHaveRun)
 		})
+		Convey("knows that a request may have run when it was sent before the host was gone", func() {
+			reply = func(w http.ResponseWriter, n int) {
+				s.Listener.Close()
+				cut(w)
+			}
+			So(call("GET").Outcome, ShouldEqual, CallMayHaveRun)
+		})
 		Convey("finds the answer to another request", func() {
 			reply = func(w http.ResponseWriter, n int) { ok(w, "2") }
 			So(call("POST").AnswerFault, ShouldNotBeEmpty)
--- a/internal/bench/runner.go
+++ b/internal/bench/runner.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,8 +87,22 @@
 	memoryCount int
 }
 
-// Play plays a scenario under one policy.
+// Play plays a scenario under one policy. A run whose entry hosts could not bind
+// their ports, because another program took one first, is started again.
 func Play(ctx context.Context, o Options, policy Policy) (Result, error) {
+	var res Result
+	var err error
+	for range startTries {
+		var taken *PortTakenError
+		if res, err = playOnce(ctx, o, policy); !errors.As(err, &taken) {
+			break
+		}
+		o.Logger.Warn("start again", "error", err)
+	}
+	return res, err
+}
+
+func playOnce(ctx context.Context, o Options, policy Policy) (Result, error) {
 	s := o.Custom
 	if s.Name == "" {
 		var ok bool
@@ -263,7 +280,10 @@
 		if boottime.Now() > deadline {
 			return &RunError{Op: "start the cluster", Err: &TimeoutError{What: r.unready()}}
 		}
-		if !sleepUntil(ctx, boottime.Now()+20*time.Millisecond) {
+		if text := r.unready(); strings.Contains(text, syscall.EADDRINUSE.Error()) {
+			return &PortTakenError{Detail: text}
+		}
+		if !sleepUntil(ctx, boottime.Now()+100*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
