Wait for requests under the parent shard before a split key moves

The acknowledgement looked only at the shard that moved. Change: the acknowledgement of a split shard waits while any hashed shard of the workload drains at the target, and the other way round, for merges. Measured: unit test of the rule; tests of the package pass.

--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -50,6 +50,7 @@
 func (d *domainSet) config() lease.Config {
 	cfg := lease.DefaultConfig()
 	cfg.Lease, cfg.Authority = d.c.cfg.Timing.Lease, d.c.cfg.Timing.Authority
+	cfg.UnsafeNoLeaseWait = d.c.cfg.SkipLeaseWait
 	cfg.RenewEvery, cfg.PermitFor = d.c.cfg.Timing.Renew, d.c.cfg.Timing.Permit
 	// Between two reads of a log without news, the age of the last complete
 	// read reaches twice the wait. Consent that is asked for below that age
--- a/lease/config.go
+++ b/lease/config.go
@@ -43,6 +43,10 @@
 	// PermitFor is the length of a permit to send to a target that does not
 	// check fences. Default 700 ms.
 	PermitFor time.Duration
+	// UnsafeNoLeaseWait releases the shards of a lost target without waiting
+	// for its lease. It makes two owners, and exists to show that checks find
+	// them. Default false.
+	UnsafeNoLeaseWait bool
 	// TickEvery is the longest time between two Step calls that keeps the
 	// schedule. Default 20 ms.
 	TickEvery time.Duration
--- a/lease/consent_test.go
+++ b/lease/consent_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
 )
 
 // The model check found two owners: a granter that could not read the log took
@@ -45,3 +47,23 @@
 		So(g.MayRenewAny(now), ShouldBeTrue)
 	})
 }
+
+// The bench saw a key act at two targets: a request that began before its key
+// was split ran on under the parent shard while the key's own shard moved.
+func TestAckWaitsForRequestsUnderTheParentShard(t *testing.T) {
+	Convey("requests under a dropped shard hold back the shards that may share a key", t, func() {
+		g := New(DefaultConfig(), Self{})
+		g.state = journal.NewState()
+		g.state.Table.AddWorkload("w", 8)
+		running := func(shard int32) platform.ShardEpoch {
+			return platform.ShardEpoch{Workload: "w", Shard: shard, Epoch: 1}
+		}
+		shares := func(a, b int32) bool { return g.mayShareKey(running(a), ownership.ID{Workload: "w", Shard: b}) }
+		So(shares(3, 3), ShouldBeTrue)
+		So(shares(3, 4), ShouldBeFalse)
+		So(shares(3, 9), ShouldBeTrue)
+		So(shares(9, 3), ShouldBeTrue)
+		So(shares(9, 10), ShouldBeFalse)
+		So(g.mayShareKey(running(3), ownership.ID{Workload: "other", Shard: 3}), ShouldBeFalse)
+	})
+}
--- a/lease/release.go
+++ b/lease/release.go
@@ -69,7 +69,7 @@
 // cover a waiting shard, or never.
 func (g *Granter) lapsed(now time.Duration, t *target) time.Duration {
 	switch {
-	case g.omit.wait:
+	case g.omit.wait || g.cfg.UnsafeNoLeaseWait:
 		return now
 	case t.lost:
 		end := g.ownBound(t)
@@ -181,15 +181,27 @@
 		return
 	}
 	for _, w := range t.waiting {
-		draining := slices.ContainsFunc(reply.Draining, func(s platform.ShardEpoch) bool {
-			return s.Workload == w.released.Workload && s.Shard == w.released.Shard
-		})
-		if !draining {
+		if !slices.ContainsFunc(reply.Draining, func(s platform.ShardEpoch) bool { return g.mayShareKey(s, w.released.ID) }) {
 			t.acked[w.released] = true
 		}
 	}
 }
 
+// mayShareKey reports whether a request that still runs under a dropped shard
+// can be for a key of another shard of the same target: the shard itself, or a
+// hashed and a split shard, since a split or merge moves a key between them
+// while its requests run on under the former number and epoch.
+func (g *Granter) mayShareKey(running platform.ShardEpoch, id ownership.ID) bool {
+	if running.Workload != id.Workload {
+		return false
+	}
+	w := g.state.Table.Workloads[id.Workload]
+	if w == nil {
+		return true
+	}
+	return running.Shard == id.Shard || (running.Shard < w.Base) != (id.Shard < w.Base)
+}
+
 func (g *Granter) ackCounts(t *target) bool {
 	sent := t.renewal.sentAt
 	for _, m := range g.others() {
