Relieve slow targets sooner; let new homes of warm targets start warm

Each new home of a target also started at its cold limit, so that a change of home shed requests at half load. Change: a service time that doubles is reported at once (looked for every 250 ms, before each 2 s); a plan is made at least every 0.5 s; six batches a second leave a target that has more than twice the mean load. The leader says which targets have served long enough to be warm.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -12,6 +12,7 @@
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/platform"
 )
 
 // leader is the part of a domain's leading granter that assigns homes.
@@ -325,21 +326,33 @@
 	last := l.views[c.cfg.Self.Domain]
 	next := DomainView{Homes: maps.Clone(l.homes), Targets: map[string]view.Target{}, Alive: alive}
 	for _, t := range c.targets(st).all {
-		if next.Targets[t] = c.domains.fitness.target(t); !next.Targets[t].Known {
+		seen := c.domains.fitness.target(t)
+		if !seen.Known {
 			// A new leader keeps the word of the one before until it has its own.
-			next.Targets[t] = last.Targets[t]
+			seen = last.Targets[t]
 		}
+		seen.Warm = last.Targets[t].Incarnation == seen.Incarnation && last.Targets[t].Warm ||
+			c.warm(seen, time.Duration(st.Config.Targets[t].RampMS)*time.Millisecond)
+		next.Targets[t] = seen
 	}
 	if !sameView(next, last) {
 		l.set(c.cfg.Self.Domain, next)
 	}
 }
 
+// warmAfterRamps is the number of ramp times after which a target that says it
+// serves is believed to bear its full load.
+const warmAfterRamps = 3
+
+func (c *Control) warm(t view.Target, ramp time.Duration) bool {
+	return t.Known && t.State == platform.TargetServing && t.Since > 0 && c.cfg.Now()-t.Since > warmAfterRamps*ramp
+}
+
 // sameView compares views without the load of targets, which changes with
 // every grant and which homes report to the request path themselves.
 func sameView(a, b DomainView) bool {
 	sameTarget := func(x, y view.Target) bool {
-		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Ready == y.Ready
+		return x.Known == y.Known && x.Fit == y.Fit && x.State == y.State && x.Incarnation == y.Incarnation && x.Ready == y.Ready && x.Warm == y.Warm
 	}
 	return maps.Equal(a.Homes, b.Homes) && slices.Equal(a.Alive, b.Alive) && maps.EqualFunc(a.Targets, b.Targets, sameTarget)
 }
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -28,6 +28,14 @@
 	// loads are believed: the random error of a target's load is then 7 %,
 	// below the imbalance of 10 % that starts a move.
 	leastSample = 200
+	// serviceInterval is the interval at which a home looks for a change of a
+	// target's service time, which it reports at once.
+	serviceInterval = loadInterval / 4
+	// serviceJump is the ratio of two service times from which on the change is
+	// reported at once.
+	serviceJump = 2
+	// slowConfirm is how long a target must be slow before it gets less.
+	slowConfirm = 400 * time.Millisecond
 	// serviceLife is how long a reported service time counts.
 	serviceLife = 5 * loadInterval
 	// slowFactor is the ratio of a target's service time to the median of its
@@ -77,6 +85,8 @@
 type timedService struct {
 	us int64
 	at time.Duration
+	// slowSince is when the target was first found slow; 0 while it is not.
+	slowSince time.Duration
 }
 
 // loadKey names a key of a workload.
@@ -98,7 +108,7 @@
 		l.pending.ServiceUS = map[string]int64{}
 	}
 	for t, us := range r.ServiceUS {
-		l.service[t] = timedService{us, l.at}
+		l.service[t] = timedService{us, l.at, l.service[t].slowSince}
 		l.pending.ServiceUS[t] = us
 	}
 	for _, s := range r.Counts.Shards {
@@ -212,13 +222,33 @@
 		all := byWorkload[targets[name].Workload]
 		// The lower median, so that half of the targets are never above it.
 		median := all[(len(all)-1)/2]
-		if float64(s.us) > slowFactor*float64(median) {
+		if float64(s.us) <= slowFactor*float64(median) {
+			s.slowSince = 0
+			l.service[name] = s
+			continue
+		}
+		if s.slowSince == 0 {
+			s.slowSince = l.now()
+			l.service[name] = s
+		}
+		if l.now()-s.slowSince >= slowConfirm {
 			out[name] = max(float64(median)/float64(s.us), leastWeight)
 		}
 	}
 	return out
 }
 
+// jumped reports whether a service time differs much from the one that was
+// reported last.
+func jumped(now, last map[string]int64) bool {
+	for t, us := range now {
+		if was := last[t]; was > 0 && (us > serviceJump*was || was > serviceJump*us) {
+			return true
+		}
+	}
+	return false
+}
+
 // known reports whether the sample of a workload suffices to balance it by.
 // Without any load the numbers of shards are balanced, which needs no sample.
 func (l loads) known(workload string, targets int) bool {
@@ -248,29 +278,45 @@
 // serveLoads reports the load of this host's targets to the leader of its
 // domain, and a leader the load of its domain to the coordinator.
 func (c *Control) serveLoads(ctx context.Context) error {
-	tick := time.NewTicker(loadInterval)
+	tick := time.NewTicker(serviceInterval)
 	defer tick.Stop()
+	var last time.Duration
+	service := map[string]int64{}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 		}
-		own := LoadReport{From: c.cfg.Self.Name, Counts: c.loads.counter.Take(topKeys), ServiceUS: c.ownServiceTimes()}
+		times := c.ownServiceTimes()
+		due := c.cfg.Now()-last >= loadInterval
 		st := c.state()
-		if st == nil || st.Config == nil {
+		if !due && !jumped(times, service) || st == nil || st.Config == nil {
 			continue
 		}
-		if !c.leads(st) {
-			c.sendLoad(ctx, st, c.cfg.Self.Domain, own)
-			continue
-		}
-		c.loads.take(own)
-		sum := c.loads.takePending()
-		sum.From = "domain/" + c.cfg.Self.Domain
-		if first := c.coordinatorDomain(st); first != "" && first != c.cfg.Self.Domain {
-			c.sendLoad(ctx, st, first, sum)
+		maps.Copy(service, times)
+		own := LoadReport{From: c.cfg.Self.Name, ServiceUS: service}
+		if due {
+			last = c.cfg.Now()
+			own.Counts = c.loads.counter.Take(topKeys)
 		}
+		c.passOn(ctx, st, own)
+		service = maps.Clone(times)
+	}
+}
+
+// passOn gives a report to the leader of the domain or, on the leader itself,
+// the sum of its reports to the coordinator.
+func (c *Control) passOn(ctx context.Context, st *journal.State, own LoadReport) {
+	if !c.leads(st) {
+		c.sendLoad(ctx, st, c.cfg.Self.Domain, own)
+		return
+	}
+	c.loads.take(own)
+	sum := c.loads.takePending()
+	sum.From = "domain/" + c.cfg.Self.Domain
+	if first := c.coordinatorDomain(st); first != "" && first != c.cfg.Self.Domain {
+		c.sendLoad(ctx, st, first, sum)
 	}
 }
 
--- a/internal/control/loads_test.go
+++ b/internal/control/loads_test.go
@@ -49,6 +49,8 @@
 			targets[name] = contract.Target{Name: name, Workload: "w"}
 		}
 		l.take(LoadReport{ServiceUS: map[string]int64{"a": 10000, "b": 11000, "c": 100000, "d": 12000}})
+		So(l.weights(targets), ShouldBeEmpty)
+		now += slowConfirm
 		So(l.weights(targets), ShouldResemble, map[string]float64{"c": 0.11})
 		l.take(LoadReport{ServiceUS: map[string]int64{"a": 90000, "b": 110000, "d": 120000}})
 		So(l.weights(targets), ShouldBeEmpty)
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -15,8 +15,9 @@
 	// maxMovesPerRecord keeps one record well below the size limits of logs.
 	maxMovesPerRecord = 2048
 	// planAtLeast is the longest time between two plans; otherwise one is made
-	// when the state or the judgement of a target has changed.
-	planAtLeast = time.Second
+	// when the state or the judgement of a target has changed. It bounds the
+	// time until a slow target is relieved.
+	planAtLeast = 500 * time.Millisecond
 	// firstPlanWait is how long the first assignment waits for the targets of
 	// all domains, so that the shards are spread over all of them at once.
 	firstPlanWait = 3 * time.Second
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -68,7 +68,7 @@
 func (s *Server) newHome(t contract.Target, seen view.Target, before int) (*home, error) {
 	h := &home{target: t, m: s.m, waits: map[uint64]chan admission.Decision{}, versions: map[uint64]int{}, report: reportOf(seen)}
 	limits := admission.Limits{Slots: t.Slots, ColdSlots: t.ColdSlots, Ramp: time.Duration(t.RampMS) * time.Millisecond}
-	start := admission.Start{InFlight: max(seen.Load.InFlight, before), Warm: t.RampMS == 0, Report: h.report}
+	start := admission.Start{InFlight: max(seen.Load.InFlight, before), Warm: t.RampMS == 0 || seen.Warm, Report: h.report}
 	lim, err := admission.New(admission.Config{MaxQueue: s.cfg.MaxQueue}, limits, boottime.Now(), start)
 	if err != nil {
 		return nil, err
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -42,6 +42,9 @@
 	// Since is when the target's present incarnation was first seen, on the
 	// boot-time clock; zero when unknown.
 	Since time.Duration
+	// Warm says that the target has served under its present incarnation for so
+	// long that it bears its full load.
+	Warm bool
 	// Ready says that shards may be moved to the target: it is not cold and
 	// has not returned lately.
 	Ready bool
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -31,7 +31,7 @@
 	// Urgent is the load of the most loaded target, relative to the mean, from
 	// which on UrgentEvery applies instead and UrgentBatches batches are moved
 	// from each overloaded target: its requests wait or fail until then, for
-	// example because it has become slow. Defaults 2, 1 s and 3.
+	// example because it has become slow. Defaults 2, 1 s and 6.
 	Urgent        float64
 	UrgentEvery   time.Duration
 	UrgentBatches int
@@ -51,7 +51,7 @@
 func DefaultPlanConfig() PlanConfig {
 	return PlanConfig{
 		BatchesPerTarget: 8, ReceiverBatches: 2, Imbalance: 1.10, ImbalanceGoal: 1.05, Spill: 1.10,
-		RebalanceEvery: 10 * time.Second, Urgent: 2, UrgentEvery: time.Second, UrgentBatches: 3, HotShare: 0.2, ColdShare: 0.05, HotMoves: 4,
+		RebalanceEvery: 10 * time.Second, Urgent: 2, UrgentEvery: time.Second, UrgentBatches: 6, HotShare: 0.2, ColdShare: 0.05, HotMoves: 4,
 	}
 }
 
