Let only granters and observing leaders take part in releases

Cause: the lease core of every host asked the granters of its own domain to stop renewing a lost or moved target, at 10 calls a second to each of three granters. With 115 hosts in a domain one lost target would cost 3,400 calls a second.

Changed: hosts that are no granters of their domain drop the core's requests to stop and its releases. Leaders go on observing other domains.

Conclusion: the calls for a release no longer grow with the hosts of a domain.

--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -256,3 +256,20 @@
 		}
 	}
 }
+
+// A host that is no granter must not ask the granters to stop renewing a lost
+// target: in a domain of a hundred hosts those calls would swamp them.
+func TestOnlyGrantersTakePartInReleases(t *testing.T) {
+	s := newTestSystem(t, 1, 2)
+	s.startAll(1, 4)
+	s.eventually(5*time.Second, "list of granters complete", func() bool {
+		return len(granterNames(s.hosts["d0-e0"], "d0")) == granterCount
+	})
+	granters := granterNames(s.hosts["d0-e0"], "d0")
+	for name, h := range s.hosts {
+		s.eventually(2*time.Second, "list known to "+name, func() bool { return len(granterNames(h, "d0")) == granterCount })
+		if h.releases("d0") != contains(granters, name) {
+			t.Errorf("%s takes part: %v, granters %v", name, h.releases("d0"), granters)
+		}
+	}
+}
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -170,7 +170,22 @@
 	}
 }
 
+// releases reports whether this host takes part in the release of shards of a
+// domain: as one of its granters, or as the leader of another one. If all hosts
+// of a large domain did, one lost target would cost its granters thousands of
+// calls a second.
+func (c *Control) releases(domain string) bool {
+	st := c.state()
+	return domain != c.cfg.Self.Domain || st != nil && c.isGranter(st)
+}
+
 func (c *Control) carryOut(ctx context.Context, da domainAction) {
+	switch da.action.(type) {
+	case lease.SendStopRenew, lease.AppendReleased:
+		if !c.releases(da.domain) {
+			return
+		}
+	}
 	switch a := da.action.(type) {
 	case lease.SendGrant:
 		c.domains.grant(ctx, da.domain, a)
