--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -17,7 +17,7 @@
 	DefaultLease        = 800 * time.Millisecond
 	DefaultRenew        = 200 * time.Millisecond
 	DefaultAuthority    = 500 * time.Millisecond
-	DefaultPermit       = 900 * time.Millisecond
+	DefaultPermit       = 700 * time.Millisecond
 	DefaultReadWait     = 150 * time.Millisecond
 	DefaultPeerReadWait = 600 * time.Millisecond
 	DefaultViewInterval = 200 * time.Millisecond
