Serve the operators' interface on every entry host

No entry host served it: the control plane did not implement operator.Control, and boragelockd left entry.Config.Operator unset.

Control gets Status and Changes. Numbers of requests are -1 while a target's home does not answer, and 'out -wait' does not take that for none. Changes lists the change records that the follower keeps. control.AppendError says whether its outcome is unknown.

Fault found: Writer.readBack read the result of a record and the position in two steps. A record applied in between was returned as applied, also when it had lost against another change. The test covers the second half; the first is closed by construction.

--- a/cmd/boragelock/state.go
+++ b/cmd/boragelock/state.go
@@ -65,13 +65,22 @@
 		for _, t := range d.Targets {
 			if (kind == "domain" && d.Name == name) || (kind == "target" && t.Name == name) {
 				shards += t.Shards + t.Leaving
-				requests += t.InFlight + t.Queued
+				requests += requestsOf(t)
 			}
 		}
 	}
 	return shards, requests
 }
 
+// requestsOf returns the requests of a target. An unknown number counts as one,
+// so that a wait does not end before the home has answered.
+func requestsOf(t operator.TargetStatus) int {
+	if t.InFlight < 0 || t.Queued < 0 {
+		return 1
+	}
+	return t.InFlight + t.Queued
+}
+
 // listCommand returns a command that prints a part of the status.
 func listCommand(name, help string, show func(*table, operator.Status)) command {
 	return command{name: name, help: "show " + help,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,6 +44,8 @@
 	drained func(target string, version uint64) uint64
 	// serviceTimes is set before the duties start; see SetServiceTimes.
 	serviceTimes func() map[string]time.Duration
+	// targetLoads is set before the duties start; see SetTargetLoads.
+	targetLoads func() map[string]TargetLoad
 }
 
 // eventBuffer bounds the reports of the request path; when it is full the
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -259,6 +259,16 @@
 	return res, ok
 }
 
+// outcome returns the result of a record, and whether the state has gone past
+// its offset. Both are read together: a record that is applied between two
+// separate reads would look as if it had been passed without a result.
+func (f *Follower) outcome(id string, offset int64) (res journal.Result, ok, passed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	res, ok = f.results[id]
+	return res, ok, f.pos.Next > offset
+}
+
 // changed returns a channel that is closed when more records are applied.
 func (f *Follower) changed() <-chan struct{} {
 	f.mu.Lock()
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -15,6 +15,7 @@
 	methodBack     = "lease.back"
 	methodStop     = "lease.stop_renew"
 	methodHot      = "hot.report"
+	methodReport   = "status.report"
 )
 
 // RecordsRequest asks for records from an offset on.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -18,6 +18,7 @@
 	s.Handle(methodBack, peer.Typed(c.back))
 	s.Handle(methodHot, peer.Typed(c.hotReport))
 	s.Handle(methodStop, peer.Typed(c.stopRenew))
+	s.Handle(methodReport, peer.Typed(c.report))
 }
 
 // maxRecordsWait limits how long a call for records waits.
--- /dev/null
+++ b/internal/control/status_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/operator"
+	"github.com/boragelock/boragelock/internal/view"
+	"github.com/boragelock/boragelock/journal"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// A wait for the end of a domain's work must not end because nobody counted.
+func TestStatusCounts(t *testing.T) {
+	tgt := contract.Target{Name: "t", Workload: "w", Domain: "d"}
+	b := statusBuilder{
+		v: &view.View{
+			State: &journal.State{
+				Config:   &contract.State{Targets: map[string]contract.Target{"t": tgt}},
+				Granters: map[string]journal.Granters{"d": {Members: []journal.Member{{Host: "a"}, {Host: "b"}}}},
+			},
+			Homes: map[string]view.Home{"t": {Host: "b"}},
+		},
+		reports: map[string]HostReport{"a": {
+			Loads: map[string]TargetLoad{"t": {InFlight: 1}}, LeaseMS: map[string]int64{"t": 300},
+			MissingWord: map[string][]string{"t": {"b"}},
+		}},
+	}
+	Convey("requests are unknown while the home does not answer", t, func() {
+		got := b.target(tgt)
+		So([]int{got.InFlight, got.Queued}, ShouldResemble, []int{-1, -1})
+		So(got.LeaseMS, ShouldEqual, 300)
+		So(got.MissingWord, ShouldResemble, []string{"b"})
+	})
+	Convey("requests of the home and of a former home are added up", t, func() {
+		b.reports["b"] = HostReport{Loads: map[string]TargetLoad{"t": {InFlight: 2, Queued: 3}}}
+		got := b.target(tgt)
+		So([]int{got.InFlight, got.Queued}, ShouldResemble, []int{3, 3})
+	})
+	Convey("a lease that no granter reports is unknown", t, func() {
+		b.reports = map[string]HostReport{}
+		So(b.target(tgt).LeaseMS, ShouldEqual, -1)
+	})
+	Convey("a shard that waits for its former owner counts for both", t, func() {
+		got := countShards(&ownership.Table{Workloads: map[string]*ownership.WorkloadTable{"w": {Shards: []ownership.Shard{
+			{Owner: "t"}, {Owner: "t", Waiting: 2, Previous: "u"}, {},
+		}}}})
+		So(got, ShouldResemble, map[string]shardCounts{"t": {owned: 2, waiting: 1}, "u": {leaving: 1}})
+	})
+}
+
+var oneDomain = contract.Deployment{Name: "x", IsolatedServeMS: -1, Domains: []contract.Domain{{Name: "d"}}}
+
+// testFollower has applied records that it was given directly.
+func testFollower(records ...platform.Record) *Follower {
+	f := newFollower(func() time.Duration { return 1 }, nil, hclog.NewNullLogger())
+	f.published, f.complete = func(*journal.State) {}, func(time.Duration) {}
+	f.apply(&logSource{}, fetched{Batch: platform.Batch{Records: records, First: 1, End: int64(len(records)) + 1}})
+	return f
+}
+
+func encoded(t *testing.T, offset int64, id string, kind journal.Kind, body any) platform.Record {
+	t.Helper()
+	data, err := journal.Encode(id, kind, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Record{Offset: offset, Data: data}
+}
+
+// The history must say which of two changes won, and list a record that was
+// appended twice once.
+func TestHistory(t *testing.T) {
+	change := contract.Change{FromVersion: 1, Operator: "op", Items: []contract.Item{{Domain: &contract.SetState{Name: "d", State: contract.StateOut}}}}
+	f := testFollower(
+		encoded(t, 1, "boot", journal.KindBootstrap, oneDomain),
+		encoded(t, 2, "first", journal.KindChange, change),
+		encoded(t, 3, "second", journal.KindChange, change),
+		encoded(t, 4, "first", journal.KindChange, change),
+	)
+	Convey("both changes are listed with their outcomes", t, func() {
+		got, err := (&Control{follower: f}).Changes(context.Background())
+		So(err, ShouldBeNil)
+		So(len(got), ShouldEqual, 2)
+		So([]any{got[0].Offset, got[0].Version, got[0].Outcome}, ShouldResemble, []any{int64(2), int64(2), journal.Applied})
+		So([]any{got[1].Offset, got[1].Version, got[1].Outcome}, ShouldResemble, []any{int64(3), int64(0), journal.Refused})
+	})
+}
+
+// An operator whose change lost must not be told that it was applied.
+func TestPassedRecord(t *testing.T) {
+	f := testFollower(encoded(t, 1, "boot", journal.KindBootstrap, oneDomain))
+	w := &Writer{follower: f}
+	Convey("a record whose result was not seen has an unknown outcome", t, func() {
+		_, err := w.readBack(context.Background(), "other", journal.KindChange, 1)
+		var unknown operator.OutcomeUnknown = err.(*AppendError)
+		So(unknown.OutcomeUnknown(), ShouldBeTrue)
+	})
+	Convey("a result that was seen is returned", t, func() {
+		res, err := w.readBack(context.Background(), "boot", journal.KindBootstrap, 1)
+		So(err, ShouldBeNil)
+		So(res.Outcome, ShouldEqual, journal.Applied)
+	})
+}
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -31,6 +31,15 @@
 // Unwrap returns the cause.
 func (e *AppendError) Unwrap() error { return e.Err }
 
+// PassedError says that a host went past a record without learning what it
+// did: the record is part of a snapshot that the host has loaded.
+type PassedError struct{ Offset int64 }
+
+// Error implements error.
+func (e *PassedError) Error() string {
+	return fmt.Sprintf("the record at offset %d is on the log, but its result was not seen", e.Offset)
+}
+
 // Writer appends records and waits until this host has read them back.
 type Writer struct {
 	log      platform.Log
@@ -87,12 +96,12 @@
 func (w *Writer) readBack(ctx context.Context, id string, kind journal.Kind, offset int64) (journal.Result, error) {
 	for {
 		ch := w.follower.changed()
-		if res, ok := w.follower.result(id); ok {
+		res, ok, passed := w.follower.outcome(id, offset)
+		if ok {
 			return res, nil
 		}
-		if w.follower.Position().Next > offset {
-			// Applied before this incarnation kept results, or in a snapshot.
-			return journal.Result{Offset: offset, ID: id, Kind: kind, Outcome: journal.Applied}, nil
+		if passed {
+			return journal.Result{}, &AppendError{ID: id, Kind: kind, Unknown: true, Err: &PassedError{Offset: offset}}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -168,7 +168,7 @@
 	if s.cfg.Change != nil {
 		s.cfg.Change(&set)
 	}
-	h, err := entry.New(entry.Config{Settings: set, Bootstrap: &s.deployment, Logger: s.cfg.Logger})
+	h, err := entry.New(entry.Config{Settings: set, Bootstrap: &s.deployment, Logger: s.cfg.Logger, Operator: entry.Operators(s.cfg.Logger)})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -162,12 +162,22 @@
 	h.forward = forward.New(h.forwardConfig())
 	h.control.SetDrained(h.forward.Drained)
 	h.control.SetServiceTimes(h.forward.ServiceTimes)
+	h.control.SetTargetLoads(h.targetLoads)
 	hostVars.Set(s.Name, h.forward.Vars())
 	h.servers()
 	h.supervise()
 	return nil
 }
 
+// targetLoads passes on what the request path has in progress.
+func (h *Host) targetLoads() map[string]control.TargetLoad {
+	out := map[string]control.TargetLoad{}
+	for name, l := range h.forward.TargetLoads() {
+		out[name] = control.TargetLoad{InFlight: l.InFlight, Queued: l.Queued}
+	}
+	return out
+}
+
 func controlTiming(t settings.Timings) control.Timing {
 	return control.Timing{
 		Lease: settings.MS(t.LeaseMS), Renew: settings.MS(t.RenewMS),
--- /dev/null
+++ b/internal/entry/operator.go
@@ -0,0 +1,15 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/boragelock/boragelock/internal/control"
+	"github.com/boragelock/boragelock/internal/operator"
+)
+
+// Operators returns a Config.Operator that serves the operators' interface.
+func Operators(log hclog.Logger) func(*control.Control) http.Handler {
+	return func(c *control.Control) http.Handler { return operator.NewHandler(c, log.Named("operator")) }
+}
--- /dev/null
+++ b/internal/forward/loads.go
@@ -0,0 +1,33 @@
+package forward
+
+import "github.com/boragelock/boragelock/internal/boottime"
+
+// TargetLoad is what this host has in progress for a target.
+type TargetLoad struct {
+	// InFlight requests have been sent to the target, Queued ones wait.
+	InFlight, Queued int
+}
+
+// TargetLoads returns the load of each target that this host is the home of,
+// or was and still has requests for.
+func (s *Server) TargetLoads() map[string]TargetLoad {
+	s.homesMu.RLock()
+	defer s.homesMu.RUnlock()
+	out := map[string]TargetLoad{}
+	for target, h := range s.homes {
+		out[target] = out[target].plus(h)
+	}
+	for target, homes := range s.leaving {
+		for _, h := range homes {
+			out[target] = out[target].plus(h)
+		}
+	}
+	return out
+}
+
+func (l TargetLoad) plus(h *home) TargetLoad {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	st := h.lim.Stats(boottime.Now())
+	return TargetLoad{InFlight: l.InFlight + st.InFlight, Queued: l.Queued + st.Queued}
+}
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -104,9 +104,11 @@
 	// Shards counts the assigned shards, Waiting those of them that wait for
 	// the release of a former owner, Leaving those that left and are not yet
 	// released.
-	Shards   int `json:"shards"`
-	Waiting  int `json:"waiting"`
-	Leaving  int `json:"leaving"`
+	Shards  int `json:"shards"`
+	Waiting int `json:"waiting"`
+	Leaving int `json:"leaving"`
+	// InFlight and Queued count the requests at the home; -1 while it does not
+	// answer.
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
 	// MissingWord names granters whose word a release of the target waits for.
