--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -175,14 +175,7 @@
 }
 
 func (r *run) switchLog(ctx context.Context, s standin.LogSwitches) (func() error, error) {
-	set := func(s standin.LogSwitches) error {
-		raw, err := json.Marshal(s)
-		if err != nil {
-			return err
-		}
-		return post(ctx, "http://"+r.cluster.logAddr.Admin+"/admin/switches", raw)
-	}
-	return func() error { return set(standin.LogSwitches{}) }, set(s)
+	return func() error { return r.cluster.SwitchLog(ctx, standin.LogSwitches{}) }, r.cluster.SwitchLog(ctx, s)
 }
 
 func (r *run) applyToEntry(a *Applied) (func() error, error) {
