Read on through another domain when all own granters lack the log

Fault: a granter reads from the log, then from the other granters of its domain, then from other domains, and stopped at the first source that answered. In a domain that is cut off from the log, the other granters answer too, with nothing new, so no host of the domain ever asked another one. No change came into force there, and no granter stayed on the log through peers.

Follower.readOnce now goes on until a source brings records or a later time as of which the log was read to its end.

TestDomainReadsThroughAnother (2 domains, 3 hosts each, one cut off): without the fix not in force within 4 s; with it 0, 312 and 303 ms for three changes. The existing test had one host in the cut domain and could not see it. All tests of internal/control pass (78 s at load average 20 to 30).

--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -97,7 +97,10 @@
 	return ctx.Err()
 }
 
-// readOnce reads from the first source that answers.
+// readOnce reads from the first source that brings something new: records, or
+// a later time as of which the log was read to its end. A peer that is cut off
+// from the log itself answers too, and would hide one of another domain that
+// is not.
 func (f *Follower) readOnce(ctx context.Context) bool {
 	for i, src := range f.sources() {
 		next := f.Position().Next
@@ -110,8 +113,9 @@
 			}
 			continue
 		}
-		f.apply(src, got)
-		return true
+		if f.apply(src, got) {
+			return true
+		}
 	}
 	return false
 }
@@ -166,8 +170,9 @@
 	f.pos.LogReachable = err == nil
 }
 
-// apply folds a batch and publishes the state when it has changed.
-func (f *Follower) apply(src source, got fetched) {
+// apply folds a batch and publishes the state when it has changed. It reports
+// whether the batch brought anything new.
+func (f *Follower) apply(src source, got fetched) bool {
 	f.mu.Lock()
 	changed := false
 	for _, rec := range got.Records {
@@ -204,6 +209,7 @@
 	if atEnd {
 		f.complete(got.asOf)
 	}
+	return changed || atEnd
 }
 
 func (f *Follower) keep(rec platform.Record, res journal.Result) {
--- a/internal/control/status_test.go
+++ b/internal/control/status_test.go
@@ -108,3 +108,30 @@
 		So(res.Outcome, ShouldEqual, journal.Applied)
 	})
 }
+
+// A domain whose granters are all cut off from the log must read on through
+// another domain: a peer that is itself cut off answers, but with nothing new.
+func TestDomainReadsThroughAnother(t *testing.T) {
+	s := newTestSystem(t, 2, 2)
+	first := s.startAll(2, 3)
+	var cut []*testHost
+	for name, h := range s.hosts {
+		if name[:2] == "d1" {
+			h.logCut.Store(true)
+			cut = append(cut, h)
+		}
+	}
+	for n := range 3 {
+		s.change(first, contract.Item{Isolated: &contract.Isolation{ServeMS: int64(n)}})
+		want := first.View().State.Config.Version
+		took := s.eventually(4*time.Second, "change in force in the cut domain", func() bool {
+			for _, h := range cut {
+				if h.View().State.Config.Version < want {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("change %d in force after %s", n, took.Round(time.Millisecond))
+	}
+}
