Measure how long configuration changes take to be in force everywhere

config_in_force_ms was one number for the few changes of a scenario, which are written to the log directly. It now has p50, p99 and max over the changes.

boragelock-bench -config-changes N makes N changes through the operators' interface with the log reachable, with one domain cut off from it, and with the answers of all appends lost, each idle and under load.

--- a/cmd/boragelock-bench/main.go
+++ b/cmd/boragelock-bench/main.go
@@ -46,7 +46,10 @@
 	capacity bool
 	// dimensions limits a capacity measurement, separated by commas.
 	dimensions string
-	verbose    bool
+	// changes is the number of configuration changes for each condition; 0
+	// means that the bench measures something else.
+	changes int
+	verbose bool
 }
 
 func main() {
@@ -78,6 +81,9 @@
 	if cfg.capacity {
 		return exitOK, capacity(ctx, cfg, stdout)
 	}
+	if cfg.changes > 0 {
+		return exitOK, inForce(ctx, cfg, stdout)
+	}
 	results, err := play(ctx, cfg)
 	if err != nil {
 		return exitFailed, err
@@ -110,6 +116,7 @@
 	fs.StringVar(&cfg.baseline, "baseline-router", "", "run as a baseline router with this configuration (used by the bench itself)")
 	fs.BoolVar(&cfg.capacity, "capacity", false, "measure what idle entry hosts use at several sizes, one JSON line each")
 	fs.StringVar(&cfg.dimensions, "capacity-dimensions", "", "dimensions to measure, separated by commas: targets, hosts, domains, shards, contracts; empty means all")
+	fs.IntVar(&cfg.changes, "config-changes", 0, "measure how long `N` configuration changes take to be in force on all entry hosts, for each condition of the log, idle and under load; one JSON line each")
 	if err := fs.Parse(args); err != nil {
 		return cfg, err
 	}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -303,29 +303,28 @@
 	return ptr(float64(ok) / float64(all))
 }
 
-// configInForce returns the longest time in milliseconds from the acceptance
-// of a change until a host showed it. For a host that was paused, the time is
-// counted from the end of the pause.
-func configInForce(e *Evidence) *float64 {
-	var worst *float64
+// configInForce returns the distribution over the changes of the time from the
+// acceptance of a change until the last host showed it. For a host that was
+// paused, the time is counted from the end of the pause.
+func configInForce(e *Evidence) *Spread {
+	var all []time.Duration
 	for n, accepted := range e.ConfigAt {
 		next := e.End
 		if n+1 < len(e.ConfigAt) {
 			next = e.ConfigAt[n+1]
 		}
+		last := time.Duration(0)
 		for _, host := range e.Plan.Entries {
-			took := shownAfter(e, host.Name, n+1, accepted, next)
-			if worst == nil || took > *worst {
-				worst = &took
-			}
+			last = max(last, shownAfter(e, host.Name, n+1, accepted, next))
 		}
+		all = append(all, last)
 	}
-	return worst
+	return newSpread(all)
 }
 
 // shownAfter returns how long a host took to show a change, or the whole time
 // until the next one when it did not.
-func shownAfter(e *Evidence, host string, change int, accepted, next time.Duration) float64 {
+func shownAfter(e *Evidence, host string, change int, accepted, next time.Duration) time.Duration {
 	from := accepted
 	for _, s := range e.Steps {
 		if slices.Contains(s.Entries, host) && s.At < next && s.Until > accepted {
@@ -334,10 +333,10 @@
 	}
 	for _, seen := range e.Config {
 		if seen.Host == host && seen.Change >= change && seen.At >= accepted {
-			return max(0, ms(seen.At-from))
+			return max(0, seen.At-from)
 		}
 	}
-	return max(0, ms(next-from))
+	return max(0, next-from)
 }
 
 // othersP99 returns the p99 in milliseconds of the customers that did not flood
--- a/internal/bench/measure_test.go
+++ b/internal/bench/measure_test.go
@@ -36,9 +36,18 @@
 			Steps:  []Applied{{Step: Step{Action: ActPauseEntry}, Entries: []string{"b"}, At: 500 * time.Millisecond, Until: 3 * time.Second}},
 			Config: []ConfigSeen{{Host: "a", Change: 0, At: 1100 * time.Millisecond}, {Host: "a", Change: 1, At: 1200 * time.Millisecond}, {Host: "b", Change: 1, At: 3300 * time.Millisecond}},
 		}
-		So(*configInForce(e), ShouldEqual, 300)
+		So(*configInForce(e), ShouldResemble, Spread{P50: 300, P99: 300, Max: 300})
 		e.Config = nil
-		So(*configInForce(e), ShouldEqual, 9000)
+		So(*configInForce(e), ShouldResemble, Spread{P50: 9000, P99: 9000, Max: 9000})
+	})
+	Convey("a spread gives quantiles by nearest rank, and none without times", t, func() {
+		var times []time.Duration
+		for n := 100; n > 0; n-- {
+			times = append(times, time.Duration(n)*time.Millisecond)
+		}
+		So(*newSpread(times), ShouldResemble, Spread{P50: 50, P99: 99, Max: 100})
+		So(*newSpread(times[:1]), ShouldResemble, Spread{P50: 100, P99: 100, Max: 100})
+		So(newSpread(nil), ShouldBeNil)
 	})
 	Convey("only the last line of a record file may be cut", t, func() {
 		path := filepath.Join(t.TempDir(), "r.jsonl")
--- a/internal/bench/probe.go
+++ b/internal/bench/probe.go
@@ -71,20 +71,20 @@
 		case <-tick.C:
 		}
 		generation := p.present()
-		if admitted, ok := p.ask(ctx, client, h); ok {
+		if admitted, ok := askProbe(ctx, client, h, probeToken); ok {
 			p.note(h.name, generation, admitted)
 		}
 	}
 }
 
-// ask reports whether the host lets the probe customer in; ok is false when it
-// gave no clear answer.
-func (p *configProbe) ask(ctx context.Context, client *http.Client, h *balancedHost) (admitted, ok bool) {
+// askProbe reports whether the host lets the probe customer in with a
+// credential; ok is false when it gave no clear answer.
+func askProbe(ctx context.Context, client *http.Client, h *balancedHost, token string) (admitted, ok bool) {
 	req, err := newIDsRequest(ctx, "http://"+h.addr+pathRequestIDs, 1)
 	if err != nil {
 		return false, false
 	}
-	authorize(req, ProbeCustomer, probeToken)
+	authorize(req, ProbeCustomer, token)
 	resp, err := client.Do(req)
 	if err != nil {
 		return false, false
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -96,7 +96,7 @@
 	DomainService *float64 `json:"domain_service,omitempty"`
 	Latency
 	CPUPerRequest   *float64 `json:"cpu_us_per_request,omitempty"`
-	ConfigInForceMS *float64 `json:"config_in_force_ms,omitempty"`
+	ConfigInForceMS *Spread  `json:"config_in_force_ms,omitempty"`
 	Control         *Control `json:"control,omitempty"`
 	// OtherCustomersP99 is the p99 of the customers that kept to their
 	// contract while another one exceeded its own.
