--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,15 +33,14 @@
 	callTries = 3
 	// callPause is the pause before a repetition.
 	callPause = 100 * time.Millisecond
+	// callDeadline is the deadline of each attempt.
+	callDeadline = 2 * time.Second
 	// callSlack is how much longer than its deadline a caller waits.
 	callSlack = 500 * time.Millisecond
 	// dialLimit limits a caller's opening of a connection.
 	dialLimit = 500 * time.Millisecond
 )
 
-// deadlines of callers by role.
-var deadlines = map[Role]time.Duration{RoleRead: 2 * time.Second, RoleWrite: 2500 * time.Millisecond, RolePlain: 2500 * time.Millisecond}
-
 // repeatCodes are answers after which a request is repeated with the same
 // identifier: its outcome is known later.
 var repeatCodes = map[string]bool{string(retry.CodeDuplicate): true, "issuer_unreachable": true}
@@ -178,8 +179,7 @@
 
 // attempt sends a request once to one entry host.
 func (c *caller) attempt(ctx context.Context, h *balancedHost, r request, id string) attempt {
-	limit := deadlines[r.workload.Role]
-	ctx, cancel := context.WithTimeout(ctx, limit+callSlack)
+	ctx, cancel := context.WithTimeout(ctx, callDeadline+callSlack)
 	defer cancel()
 	target := "http://" + h.addr + "/v1/" + r.workload.Name + "/" + url.PathEscape(r.key) + "?tag=" + url.QueryEscape(r.tag)
 	var body io.Reader
@@ -191,19 +191,26 @@
 		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
 	}
 	authorize(req, r.customer.Customer, r.customer.Token)
-	req.Header.Set(platform.HeaderDeadlineMS, strconv.FormatInt(limit.Milliseconds(), 10))
+	req.Header.Set(platform.HeaderDeadlineMS, strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	if id != "" {
 		req.Header.Set(platform.HeaderRequestID, id)
 	}
+	// Transport repeats a GET by itself when its connection breaks, and reports
+	// the failure of the last connection only. A request that was given any
+	// connection may have been sent.
+	var connected atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	started := boottime.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return failedAttempt(h.name, started, err)
+		return failedAttempt(h.name, started, connected.Load(), err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failedAttempt(h.name, started, err)
+		return failedAttempt(h.name, started, true, err)
 	}
 	return judgeAnswer(r, resp.StatusCode, data)
 }
@@ -214,8 +221,8 @@
 }
 
 // failedAttempt classifies an attempt without a whole answer.
-func failedAttempt(entry string, started time.Duration, err error) attempt {
-	if isDialError(err) {
+func failedAttempt(entry string, started time.Duration, connected bool, err error) attempt {
+	if isDialError(err) && !connected {
 		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -31,6 +31,7 @@
 	emptySince time.Duration
 }
 
+// seen holds times on the clock that stands still while this host is stalled.
 type seen struct {
 	incarnation string
 	lastOK      time.Duration
@@ -153,20 +154,20 @@
 func (c *Control) helloOne(ctx context.Context, e journal.EntryHost) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := c.cfg.Now()
+	sent, awake := c.cfg.Now(), c.stalls.awake()
 	var rep HelloReply
 	err := c.cfg.Peers.Call(ctx, e.PeerAddr, methodHello, struct{}{}, &rep)
 	c.hosts.update(e.Name, func(s *seen) {
 		if s.firstTry == 0 {
-			s.firstTry = sent
+			s.firstTry = awake
 		}
 		s.refused = isRefused(err)
 		if err == nil {
-			s.incarnation, s.lastOK, s.stopping = rep.Incarnation, sent, rep.Stopping
+			s.incarnation, s.lastOK, s.stopping = rep.Incarnation, awake, rep.Stopping
 		}
 	})
 	if err != nil {
-		c.blame(hostNode(e.Name), true, sent)
+		c.blame(hostNode(e.Name), true, awake, callTimeout, isRefused(err))
 		if isRefused(err) {
 			c.homes.suspect(e.Name)
 		}
@@ -195,6 +196,7 @@
 
 // noteHello passes on what a granter says of itself and of the targets.
 func (c *Control) noteHello(host string, sent time.Duration, rep HelloReply) {
+	c.notePermits(rep.PermitsMS)
 	f := c.domains.fitness
 	f.step(membership.Answered{Node: hostNode(host), Incarnation: rep.Incarnation})
 	for t, age := range c.renewedBy(rep) {
--- a/internal/control/probes.go
+++ b/internal/control/probes.go
@@ -58,13 +58,13 @@
 	defer tick.Stop()
 	open := false
 	for {
-		start := c.cfg.Now()
+		start := c.stalls.awake()
 		load, err := loadWithin(ctx, client, c.cfg.Timing.GrantTimeout)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			c.blame(targetNode(name), !open, start)
+			c.blame(targetNode(name), !open, start, c.cfg.Timing.GrantTimeout, refusedByTarget(err))
 		} else {
 			c.domains.fitness.reported(name, !open, load)
 		}
--- a/internal/control/stall.go
+++ b/internal/control/stall.go
@@ -19,11 +19,13 @@
 // stalls counts the times in which this process did not run.
 var stalls = expvar.NewInt("stalls_count")
 
-// stallMeter notices that this process was paused or starved of processor time.
+// stallMeter notices that this process was paused or starved of processor time,
+// and gives a clock that stands still meanwhile: silence of others is measured
+// by it.
 type stallMeter struct {
 	now func() time.Duration
-	// last is the end of the last stall on the boot-time clock.
-	last atomic.Int64
+	// total is the time of all stalls, end the end of the last one.
+	total, end atomic.Int64
 	// tick is the time of the last tick.
 	tick atomic.Int64
 }
@@ -48,21 +50,27 @@
 // note takes the time of a tick.
 func (m *stallMeter) note(now time.Duration) {
 	before := time.Duration(m.tick.Swap(int64(now)))
-	if before != 0 && now-before > stallTick+stallAfter {
-		m.last.Store(int64(now))
+	if late := lateness(before, now); late > 0 {
+		m.total.Add(int64(late))
+		m.end.Store(int64(now))
 		stalls.Add(1)
 	}
 }
 
-// lastEnd returns when the last stall ended, 0 when there was none.
-func (m *stallMeter) lastEnd() time.Duration { return time.Duration(m.last.Load()) }
-
-// since reports whether the process has been stalled at any time after start,
-// including a stall that the meter itself has not yet woken up from.
-func (m *stallMeter) since(start time.Duration) bool {
-	if last := time.Duration(m.last.Load()); last != 0 && last >= start {
-		return true
+// lateness returns by how much a tick was late, 0 when it was in time.
+func lateness(before, now time.Duration) time.Duration {
+	if late := now - before - stallTick; before != 0 && late > stallAfter {
+		return late
 	}
-	tick := time.Duration(m.tick.Load())
-	return tick != 0 && m.now()-tick > stallTick+stallAfter
+	return 0
+}
+
+// awake returns the time without stalls, including one that the meter itself
+// has not yet woken up from.
+func (m *stallMeter) awake() time.Duration {
+	now := m.now()
+	return now - time.Duration(m.total.Load()) - lateness(time.Duration(m.tick.Load()), now)
 }
+
+// lastEnd returns when the last stall ended, 0 when there was none.
+func (m *stallMeter) lastEnd() time.Duration { return time.Duration(m.end.Load()) }
--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -10,19 +10,23 @@
 // After a pause of this host all attempts that it had under way have timed
 // out; blaming the targets would take the shards of all of them away.
 func TestStallMeterNoticesPauses(t *testing.T) {
-	Convey("a stall counts against attempts that it overlaps only", t, func() {
+	Convey("the clock for the silence of others stands still during a stall", t, func() {
 		now := time.Second
 		m := newStallMeter(func() time.Duration { return now })
-		step := func(d time.Duration) { now += d; m.note(now) }
+		tick := func() { now += stallTick; m.note(now) }
 		m.tick.Store(int64(now))
-		step(stallTick)
-		So(m.since(0), ShouldBeFalse)
-		start := now
-		now += 200 * time.Millisecond
-		So(m.since(start), ShouldBeTrue) // not yet noticed by a tick
+		for range 5 {
+			tick()
+		}
+		before := m.awake()
+		tick()
+		So(m.awake()-before, ShouldEqual, stallTick)
+		now += time.Second
+		So(m.awake()-before, ShouldEqual, 2*stallTick) // not yet noticed by a tick
 		m.note(now)
-		step(stallTick)
-		So(m.since(start), ShouldBeTrue)
-		So(m.since(now), ShouldBeFalse)
+		So(m.awake()-before, ShouldEqual, 2*stallTick)
+		So(m.lastEnd(), ShouldEqual, now)
+		tick()
+		So(m.awake()-before, ShouldEqual, 3*stallTick)
 	})
 }
--- a/lease/config.go
+++ b/lease/config.go
@@ -41,8 +41,12 @@
 	// state is offered again. Default 1 s.
 	ReleaseRetry time.Duration
 	// PermitFor is the length of a permit to send to a target that does not
-	// check fences. Default 900 ms.
+	// check fences. Default 700 ms.
 	PermitFor time.Duration
+	// UnsafeNoLeaseWait releases the shards of a lost target without waiting
+	// for its lease. It makes two owners, and exists to show that checks find
+	// them. Default false.
+	UnsafeNoLeaseWait bool
 	// TickEvery is the longest time between two Step calls that keeps the
 	// schedule. Default 20 ms.
 	TickEvery time.Duration
@@ -56,7 +60,7 @@
 		ProbeEvery: 2 * time.Second, RetryAfter: 50 * time.Millisecond, AnswerWithin: 200 * time.Millisecond,
 		ConsentAfter: 250 * time.Millisecond, AskEvery: 100 * time.Millisecond,
 		ReleaseStep: 30 * time.Millisecond, ReleaseRetry: time.Second,
-		PermitFor: 900 * time.Millisecond, TickEvery: 20 * time.Millisecond,
+		PermitFor: 700 * time.Millisecond, TickEvery: 20 * time.Millisecond,
 	}
 }
 
