--- a/cmd/boragelock-bench/inforce.go
+++ b/cmd/boragelock-bench/inforce.go
@@ -9,6 +9,10 @@
 	"github.com/boragelock/boragelock/internal/bench"
 )
 
+// changeLoads maps the values of -config-load to whether load is offered, in
+// order.
+var changeLoads = map[string][]bool{"idle": {false}, "loaded": {true}, "both": {false, true}}
+
 // inForce measures how long changes take to be in force everywhere and writes
 // one JSON line for each condition.
 func inForce(ctx context.Context, cfg config, stdout io.Writer) error {
@@ -21,5 +25,5 @@
 		return err
 	}
 	enc := json.NewEncoder(stdout)
-	return bench.MeasureInForce(ctx, cfg.opts, cfg.changes, func(p bench.InForcePoint) error { return enc.Encode(p) })
+	return bench.MeasureInForce(ctx, cfg.opts, cfg.changes, changeLoads[cfg.changeLoad], func(p bench.InForcePoint) error { return enc.Encode(p) })
 }
--- a/cmd/boragelock-bench/main.go
+++ b/cmd/boragelock-bench/main.go
@@ -49,7 +49,9 @@
 	// changes is the number of configuration changes for each condition; 0
 	// means that the bench measures something else.
 	changes int
-	verbose bool
+	// changeLoad says whether these are made idle, under load, or both.
+	changeLoad string
+	verbose    bool
 }
 
 func main() {
@@ -117,6 +119,7 @@
 	fs.BoolVar(&cfg.capacity, "capacity", false, "measure what idle entry hosts use at several sizes, one JSON line each")
 	fs.StringVar(&cfg.dimensions, "capacity-dimensions", "", "dimensions to measure, separated by commas: targets, hosts, domains, shards, contracts; empty means all")
 	fs.IntVar(&cfg.changes, "config-changes", 0, "measure how long `N` configuration changes take to be in force on all entry hosts, for each condition of the log, idle and under load; one JSON line each")
+	fs.StringVar(&cfg.changeLoad, "config-load", "both", "with -config-changes: idle, loaded or both")
 	if err := fs.Parse(args); err != nil {
 		return cfg, err
 	}
@@ -133,6 +136,8 @@
 	switch {
 	case c.baseline != "" || c.capacity:
 		return nil
+	case changeLoads[c.changeLoad] == nil:
+		return &UsageError{Flag: "config-load", Value: c.changeLoad, Allowed: "idle, loaded, both"}
 	case o.Deployment != "andaimes" && o.Deployment != "toise":
 		return &UsageError{Flag: "deployment", Value: o.Deployment, Allowed: "andaimes, toise"}
 	case !(o.Scale > 0 && o.Scale <= 1):
--- a/internal/bench/inforce.go
+++ b/internal/bench/inforce.go
@@ -98,9 +98,10 @@
 
 // MeasureInForce makes changes through the operators' interface of a deployment
 // at full size and measures, by requests with a new credential for each, when
-// the last entry host acts by it. It calls report after
-// each condition.
-func MeasureInForce(ctx context.Context, o Options, changes int, report func(InForcePoint) error) error {
+// the last entry host acts by it. It does so for each
+// condition of the log without load and with it, as loads says, and calls
+// report after each.
+func MeasureInForce(ctx context.Context, o Options, changes int, loads []bool, report func(InForcePoint) error) error {
 	plan, err := NewPlan(o.Deployment, o.Scale)
 	if err != nil {
 		return err
@@ -132,7 +133,7 @@
 	if err := r.awaitReady(ctx); err != nil {
 		return err
 	}
-	for _, loaded := range []bool{false, true} {
+	for _, loaded := range loads {
 		if loaded {
 			r.background.Go(func() { r.load.run(ctx, ctx) })
 		}
