--- a/internal/forward/locate.go
+++ b/internal/forward/locate.go
@@ -97,12 +97,12 @@
 // chooseTarget takes the better of two random targets of the own domain, or of
 // the others when the own domain has none or both are full.
 func (s *Server) chooseTarget(v *view.View, c *call, avoid string) (route, retry.Code) {
-	all := s.candidatesOf(v)
-	near, nearScore := s.better(v, all.near[c.workload], avoid)
+	all := s.withoutSlow(s.candidatesOf(v), c.workload)
+	near, nearScore := s.better(v, all.near, avoid)
 	if near != "" && nearScore < fullScore {
 		return withHome(v, route{target: near})
 	}
-	far, farScore := s.better(v, all.far[c.workload], avoid)
+	far, farScore := s.better(v, all.far, avoid)
 	switch {
 	case near == "" && far == "":
 		return route{}, retry.CodeNoTarget
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -47,9 +47,11 @@
 
 	loads      sync.Map // target name to *targetLoad
 	candidates atomic.Pointer[candidates]
-	heldNow    atomic.Int64
-	sequence   atomic.Uint64
-	unready    atomic.Bool
+	// slow are the targets that unkeyed requests avoid.
+	slow     atomic.Pointer[map[string]bool]
+	heldNow  atomic.Int64
+	sequence atomic.Uint64
+	unready  atomic.Bool
 }
 
 // maxBorrows limits the borrow requests in flight; further ones are left to
--- a/internal/forward/upkeep.go
+++ b/internal/forward/upkeep.go
@@ -50,6 +50,7 @@
 		u.reviewHomes(v)
 		u.poll(ctx)
 		u.forgetPeers(v)
+		u.s.findSlow(v)
 		if time.Since(warmed) >= warmInterval {
 			warmed = time.Now()
 			u.warm(ctx, v)
