Use the standard library for two sorted lists

Cause: read-through of the whole change. ownership had its own sorted keys of a map beside slices.Sorted(maps.Keys), and the planner's comparison of names never returned equal. Conclusion: behaviour is unchanged.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -227,12 +228,7 @@
 			Fit: fit, Ready: known.Ready, Lost: lost, Unknown: in && !known.Known,
 		})
 	}
-	slices.SortFunc(out, func(a, b ownership.PlanTarget) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b ownership.PlanTarget) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -121,7 +122,7 @@
 func (w *workloadPlan) merges(p *Plan) {
 	back := Move{Reason: ReasonHot}
 	parents := map[int32]bool{}
-	for _, key := range sortedKeys(w.table.Hot) {
+	for _, key := range slices.Sorted(maps.Keys(w.table.Hot)) {
 		n := w.table.Hot[key]
 		hot, at := w.table.Shards[n], w.table.HashShard(key)
 		parent := w.table.Shards[at]
@@ -168,12 +169,3 @@
 	}
 	return m
 }
-
-func sortedKeys(m map[string]int32) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
