--- /dev/null
+++ b/cmd/boragelock-gateway/main.go
@@ -0,0 +1,214 @@
+// Command boragelock-gateway runs an entry host on the users' platform:
+//
+//	boragelock-gateway [-settings FILE] [-check]
+//
+// FILE is by default named by the environment variable BORAGELOCK_NODE_FILE.
+// The program logs to standard output. SIGTERM begins a planned stop, SIGHUP
+// reloads the settings. Exit codes: 0 after a stop, 1 on a failure, 2 on wrong
+// arguments or settings.
+package main
+
+import "C" // the platform runs only programs that are linked against the C library
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/fleetsettings"
+	"github.com/boragelock/boragelock/internal/gateway"
+	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/platform"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	// settingsVariable names the environment variable with the settings file.
+	settingsVariable = "BORAGELOCK_NODE_FILE"
+	// memoryShare is the part of the memory limit that the garbage collector
+	// aims at; the rest is for buffers of the kernel and the C library.
+	memoryShare = 0.6
+	// stopMargin is kept between the end of the process and the limit of a stop.
+	stopMargin = 400 * time.Millisecond
+	// balancerDelay is how long the balancer goes on sending new connections
+	// after a host reports that it is not ready: two questions, one a second.
+	balancerDelay = 2500 * time.Millisecond
+	// drainPoll is the period in which a stopping host looks for the end of its
+	// requests.
+	drainPoll = 50 * time.Millisecond
+)
+
+func main() {
+	if err := run(os.Args[1:], os.Stdout, os.Stderr); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return
+		}
+		fmt.Fprintln(os.Stderr, err)
+		if errors.As(err, new(*fleetsettings.InvalidError)) {
+			os.Exit(exitUsage)
+		}
+		os.Exit(exitFailure)
+	}
+}
+
+func run(args []string, stdout, stderr io.Writer) error {
+	fs := flag.NewFlagSet("boragelock-gateway", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	file := fs.String("settings", os.Getenv(settingsVariable), "settings file (JSON)")
+	check := fs.Bool("check", false, "check the settings and exit")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	s, err := fleetsettings.Load(*file)
+	if err != nil || *check {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	log := hclog.New(&hclog.LoggerOptions{Output: stdout, Level: hclog.LevelFromString(s.LogLevel), DisableTime: true})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return newDaemon(s, *file, log).run(signals)
+}
+
+// daemon is the assembled gateway.
+type daemon struct {
+	s     *fleetsettings.Settings
+	file  string
+	log   hclog.Logger
+	coord *coordinator.Coordinator
+	gw    *gateway.Gateway
+}
+
+func newDaemon(s *fleetsettings.Settings, file string, log hclog.Logger) *daemon {
+	holds := lease.HoldConfig{}.WithDefaults()
+	holds.Hold = min(holds.Hold, s.MaxHold())
+	d := &daemon{s: s, file: file, log: log}
+	d.coord = coordinator.New(coordinator.Config{
+		Host: s.Host, Domain: s.Domain, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+		Store: platform.NewStore(s.Store), Grants: platform.NewGrants(grantConns), Log: log,
+		Ranges: lease.RangeConfig{Holds: holds},
+	})
+	d.gw = gateway.New(gateway.Config{
+		Domain: s.Domain, Source: d.coord, Log: log,
+		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
+	})
+	expvar.Publish("gateway", d.gw.Vars())
+	return d
+}
+
+// grantConns is the number of idle connections for grants to one target.
+const grantConns = 1
+
+// run serves until a signal ends the process.
+func (d *daemon) run(signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, err := net.Listen("tcp", d.s.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", d.s.Ready)
+	if err != nil {
+		return err
+	}
+	metrics, err := net.Listen("tcp", net.JoinHostPort(d.s.IP, strconv.Itoa(d.s.MetricsPort)))
+	if err != nil {
+		return err
+	}
+	sup := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
+		d.log.Error("duty_ended", "event", e.String())
+	}})
+	sup.Add(d.gw)
+	d.coord.AddTo(sup)
+	sup.Add(&listener{"callers", func(ctx context.Context) error { return d.gw.Listen(ctx, callers) }})
+	sup.Add(&listener{"ready", func(ctx context.Context) error { return serveHTTP(ctx, ready, d.readiness()) }})
+	sup.Add(&listener{"metrics", func(ctx context.Context) error { return serveHTTP(ctx, metrics, http.DefaultServeMux) }})
+	done := sup.ServeBackground(ctx)
+	d.log.Info("started", "host", d.s.Host, "domain", d.s.Domain)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		d.reload()
+	}
+	d.stop()
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(stopMargin / 2):
+	}
+	d.log.Info("stopped")
+	return nil
+}
+
+// reload checks the settings file. Addresses and budgets are fixed for the life
+// of a process, so a good file is only noted.
+func (d *daemon) reload() {
+	s, err := fleetsettings.Load(d.file)
+	if err != nil {
+		d.log.Error("reload_failed", "err", err)
+		return
+	}
+	d.log.SetLevel(hclog.LevelFromString(s.LogLevel))
+	d.log.Info("reloaded", "changed", *s != *d.s)
+}
+
+// stop ends the work of the host without cutting requests.
+func (d *daemon) stop() {
+	begun := time.Now()
+	d.log.Info("stopping", "in_flight", d.gw.InFlight())
+	d.gw.Drain()
+	d.coord.Retire()
+	for limit := d.s.StopLimit() - stopMargin; time.Since(begun) < limit; time.Sleep(drainPoll) {
+		if time.Since(begun) >= balancerDelay && d.gw.InFlight() == 0 && d.gw.Open() == 0 {
+			return
+		}
+	}
+}
+
+// listener is a supervised duty with a name.
+type listener struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (l *listener) Serve(ctx context.Context) error { return l.run(ctx) }
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (l *listener) String() string { return l.name }
+
+func (d *daemon) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !d.gw.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close() // the process ends
+	}()
+	return s.Serve(l)
+}
--- a/cmd/boragelock-standin/main.go
+++ b/cmd/boragelock-standin/main.go
@@ -26,7 +26,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // UsageError says what is wrong with the command line.
@@ -137,7 +137,7 @@
 	lag := fs.Duration("lag", 2*time.Second, "time until a change is visible")
 	initial := fs.String("hosts", "[]", "JSON list of the hosts shown at the start")
 	return func() (service, error) {
-		var hosts []platform.Host
+		var hosts []provider.Host
 		if err := json.Unmarshal([]byte(*initial), &hosts); err != nil {
 			return service{}, &UsageError{Reason: "-hosts: " + err.Error()}
 		}
--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Target is one running copy of a workload's server.
+type Target struct {
+	ID       string
+	Workload string
+	Address  string
+	Domain   string
+	Slots    int
+	// Leaving targets get no new requests.
+	Leaving bool
+	// Born is the start of this run of the target in Unix milliseconds, 0 when
+	// unknown. It tells two runs under one ID apart.
+	Born int64
+	// ColdUntil is when the target is warm, on the host's clock.
+	ColdUntil time.Duration
+}
+
+// Same reports whether two values describe the same run of a target.
+func (t *Target) Same(o *Target) bool {
+	return t.ID == o.ID && t.Born == o.Born && t.Address == o.Address && t.Workload == o.Workload
+}
+
+// Snapshot is an immutable view of the deployment.
+type Snapshot struct {
+	// Desired is nil until the first desired state was read.
+	Desired *Desired
+	// Evacuated are the failure domains whose targets get nothing.
+	Evacuated map[string]bool
+	// Targets are all targets by ID.
+	Targets map[string]*Target
+
+	byWorkload map[string][]*Target
+}
+
+// Of returns the targets of a workload in the order of their IDs.
+func (s *Snapshot) Of(workload string) []*Target { return s.byWorkload[workload] }
+
+// Usable reports whether new requests may be sent to a target.
+func (s *Snapshot) Usable(t *Target) bool { return !t.Leaving && !s.Evacuated[t.Domain] }
+
+// Grace is how long a target whose announcement lapsed while the store was away
+// is kept after the store's return; live targets are back in about two seconds.
+const Grace = 2500 * time.Millisecond
+
+// Directory folds records of the store into snapshots.
+type Directory struct {
+	desired   *Desired
+	evacuated map[string]bool
+	targets   map[string]*Target
+	// lapsed are targets that were removed while the store was away, with the
+	// time at which they are given up.
+	lapsed map[string]time.Duration
+	// storeAway is whether the store is unreachable, and returned when it came back.
+	storeAway bool
+	returned  time.Duration
+	changed   bool
+	snapshot  *Snapshot
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{
+		evacuated: map[string]bool{}, targets: map[string]*Target{}, lapsed: map[string]time.Duration{},
+		returned: -Grace, changed: true,
+	}
+}
+
+// PutDesired takes a desired state unless a newer one is in force, and reports
+// whether it was taken.
+func (d *Directory) PutDesired(x *Desired) bool {
+	if d.desired != nil && x.Version <= d.desired.Version {
+		return false
+	}
+	d.desired, d.changed = x, true
+	return true
+}
+
+// SetEvacuated adds or removes an evacuated failure domain.
+func (d *Directory) SetEvacuated(domain string, evacuated bool) {
+	if d.evacuated[domain] == evacuated {
+		return
+	}
+	d.changed = true
+	if evacuated {
+		d.evacuated[domain] = true
+	} else {
+		delete(d.evacuated, domain)
+	}
+}
+
+// PutTarget takes the announcement of a target and reports whether anything
+// but its remaining cold time changed.
+func (d *Directory) PutTarget(t *Target) bool {
+	delete(d.lapsed, t.ID)
+	old := d.targets[t.ID]
+	if old != nil && *old == *t {
+		return false
+	}
+	d.targets[t.ID], d.changed = t, true
+	return old == nil || !old.Same(t) || old.Leaving != t.Leaving || old.Slots != t.Slots
+}
+
+// RemoveTarget takes the removal of an announcement and reports whether the
+// target is gone; during and shortly after an absence of the store it is kept.
+func (d *Directory) RemoveTarget(now time.Duration, id string) bool {
+	if d.targets[id] == nil {
+		return false
+	}
+	if d.storeAway || now < d.returned+Grace {
+		if _, ok := d.lapsed[id]; !ok {
+			d.lapsed[id] = max(now, d.returned) + Grace
+		}
+		return false
+	}
+	delete(d.targets, id)
+	d.changed = true
+	return true
+}
+
+// StoreAway notes that the store cannot be reached.
+func (d *Directory) StoreAway() { d.storeAway = true }
+
+// StoreBack notes that the store answers again.
+func (d *Directory) StoreBack(now time.Duration) {
+	if !d.storeAway {
+		return
+	}
+	d.storeAway, d.returned = false, now
+	for id := range d.lapsed {
+		d.lapsed[id] = now + Grace
+	}
+}
+
+// Reset takes the complete list of announced IDs, as a page read gives it:
+// targets that are not on it are removed.
+func (d *Directory) Reset(now time.Duration, announced map[string]bool) (removed []string) {
+	for id := range d.targets {
+		if !announced[id] && d.RemoveTarget(now, id) {
+			removed = append(removed, id)
+		}
+	}
+	slices.Sort(removed)
+	return removed
+}
+
+// Expire gives up lapsed targets whose time has run out, and returns their IDs.
+func (d *Directory) Expire(now time.Duration) (gone []string) {
+	if d.storeAway {
+		return nil
+	}
+	for id, at := range d.lapsed {
+		if now < at {
+			continue
+		}
+		delete(d.lapsed, id)
+		if d.targets[id] != nil {
+			delete(d.targets, id)
+			d.changed = true
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Snapshot returns the present view. It is the same value until something
+// changes.
+func (d *Directory) Snapshot() *Snapshot {
+	if !d.changed {
+		return d.snapshot
+	}
+	d.changed = false
+	s := &Snapshot{
+		Desired: d.desired, Evacuated: maps.Clone(d.evacuated), Targets: maps.Clone(d.targets),
+		byWorkload: map[string][]*Target{},
+	}
+	for _, t := range s.Targets {
+		s.byWorkload[t.Workload] = append(s.byWorkload[t.Workload], t)
+	}
+	for _, list := range s.byWorkload {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	d.snapshot = s
+	return s
+}
--- a/internal/bench/actions.go
+++ b/internal/bench/actions.go
@@ -9,7 +9,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // stopLimit is how long a planned stop of an entry host may take.
@@ -123,14 +123,14 @@
 	case ActSlowTarget:
 		return r.switchTarget(ctx, n, map[string]any{"slow_factor": s.Factor}, map[string]any{"slow_factor": 1})
 	case ActFalseLoad:
-		idle := platform.LoadReport{State: platform.TargetServing, Bears: n.Slots}
+		idle := provider.LoadReport{State: provider.TargetServing, Bears: n.Slots}
 		return r.switchTarget(ctx, n, map[string]any{"false_load": idle}, map[string]any{"false_load": nil})
 	case ActLateLoad:
 		return r.switchTarget(ctx, n, map[string]any{"load_lag_ms": s.Count}, map[string]any{"load_lag_ms": 0})
 	case ActCoolTarget:
 		return nil, post(ctx, "http://"+n.admin+"/admin/cool", nil)
 	case ActLeaveTarget:
-		host := platform.Host{Name: n.Name, Domain: n.Domain, State: platform.HostLeaving}
+		host := provider.Host{Name: n.Name, Domain: n.Domain, State: provider.HostLeaving}
 		if err := r.setHost(ctx, host); err != nil {
 			return nil, err
 		}
@@ -168,7 +168,7 @@
 	return func() error { return set(off) }, set(on)
 }
 
-func (r *run) setHost(ctx context.Context, h platform.Host) error {
+func (r *run) setHost(ctx context.Context, h provider.Host) error {
 	raw, err := json.Marshal(h)
 	if err != nil {
 		return err
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -26,7 +26,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -148,7 +148,7 @@
 		limit, cancel := context.WithTimeout(ctx, baselineCheck)
 		load, err := h.t.control.Load(limit)
 		cancel()
-		if err == nil && load.State != platform.TargetLeaving {
+		if err == nil && load.State != provider.TargetLeaving {
 			h.t.failures = 0
 		} else {
 			h.t.failures++
@@ -202,7 +202,7 @@
 		return
 	}
 	st := b.config()
-	customer := r.Header.Get(platform.HeaderCustomer)
+	customer := r.Header.Get(provider.HeaderCustomer)
 	c, ok := st.Contracts[customer]
 	sum := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
 	if !ok || c.Ended || !slices.Contains(c.CredentialHashes, hex.EncodeToString(sum[:])) {
@@ -264,7 +264,7 @@
 // may not be sent again.
 func (b *baseline) forward(w http.ResponseWriter, r *http.Request, st *contract.State, wl contract.Workload, key string, body []byte) {
 	limit := baselineDeadline
-	if ms, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadlineMS), 10, 64); err == nil {
+	if ms, err := strconv.ParseInt(r.Header.Get(provider.HeaderDeadlineMS), 10, 64); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
@@ -278,7 +278,7 @@
 		}
 		resp, data, sent, err := b.send(ctx, t, r, wl, key, body)
 		switch {
-		case err == nil && resp.Header.Get(platform.HeaderOutcome) != "not_run":
+		case err == nil && resp.Header.Get(provider.HeaderOutcome) != "not_run":
 			w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
 			w.WriteHeader(resp.StatusCode)
 			_, _ = w.Write(data)
@@ -325,11 +325,11 @@
 		return nil, nil, false, err
 	}
 	req.GetBody = nil
-	req.Header.Set(platform.HeaderWorkload, wl.Name)
-	req.Header.Set(platform.HeaderCustomer, r.Header.Get(platform.HeaderCustomer))
-	req.Header.Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	req.Header.Set(provider.HeaderWorkload, wl.Name)
+	req.Header.Set(provider.HeaderCustomer, r.Header.Get(provider.HeaderCustomer))
+	req.Header.Set(provider.HeaderRequestID, r.Header.Get(provider.HeaderRequestID))
 	if at, ok := ctx.Deadline(); ok {
-		req.Header.Set(platform.HeaderDeadlineMS, strconv.FormatInt(time.Until(at).Milliseconds(), 10))
+		req.Header.Set(provider.HeaderDeadlineMS, strconv.FormatInt(time.Until(at).Milliseconds(), 10))
 	}
 	resp, err := b.client.Do(req)
 	if err != nil {
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -20,7 +20,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -191,9 +191,9 @@
 		return attempt{outcome: CallNotRun, code: codeNoConnection, unsent: true}
 	}
 	authorize(req, r.customer.Customer, r.customer.Token)
-	req.Header.Set(platform.HeaderDeadlineMS, strconv.FormatInt(callDeadline.Milliseconds(), 10))
+	req.Header.Set(provider.HeaderDeadlineMS, strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	if id != "" {
-		req.Header.Set(platform.HeaderRequestID, id)
+		req.Header.Set(provider.HeaderRequestID, id)
 	}
 	// Transport repeats a GET by itself when its connection breaks, and reports
 	// the failure of the last connection only. A request that was given any
@@ -216,7 +216,7 @@
 }
 
 func authorize(req *http.Request, customer, token string) {
-	req.Header.Set(platform.HeaderCustomer, customer)
+	req.Header.Set(provider.HeaderCustomer, customer)
 	req.Header.Set("Authorization", "Bearer "+token)
 }
 
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -18,7 +18,7 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Policy is what routes the requests.
@@ -126,12 +126,12 @@
 func (c *Cluster) path(name string) string { return filepath.Join(c.cfg.Dir, name) }
 
 func (c *Cluster) startPlatform() error {
-	var hosts []platform.Host
+	var hosts []provider.Host
 	for _, t := range c.cfg.Plan.Deployment.Targets {
-		hosts = append(hosts, platform.Host{Name: t.Name, Domain: t.Domain, State: platform.HostLive})
+		hosts = append(hosts, provider.Host{Name: t.Name, Domain: t.Domain, State: provider.HostLive})
 	}
 	for _, e := range c.cfg.Plan.Entries {
-		hosts = append(hosts, platform.Host{Name: e.Name, Domain: e.Domain, State: platform.HostLive})
+		hosts = append(hosts, provider.Host{Name: e.Name, Domain: e.Domain, State: provider.HostLive})
 	}
 	list, err := json.Marshal(hosts)
 	if err != nil {
--- a/internal/bench/operator.go
+++ b/internal/bench/operator.go
@@ -15,7 +15,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -108,8 +108,8 @@
 func (c *logConfigurer) append(ctx context.Context, data []byte) error {
 	for {
 		_, err := c.log.Append(ctx, data)
-		var lost *platform.Error
-		if err == nil || !errors.As(err, &lost) || lost.Code != platform.CodeUnknownOutcome || ctx.Err() != nil {
+		var lost *provider.Error
+		if err == nil || !errors.As(err, &lost) || lost.Code != provider.CodeUnknownOutcome || ctx.Err() != nil {
 			return err
 		}
 		sleepUntil(ctx, boottime.Now()+changePause)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -9,7 +9,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Defaults of Timing.
@@ -84,10 +84,10 @@
 	Bootstrap *contract.Deployment
 	Timing    Timing
 
-	Log      platform.Log
-	HostList platform.HostList
+	Log      provider.Log
+	HostList provider.HostList
 	// Target returns the control side of a target at an address.
-	Target func(addr string) platform.Target
+	Target func(addr string) provider.Target
 	Peers  *peer.Client
 	Logger hclog.Logger
 	// Now is the boot-time clock; nil means the machine's.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -20,7 +20,7 @@
 	"github.com/boragelock/boragelock/internal/standin"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // testSystem runs entry hosts' control planes in one process against
@@ -46,20 +46,20 @@
 
 // cuttableLog fails for one host only.
 type cuttableLog struct {
-	platform.Log
+	provider.Log
 	cut *atomic.Bool
 }
 
 func (l *cuttableLog) Append(ctx context.Context, data []byte) (int64, error) {
 	if l.cut.Load() {
-		return 0, &platform.Error{Op: "log.append", Code: platform.CodeUnavailable, Detail: "cut"}
+		return 0, &provider.Error{Op: "log.append", Code: provider.CodeUnavailable, Detail: "cut"}
 	}
 	return l.Log.Append(ctx, data)
 }
 
-func (l *cuttableLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *cuttableLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (provider.Batch, error) {
 	if l.cut.Load() {
-		return platform.Batch{}, &platform.Error{Op: "log.read", Code: platform.CodeUnavailable, Detail: "cut"}
+		return provider.Batch{}, &provider.Error{Op: "log.read", Code: provider.CodeUnavailable, Detail: "cut"}
 	}
 	return l.Log.Read(ctx, from, limit, wait)
 }
@@ -130,7 +130,7 @@
 		PeerAddr:  ln.Addr().String(),
 		Bootstrap: &s.dep, Peers: h.peers, Logger: testLogger(name),
 		Log:    &cuttableLog{Log: httpplatform.NewLog(s.logAddr, httpplatform.Options{}), cut: &h.logCut},
-		Target: func(addr string) platform.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
+		Target: func(addr string) provider.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
 	}
 	adjust(&cfg)
 	h.Control = New(cfg)
--- a/internal/control/fitness.go
+++ b/internal/control/fitness.go
@@ -10,7 +10,7 @@
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/membership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // fitness judges the targets and granters of the own domain. It makes the
@@ -21,7 +21,7 @@
 
 	mu      sync.Mutex
 	tracker *membership.Tracker
-	replies map[string]platform.GrantReply
+	replies map[string]provider.GrantReply
 
 	// changes counts the judgements that changed.
 	changes atomic.Uint64
@@ -30,7 +30,7 @@
 func newFitness(cfg Config) *fitness {
 	return &fitness{
 		now: cfg.Now, log: cfg.Logger.Named("membership"),
-		tracker: membership.New(membership.DefaultConfig()), replies: map[string]platform.GrantReply{},
+		tracker: membership.New(membership.DefaultConfig()), replies: map[string]provider.GrantReply{},
 	}
 }
 
@@ -72,7 +72,7 @@
 }
 
 // answered takes a target's answer to a grant.
-func (f *fitness) answered(target string, fresh bool, r platform.GrantReply) {
+func (f *fitness) answered(target string, fresh bool, r provider.GrantReply) {
 	f.mu.Lock()
 	f.replies[target] = r
 	f.mu.Unlock()
@@ -92,17 +92,17 @@
 		Known: true,
 		Fit:   fit.State == membership.Fit || fit.State == membership.Suspect,
 		State: r.Load.State, Load: r.Load, Incarnation: fit.Incarnation, Since: fit.IncarnationAt,
-		Ready: fit.MayReceive(f.now()) && r.Load.State != platform.TargetCold,
+		Ready: fit.MayReceive(f.now()) && r.Load.State != provider.TargetCold,
 	}
 	if fit.State == membership.Leaving {
-		out.State = platform.TargetLeaving
+		out.State = provider.TargetLeaving
 	}
 	return out
 }
 
 // reported takes the load report of a target that gets no grants.
-func (f *fitness) reported(target string, fresh bool, l platform.LoadReport) {
-	f.answered(target, fresh, platform.GrantReply{Incarnation: l.Incarnation, Load: l})
+func (f *fitness) reported(target string, fresh bool, l provider.LoadReport) {
+	f.answered(target, fresh, provider.GrantReply{Incarnation: l.Incarnation, Load: l})
 }
 
 // lost reports whether a target's shards are to be taken over.
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // RecentRecords is how many records a host keeps to answer peers that cannot
@@ -24,7 +24,7 @@
 
 // fetched is the answer of a record source.
 type fetched struct {
-	platform.Batch
+	provider.Batch
 	// asOf is a time on this host's clock at or before the moment the source
 	// had read the log to End.
 	asOf time.Duration
@@ -68,7 +68,7 @@
 
 	mu     sync.Mutex
 	state  *journal.State
-	recent []platform.Record
+	recent []provider.Record
 	pos    Position
 	change chan struct{}
 	// results holds the outcome of recently applied records by identifier.
@@ -125,8 +125,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	got, err := src.read(ctx, next, wait)
-	var pe *platform.Error
-	if errors.As(err, &pe) && pe.Code == platform.CodeExpired {
+	var pe *provider.Error
+	if errors.As(err, &pe) && pe.Code == provider.CodeExpired {
 		return f.fromSnapshot(ctx, src)
 	}
 	return got, err
@@ -196,7 +196,7 @@
 
 // fold applies records and returns a copy of the new state, nil when nothing
 // was new, with their results.
-func (f *Follower) fold(src source, records []platform.Record) (*journal.State, []journal.Result) {
+func (f *Follower) fold(src source, records []provider.Record) (*journal.State, []journal.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var results []journal.Result
@@ -213,7 +213,7 @@
 		f.logResult(res)
 		f.recent = append(f.recent, rec)
 		if len(f.recent) > RecentRecords {
-			f.recent = append([]platform.Record(nil), f.recent[RecentRecords/4:]...)
+			f.recent = append([]provider.Record(nil), f.recent[RecentRecords/4:]...)
 		}
 	}
 	if len(results) == 0 {
@@ -314,7 +314,7 @@
 }
 
 // held returns the kept records from an offset on, and whether they are all there.
-func (f *Follower) held(from int64, limit int) ([]platform.Record, bool) {
+func (f *Follower) held(from int64, limit int) ([]provider.Record, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if from >= f.state.Next {
@@ -325,5 +325,5 @@
 	}
 	i := int(from - f.recent[0].Offset)
 	end := min(i+limit, len(f.recent))
-	return append([]platform.Record(nil), f.recent[i:end]...), true
+	return append([]provider.Record(nil), f.recent[i:end]...), true
 }
--- a/internal/control/granter.go
+++ b/internal/control/granter.go
@@ -12,7 +12,7 @@
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/membership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // domainSet holds the lease cores of this host: one for its own domain, and
@@ -281,7 +281,7 @@
 // grantWorker sends grants to one target, one at a time.
 type grantWorker struct {
 	addr   string
-	client platform.Target
+	client provider.Target
 	// open says that the last grant was answered, so that the next one goes
 	// over the same connection.
 	open bool
--- a/internal/control/granter_bench_test.go
+++ b/internal/control/granter_bench_test.go
@@ -10,27 +10,27 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // memoryLog is a log without I/O.
 type memoryLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []provider.Record
 }
 
 func (l *memoryLog) Append(_ context.Context, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	off := int64(len(l.records) + 1)
-	l.records = append(l.records, platform.Record{Offset: off, Data: data})
+	l.records = append(l.records, provider.Record{Offset: off, Data: data})
 	return off, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (provider.Batch, error) {
 	for deadline := time.Now().Add(wait); ; {
 		l.mu.Lock()
-		b := platform.Batch{First: 1, End: int64(len(l.records) + 1)}
+		b := provider.Batch{First: 1, End: int64(len(l.records) + 1)}
 		if from < b.End {
 			b.Records = l.records[max(from, 1)-1:]
 		}
@@ -47,13 +47,13 @@
 	n int
 }
 
-func (t *memoryTarget) Grant(_ context.Context, g platform.Grant) (platform.GrantReply, error) {
+func (t *memoryTarget) Grant(_ context.Context, g provider.Grant) (provider.GrantReply, error) {
 	t.n++
-	return platform.GrantReply{Result: platform.GrantAccepted, Nonce: fmt.Sprint(t.n), Version: g.Version, Incarnation: "1", Load: platform.LoadReport{State: platform.TargetServing}}, nil
+	return provider.GrantReply{Result: provider.GrantAccepted, Nonce: fmt.Sprint(t.n), Version: g.Version, Incarnation: "1", Load: provider.LoadReport{State: provider.TargetServing}}, nil
 }
 
-func (t *memoryTarget) Load(context.Context) (platform.LoadReport, error) {
-	return platform.LoadReport{State: platform.TargetServing, Incarnation: "1"}, nil
+func (t *memoryTarget) Load(context.Context) (provider.LoadReport, error) {
+	return provider.LoadReport{State: provider.TargetServing, Incarnation: "1"}, nil
 }
 
 func cpuTime() time.Duration {
@@ -83,7 +83,7 @@
 	}
 	c := New(Config{
 		Self: view.Self{Name: "e0", Domain: "d0", Incarnation: "1"}, Bootstrap: &dep, Log: &memoryLog{},
-		Target: func(addr string) platform.Target { return clients[addr] },
+		Target: func(addr string) provider.Target { return clients[addr] },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -8,7 +8,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/operator"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // OutcomeUnknown implements operator.OutcomeUnknown.
@@ -41,7 +41,7 @@
 
 // changeOf decodes a change record; ok is false for other and for unreadable
 // records.
-func changeOf(rec platform.Record) (id string, ch contract.Change, ok bool) {
+func changeOf(rec provider.Record) (id string, ch contract.Change, ok bool) {
 	var env journal.Envelope
 	if json.Unmarshal(rec.Data, &env) != nil || env.Kind != journal.KindChange || env.V > journal.FormatVersion {
 		return "", ch, false
@@ -50,7 +50,7 @@
 }
 
 // kept returns all records that the host keeps.
-func (f *Follower) kept() []platform.Record {
+func (f *Follower) kept() []provider.Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.recent)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -12,7 +12,7 @@
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // leader is the part of a domain's leading granter that assigns homes.
@@ -345,7 +345,7 @@
 const warmAfterRamps = 3
 
 func (c *Control) warm(t view.Target, ramp time.Duration) bool {
-	return t.Known && t.State == platform.TargetServing && t.Since > 0 && c.cfg.Now()-t.Since > warmAfterRamps*ramp
+	return t.Known && t.State == provider.TargetServing && t.Since > 0 && c.cfg.Now()-t.Since > warmAfterRamps*ramp
 }
 
 // sameView compares views without the load of targets, which changes with
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Methods between entry hosts.
@@ -29,7 +29,7 @@
 
 // RecordsReply answers RecordsRequest.
 type RecordsReply struct {
-	Records []platform.Record `json:"records,omitempty"`
+	Records []provider.Record `json:"records,omitempty"`
 	First   int64             `json:"first"`
 	// End is the offset after the last record the peer has applied.
 	End int64 `json:"end"`
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -9,7 +9,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -222,7 +222,7 @@
 		// A host that has just begun to lead has heard of no target; that must
 		// not look as if all of them left.
 		in := st.Config.TargetIn(name) && !lost
-		fit := in && known.Fit && known.State != platform.TargetLeaving
+		fit := in && known.Fit && known.State != provider.TargetLeaving
 		out = append(out, ownership.PlanTarget{
 			Name: name, Workload: t.Workload, Domain: t.Domain, Capacity: float64(t.Slots) * weightOf(weights, name),
 			Fit: fit, Ready: known.Ready, Lost: lost, Unknown: in && !known.Known,
--- a/internal/control/probes.go
+++ b/internal/control/probes.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // probeInterval is the interval at which the leader asks targets that get no
@@ -53,7 +53,7 @@
 }
 
 // probe asks one target for its load until the context ends.
-func (c *Control) probe(ctx context.Context, name string, client platform.Target) {
+func (c *Control) probe(ctx context.Context, name string, client provider.Target) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
 	open := false
@@ -77,7 +77,7 @@
 	}
 }
 
-func loadWithin(ctx context.Context, client platform.Target, limit time.Duration) (platform.LoadReport, error) {
+func loadWithin(ctx context.Context, client provider.Target, limit time.Duration) (provider.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return client.Load(ctx)
--- a/internal/control/sources.go
+++ b/internal/control/sources.go
@@ -7,12 +7,12 @@
 
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // logSource reads the platform's log.
 type logSource struct {
-	log platform.Log
+	log provider.Log
 	now func() time.Duration
 }
 
@@ -105,9 +105,9 @@
 		return fetched{}, err
 	}
 	if rep.Expired {
-		return fetched{}, &platform.Error{Op: "peer.records", Code: platform.CodeExpired, Detail: "peer no longer holds the records"}
+		return fetched{}, &provider.Error{Op: "peer.records", Code: provider.CodeExpired, Detail: "peer no longer holds the records"}
 	}
-	got := fetched{Batch: platform.Batch{Records: rep.Records, First: rep.First, End: rep.End}}
+	got := fetched{Batch: provider.Batch{Records: rep.Records, First: rep.First, End: rep.End}}
 	if rep.AgeMS >= 0 {
 		// The answer left after the request was sent, so the peer's read had
 		// ended its start at the latest AgeMS before that.
--- a/internal/control/status_test.go
+++ b/internal/control/status_test.go
@@ -13,7 +13,7 @@
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // A wait for the end of a domain's work must not end because nobody counted.
@@ -58,20 +58,20 @@
 var oneDomain = contract.Deployment{Name: "x", IsolatedServeMS: -1, Domains: []contract.Domain{{Name: "d"}}}
 
 // testFollower has applied records that it was given directly.
-func testFollower(records ...platform.Record) *Follower {
+func testFollower(records ...provider.Record) *Follower {
 	f := newFollower(func() time.Duration { return 1 }, nil, hclog.NewNullLogger())
 	f.published, f.complete = func(*journal.State) {}, func(time.Duration) {}
-	f.apply(&logSource{}, fetched{Batch: platform.Batch{Records: records, First: 1, End: int64(len(records)) + 1}})
+	f.apply(&logSource{}, fetched{Batch: provider.Batch{Records: records, First: 1, End: int64(len(records)) + 1}})
 	return f
 }
 
-func encoded(t *testing.T, offset int64, id string, kind journal.Kind, body any) platform.Record {
+func encoded(t *testing.T, offset int64, id string, kind journal.Kind, body any) provider.Record {
 	t.Helper()
 	data, err := journal.Encode(id, kind, body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Record{Offset: offset, Data: data}
+	return provider.Record{Offset: offset, Data: data}
 }
 
 // The history must say which of two changes won, and list a record that was
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // AppendError says that a record was not accepted or that its outcome is unknown.
@@ -42,7 +42,7 @@
 
 // Writer appends records and waits until this host has read them back.
 type Writer struct {
-	log      platform.Log
+	log      provider.Log
 	follower *Follower
 	limit    time.Duration
 	prefix   string
@@ -76,8 +76,8 @@
 			appendsTotal.Add(string(kind), 1)
 			return w.readBack(ctx, id, kind, offset)
 		}
-		var pe *platform.Error
-		if !errors.As(err, &pe) || pe.Code == platform.CodeUnknownOutcome {
+		var pe *provider.Error
+		if !errors.As(err, &pe) || pe.Code == provider.CodeUnknownOutcome {
 			maybe = true
 		}
 		appendsTotal.Add("failed", 1)
--- /dev/null
+++ b/internal/coordinator/follow.go
@@ -0,0 +1,140 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// unknownOffset makes a follower read the newest record of each key.
+const unknownOffset = -1
+
+// follower reads one topic of the store, or takes it from the leader's relay.
+type follower struct {
+	c     *Coordinator
+	topic string
+	// apply folds records and returns those that peers need.
+	apply func(records []platform.Record, full bool) []platform.Record
+
+	mu   sync.Mutex
+	next int64
+	// fresh is when the records before next were last known to be all.
+	fresh time.Duration
+	// wake ends the wait of the duty.
+	wake chan struct{}
+}
+
+func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
+	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: -time.Hour, wake: make(chan struct{}, 1)}
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (f *follower) String() string { return "follow " + f.topic }
+
+// age returns the time since the topic was known to be read to its end.
+func (f *follower) age(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now - f.fresh
+}
+
+// position returns the offset of the next record, or unknownOffset.
+func (f *follower) position() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// needed reports whether the host must read the topic by itself. The leader
+// reads all topics but the control topic, which only it writes.
+func (f *follower) needed(now time.Duration) bool {
+	if f.c.Leading() {
+		return f.topic != platform.TopicControl
+	}
+	return f.position() == unknownOffset || f.age(now) > staleAfter
+}
+
+// Serve implements suture.Service.
+func (f *follower) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !f.needed(boottime.Now()) {
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		start := boottime.Now()
+		if err := f.read(ctx); err != nil {
+			f.failed(err)
+			sleep(ctx, retryPause+jitter(retryPause))
+			continue
+		}
+		if rest := followPause - (boottime.Now() - start); rest > 0 {
+			sleep(ctx, rest)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *follower) failed(err error) {
+	var e *platform.Error
+	if errors.As(err, &e) && e.Outcome == platform.Expired {
+		f.mu.Lock()
+		f.next = unknownOffset
+		f.mu.Unlock()
+	}
+	f.c.cfg.Log.Debug("store_read_failed", "topic", f.topic, "err", err)
+}
+
+// read makes one call and applies what it brings.
+func (f *follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, followWait+readTimeout)
+	defer cancel()
+	from := f.position()
+	if from == unknownOffset {
+		sent := boottime.Now()
+		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
+		if err != nil {
+			return err
+		}
+		f.take(from, b, true, sent)
+		return nil
+	}
+	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, followWait)
+	if err != nil {
+		return err
+	}
+	f.take(from, b, false, boottime.Now())
+	return nil
+}
+
+// take applies records that follow offset from, unless others were applied
+// since, and relays them.
+func (f *follower) take(from int64, b platform.Batch, full bool, fresh time.Duration) bool {
+	f.mu.Lock()
+	if f.next != from {
+		f.mu.Unlock()
+		return false
+	}
+	f.next, f.fresh = b.Next, max(f.fresh, fresh)
+	f.mu.Unlock()
+	relevant := b.Records
+	if len(b.Records) > 0 || full {
+		relevant = f.apply(b.Records, full)
+	}
+	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
+		f.c.peers.relay(relayMessage{Topic: f.topic, From: from, Next: b.Next, Records: relevant})
+	}
+	return true
+}
+
+// confirm notes that another host read the topic to the same offset.
+func (f *follower) confirm(next int64, age, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == next {
+		f.fresh = max(f.fresh, now-age)
+	}
+}
--- /dev/null
+++ b/internal/coordinator/lead.go
@@ -0,0 +1,256 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// Keys of the control topic.
+const (
+	keyLeader = "leader"
+	keyRanges = "ranges/" // followed by the workload
+)
+
+// leaderRecord names the host that leads. Each confirmation of the leader is a
+// record of the same content with a higher Beat.
+type leaderRecord struct {
+	Term uint64 `json:"term"`
+	// Host and Address are empty after a resignation.
+	Host        string `json:"host,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Address     string `json:"address,omitempty"`
+	Beat        uint64 `json:"beat"`
+}
+
+func (l leaderRecord) record() platform.Record {
+	b, err := json.Marshal(l)
+	if err != nil {
+		panic("leader record: " + err.Error()) // plain strings and numbers
+	}
+	return platform.Record{Key: keyLeader, Value: b}
+}
+
+// Times of elections.
+const (
+	// confirmEvery is the period in which the leader confirms its term.
+	confirmEvery = 1 * time.Second
+	// leaderSilent is the age of the leader's last record from which hosts
+	// without a connection to it elect another: two confirmations.
+	leaderSilent = 2200 * time.Millisecond
+	// contendWithin spreads the candidates, so that most see the winner's record
+	// before they append their own.
+	contendWithin = 300 * time.Millisecond
+	// resignPause keeps a host that resigned from standing again at once.
+	resignPause = 3 * time.Second
+)
+
+// leadership is what the host knows of the leader.
+type leadership struct {
+	mu     sync.Mutex
+	record leaderRecord
+	// seen is when the record last changed, as this host read it.
+	seen   time.Duration
+	tables map[string]*ownership.RangeTable
+	// linked says that a connection to the leader is open; lostAt is when it
+	// ended, and absent counts the proofs since that no such leader runs there.
+	linked bool
+	lostAt time.Duration
+	absent int
+	// notBefore is when the host may stand for the lead.
+	notBefore time.Duration
+	pending   map[string][]KeyCount
+}
+
+func (l *leadership) init() {
+	l.tables = map[string]*ownership.RangeTable{}
+	l.pending = map[string][]KeyCount{}
+}
+
+func (l *leadership) current() leaderRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record
+}
+
+func (l *leadership) connected(open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.linked = open
+	if open {
+		l.absent = 0
+	} else {
+		l.lostAt = boottime.Now()
+	}
+}
+
+func (l *leadership) isConnected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.linked
+}
+
+// lost notes a failed attempt to follow the leader of a term.
+func (l *leadership) lost(term uint64, reason lossReason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.record.Term == term && (reason == lossRefused || reason == lossDenied) {
+		l.absent++
+	}
+}
+
+func (l *leadership) addCounts(workload string, keys []KeyCount) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending[workload] = append(l.pending[workload], keys...)
+}
+
+func (l *leadership) takeCounts() map[string][]KeyCount {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.pending
+	l.pending = map[string][]KeyCount{}
+	return p
+}
+
+func (l *leadership) table(workload string) *ownership.RangeTable {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tables[workload]
+}
+
+// absentProofs is the number of refused or denied connections after which the
+// leader is taken to be gone.
+const absentProofs = 2
+
+// vacant reports whether the host should stand for the lead.
+func (l *leadership) vacant(now time.Duration, self string, incarnation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.linked || now < l.notBefore {
+		return false
+	}
+	r := l.record
+	switch {
+	case r.Host == "":
+		return true
+	case r.Address == self:
+		// An earlier process of this host, or a term of this one that ended.
+		return r.Incarnation != incarnation || now-l.seen > leaderSilent
+	case l.absent >= absentProofs:
+		return true
+	}
+	return now-l.seen > leaderSilent && now-l.lostAt > leaderSilent/2
+}
+
+// applyControl takes records of the control topic.
+func (c *Coordinator) applyControl(records []platform.Record, _ bool) []platform.Record {
+	for _, r := range records {
+		if r.Key == keyLeader {
+			c.takeLeader(r)
+		} else if w, ok := strings.CutPrefix(r.Key, keyRanges); ok && len(r.Value) > 0 {
+			c.takeTable(w, r)
+		}
+	}
+	return records
+}
+
+func (c *Coordinator) takeLeader(r platform.Record) {
+	var l leaderRecord
+	if err := json.Unmarshal(r.Value, &l); err != nil {
+		c.cfg.Log.Error("leader_record_malformed", "offset", r.Offset, "err", err)
+		return
+	}
+	c.lead.mu.Lock()
+	defer c.lead.mu.Unlock()
+	if l.Term < c.lead.record.Term {
+		return
+	}
+	if l.Term != c.lead.record.Term || l.Host != c.lead.record.Host {
+		c.lead.absent = 0
+		c.cfg.Log.Info("leader", "leader", l.Host, "term", l.Term, "offset", r.Offset)
+	}
+	c.lead.record, c.lead.seen = l, boottime.Now()
+}
+
+func (c *Coordinator) takeTable(workload string, r platform.Record) {
+	t, err := ownership.DecodeRangeTable(r.Value)
+	if err != nil {
+		c.cfg.Log.Error("range_table_malformed", "workload", workload, "offset", r.Offset, "err", err)
+		return
+	}
+	c.lead.mu.Lock()
+	c.lead.tables[workload] = t
+	c.lead.mu.Unlock()
+	if !c.Leading() && !c.lead.isConnected() {
+		c.setRanges(workload, segmentViews(t))
+	}
+}
+
+// serveLead stands for the lead when there is no leader, and leads.
+func (c *Coordinator) serveLead(ctx context.Context) error {
+	for sleep(ctx, 100*time.Millisecond) {
+		if !c.mayStand() {
+			continue
+		}
+		if !sleep(ctx, jitter(contendWithin)) || !c.mayStand() {
+			continue
+		}
+		if t := c.stand(ctx); t != nil {
+			c.leadTerm(ctx, t)
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Coordinator) mayStand() bool {
+	now := boottime.Now()
+	return !c.retired.Load() && c.control.position() != unknownOffset && c.control.age(now) < staleAfter+followWait &&
+		c.lead.vacant(now, c.cfg.Peer, c.incarnation)
+}
+
+// stand appends a record that makes this host the leader of the next term. It
+// returns nil when another host was first or the store did not answer.
+func (c *Coordinator) stand(ctx context.Context) *wonTerm {
+	previous := c.lead.current()
+	r := leaderRecord{Term: previous.Term + 1, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer}
+	at := c.control.position()
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, at, []platform.Record{r.record()})
+	if err == nil {
+		c.control.take(at, platform.Batch{Records: []platform.Record{r.record()}, Next: end}, false, sent)
+	} else {
+		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
+		var e *platform.Error
+		if !errors.As(err, &e) || e.Outcome != platform.Unknown {
+			return nil
+		}
+		// The record may have been appended; what the topic holds decides.
+		readCtx, cancelRead := context.WithTimeout(ctx, readTimeout)
+		defer cancelRead()
+		if err := c.control.read(readCtx); err != nil {
+			return nil
+		}
+	}
+	if now := c.lead.current(); now.Term != r.Term || now.Incarnation != c.incarnation {
+		return nil
+	}
+	return &wonTerm{record: r, resigned: previous.Host == "" && previous.Term > 0, sent: sent, answered: boottime.Now()}
+}
+
+// wonTerm is a term that this host has begun.
+type wonTerm struct {
+	record leaderRecord
+	// resigned says that the previous leader had stopped granting.
+	resigned       bool
+	sent, answered time.Duration
+}
--- /dev/null
+++ b/internal/coordinator/peers.go
@@ -0,0 +1,398 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// Methods between hosts. All but hello are notifications.
+const (
+	methodHello  = "hello"
+	methodRelay  = "relay"
+	methodFresh  = "fresh"
+	methodRanges = "ranges"
+	methodCounts = "counts"
+)
+
+// helloMessage asks a host whether it leads the given term.
+type helloMessage struct {
+	Host string `json:"host"`
+	Term uint64 `json:"term"`
+}
+
+// helloReply says whether the host leads, and the process that answered.
+type helloReply struct {
+	Leads       bool   `json:"leads"`
+	Incarnation string `json:"incarnation"`
+}
+
+// relayMessage passes on records of a topic between two offsets.
+type relayMessage struct {
+	Topic   string            `json:"topic"`
+	From    int64             `json:"from"`
+	Next    int64             `json:"next"`
+	Records []platform.Record `json:"records"`
+}
+
+// freshMessage says up to which offset, and how long ago, the leader had read
+// each topic.
+type freshMessage struct {
+	Topics map[string]topicAge `json:"topics"`
+	// Hosts is the number of hosts that follow the leader, itself included.
+	Hosts int `json:"hosts"`
+}
+
+type topicAge struct {
+	Next  int64 `json:"next"`
+	AgeMS int64 `json:"age_ms"`
+}
+
+// rangesMessage says who holds keys. Changes replace what they cover unless
+// Full is set.
+type rangesMessage struct {
+	Workload string            `json:"workload"`
+	Full     bool              `json:"full"`
+	Runs     []lease.RangeView `json:"runs"`
+}
+
+// countsMessage reports the keyed requests of one host since its last report.
+type countsMessage struct {
+	Workload string     `json:"workload"`
+	Keys     []KeyCount `json:"keys"`
+}
+
+// Times of the connections between hosts.
+const (
+	peerDialTimeout = 400 * time.Millisecond
+	// freshEvery is the period of the leader's freshness messages; the leader
+	// counts as silent after silentAfter.
+	freshEvery  = 250 * time.Millisecond
+	silentAfter = 900 * time.Millisecond
+	// countsEvery is the period of key counts: a hot run of keys is to be seen
+	// within half a second.
+	countsEvery = 250 * time.Millisecond
+	// outboxSize bounds the messages that wait for one peer; a peer that does
+	// not read loses its connection and reads the store by itself.
+	outboxSize = 256
+)
+
+// peerConn is the leader's side of a connection.
+type peerConn struct {
+	host   string
+	conn   *jsonrpc2.Conn
+	outbox chan peerMessage
+}
+
+type peerMessage struct {
+	method string
+	params any
+}
+
+// peerSet is the set of hosts that follow this one.
+type peerSet struct {
+	mu    sync.Mutex
+	conns map[*peerConn]bool
+}
+
+func (p *peerSet) init() { p.conns = map[*peerConn]bool{} }
+
+func (p *peerSet) send(method string, params any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pc := range p.conns {
+		pc.post(method, params)
+	}
+}
+
+func (p *peerSet) relay(m relayMessage) { p.send(methodRelay, m) }
+
+// post queues a message; a peer whose queue is full is disconnected.
+func (pc *peerConn) post(method string, params any) {
+	select {
+	case pc.outbox <- peerMessage{method, params}:
+	default:
+		_ = pc.conn.Close() // the peer does not read; it will see the end
+	}
+}
+
+func (p *peerSet) add(pc *peerConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[pc] = true
+}
+
+func (p *peerSet) remove(pc *peerConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, pc)
+}
+
+// closeAll ends all connections, so that the others look for the new leader.
+func (p *peerSet) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pc := range p.conns {
+		_ = pc.conn.Close() // the connection is given up
+	}
+}
+
+func (p *peerSet) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// servePeers accepts connections of other hosts.
+func (c *Coordinator) servePeers(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.cfg.Peer)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = l.Close() }() // the duty ends
+	go func() {
+		<-ctx.Done()
+		_ = l.Close() // ends Accept
+	}()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go c.servePeer(ctx, nc)
+	}
+}
+
+// servePeer serves one host that connected.
+func (c *Coordinator) servePeer(ctx context.Context, nc net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pc := &peerConn{outbox: make(chan peerMessage, outboxSize)}
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		switch r.Method {
+		case methodHello:
+			return c.hello(pc, conn, r)
+		case methodCounts:
+			var m countsMessage
+			if err := unmarshalParams(r, &m); err != nil {
+				return nil, err
+			}
+			c.lead.addCounts(m.Workload, m.Keys)
+			return nil, nil
+		}
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	})
+	pc.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler)
+	defer c.peers.remove(pc)
+	for {
+		select {
+		case <-pc.conn.DisconnectNotify():
+			return
+		case <-ctx.Done():
+			_ = pc.conn.Close() // the host stops
+			return
+		case m := <-pc.outbox:
+			if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
+				return
+			}
+			if err := pc.conn.Notify(ctx, m.method, m.params); err != nil {
+				_ = pc.conn.Close() // the peer is gone
+				return
+			}
+		}
+	}
+}
+
+func unmarshalParams(r *jsonrpc2.Request, v any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no params"}
+	}
+	if err := json.Unmarshal(*r.Params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+// hello registers a follower when this host leads.
+func (c *Coordinator) hello(pc *peerConn, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	var m helloMessage
+	if err := unmarshalParams(r, &m); err != nil {
+		return nil, err
+	}
+	if !c.Leading() {
+		return helloReply{Incarnation: c.incarnation}, nil
+	}
+	pc.host = m.Host
+	for w, r := range *c.ranges.Load() {
+		pc.post(methodRanges, rangesMessage{Workload: w, Full: true, Runs: r.runs})
+	}
+	pc.post(methodFresh, c.freshness())
+	c.peers.add(pc)
+	return helloReply{Leads: true, Incarnation: c.incarnation}, nil
+}
+
+// freshness says how old the leader's knowledge is.
+func (c *Coordinator) freshness() freshMessage {
+	now := boottime.Now()
+	m := freshMessage{Topics: map[string]topicAge{}, Hosts: c.peers.size() + 1}
+	c.hosts.Store(int64(m.Hosts))
+	for _, f := range []*follower{c.operator, c.targets, c.control} {
+		m.Topics[f.topic] = topicAge{Next: f.position(), AgeMS: f.age(now).Milliseconds()}
+	}
+	return m
+}
+
+// servePeerClient keeps a connection to the leader.
+func (c *Coordinator) servePeerClient(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l := c.lead.current()
+		if c.Leading() || l.Address == "" || l.Address == c.cfg.Peer {
+			sleep(ctx, 50*time.Millisecond)
+			continue
+		}
+		reason := c.followLeader(ctx, l)
+		c.cfg.Log.Info("leader_lost", "leader", l.Host, "term", l.Term, "reason", reason)
+		c.lead.lost(l.Term, reason)
+		sleep(ctx, 50*time.Millisecond+jitter(100*time.Millisecond))
+	}
+	return ctx.Err()
+}
+
+// lossReason says how the connection to the leader ended.
+type lossReason string
+
+const (
+	lossRefused lossReason = "refused"     // nothing listens on its address
+	lossDial    lossReason = "unreachable" // no connection in time
+	lossDenied  lossReason = "not leading" // the process there does not lead
+	lossSilent  lossReason = "silent"
+	lossClosed  lossReason = "closed"
+	lossTerm    lossReason = "new term"
+)
+
+// followLeader connects to the leader and returns when the connection ends.
+func (c *Coordinator) followLeader(ctx context.Context, l leaderRecord) lossReason {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nc, err := platform.Dialer(peerDialTimeout).DialContext(ctx, "tcp", l.Address)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return lossRefused
+		}
+		return lossDial
+	}
+	heard := make(chan struct{}, 1)
+	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		return nil, c.fromLeader(r)
+	})
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler)
+	defer func() { _ = conn.Close() }() // given up in any case
+	var reply helloReply
+	callCtx, cancelCall := context.WithTimeout(ctx, silentAfter)
+	err = conn.Call(callCtx, methodHello, helloMessage{Host: c.cfg.Host, Term: l.Term}, &reply)
+	cancelCall()
+	switch {
+	case err != nil:
+		return lossSilent
+	case !reply.Leads:
+		return lossDenied
+	}
+	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
+	c.lead.connected(true)
+	defer c.lead.connected(false)
+	silence := time.NewTimer(silentAfter)
+	counts := time.NewTicker(countsEvery)
+	defer silence.Stop()
+	defer counts.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return lossClosed
+		case <-conn.DisconnectNotify():
+			return lossClosed
+		case <-silence.C:
+			return lossSilent
+		case <-heard:
+			silence.Reset(silentAfter)
+			if c.lead.current().Term != l.Term {
+				return lossTerm
+			}
+		case <-counts.C:
+			for w, keys := range c.counts.take() {
+				if len(keys) == 0 {
+					continue
+				}
+				if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
+					return lossClosed
+				}
+				if err := conn.Notify(ctx, methodCounts, countsMessage{Workload: w, Keys: keys}); err != nil {
+					return lossClosed
+				}
+			}
+		}
+	}
+}
+
+// fromLeader takes a notification of the leader.
+func (c *Coordinator) fromLeader(r *jsonrpc2.Request) error {
+	switch r.Method {
+	case methodRelay:
+		var m relayMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		if f := c.followerOf(m.Topic); f != nil && m.From != unknownOffset {
+			f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, boottime.Now()-followWait)
+		}
+	case methodFresh:
+		var m freshMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		c.hosts.Store(int64(m.Hosts))
+		now := boottime.Now()
+		for topic, t := range m.Topics {
+			if f := c.followerOf(topic); f != nil {
+				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, now)
+			}
+		}
+	case methodRanges:
+		var m rangesMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		old := c.Ranges(m.Workload)
+		if m.Full || old == nil {
+			c.setRanges(m.Workload, &Ranges{runs: m.Runs})
+		} else {
+			c.setRanges(m.Workload, old.overlay(m.Runs))
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) followerOf(topic string) *follower {
+	switch topic {
+	case platform.TopicOperator:
+		return c.operator
+	case platform.TopicTargets:
+		return c.targets
+	case platform.TopicControl:
+		return c.control
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/term.go
@@ -0,0 +1,429 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/ownership"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// Times of a leader.
+const (
+	leadTick  = 50 * time.Millisecond
+	planEvery = 250 * time.Millisecond
+	// fullRangesEvery is the period in which peers get all ranges again, in case
+	// a change was lost.
+	fullRangesEvery = 5 * time.Second
+	// quietAfterMove is how long keys stay after a move for the sake of load.
+	quietAfterMove = 1 * time.Second
+	// gatherFor is how long a new workload's targets are gathered before its keys
+	// are first assigned.
+	gatherFor = 700 * time.Millisecond
+	// grantTimeout bounds a grant; it is below the renewal period.
+	grantTimeout = 800 * time.Millisecond
+	// releaseTimeout bounds a release, which waits for work in progress.
+	releaseTimeout = 4 * time.Second
+	// resultQueue bounds the results of calls that wait for the loop.
+	resultQueue = 1024
+)
+
+// result is something that the leader's loop runs.
+type result func(now time.Duration)
+
+// term is the state of the leader's loop. Only the loop uses it.
+type term struct {
+	c       *Coordinator
+	record  leaderRecord
+	lease   *lease.Term
+	results chan result
+	ctx     context.Context
+
+	granters map[string]*lease.RangeGranter
+	loads    map[string]*keyLoads
+	sentView map[string]*Ranges
+	// first is when a workload without a table was first seen.
+	first map[string]time.Duration
+	born  map[string]int64
+	// addresses remembers where targets were that are no longer announced.
+	addresses map[string]string
+
+	appending           bool
+	dirty               map[string]*ownership.RangeTable
+	nextConfirm         time.Duration
+	nextPlan            time.Duration
+	nextFresh, nextFull time.Duration
+	over                string
+}
+
+// leadTerm leads until the term ends.
+func (c *Coordinator) leadTerm(ctx context.Context, w *wonTerm) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.stopLeading.Store(&cancel)
+	t := &term{
+		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered),
+		results: make(chan result, resultQueue), ctx: ctx,
+		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentView: map[string]*Ranges{},
+		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{},
+		dirty: map[string]*ownership.RangeTable{}, nextConfirm: w.answered + confirmEvery,
+	}
+	if w.resigned {
+		t.lease.Resigned()
+	}
+	c.leading.Store(true)
+	c.cfg.Log.Info("lead_began", "term", w.record.Term, "after_resignation", w.resigned)
+	t.loop()
+	t.lease.End()
+	c.leading.Store(false)
+	c.cfg.Log.Info("lead_ended", "term", w.record.Term, "reason", t.over)
+	c.peers.closeAll()
+	c.lead.mu.Lock()
+	c.lead.notBefore = boottime.Now() + resignPause
+	c.lead.mu.Unlock()
+	if t.over == endStopped || t.over == endIsolated {
+		t.resign()
+	}
+}
+
+// Reasons for the end of a term.
+const (
+	endStopped   = "host stops"
+	endConflict  = "another term began"
+	endAuthority = "store did not confirm the term in time"
+	endIsolated  = "most targets cannot be reached"
+)
+
+func (t *term) loop() {
+	ticker := time.NewTicker(leadTick)
+	defer ticker.Stop()
+	for t.over == "" {
+		select {
+		case <-t.ctx.Done():
+			t.over = endStopped
+		case r := <-t.results:
+			r(boottime.Now())
+		case <-ticker.C:
+			t.tick(boottime.Now())
+		}
+	}
+}
+
+// post hands a result to the loop.
+func (t *term) post(r result) {
+	select {
+	case t.results <- r:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *term) tick(now time.Duration) {
+	if !t.lease.MayGrant(now) {
+		t.over = endAuthority
+		return
+	}
+	snap := t.c.Snapshot()
+	t.follow(now, snap)
+	if now >= t.nextPlan {
+		t.nextPlan = now + planEvery
+		t.collect(now)
+		t.plan(now, snap)
+	}
+	t.order(now, snap)
+	t.publish(now)
+	if !t.appending && (now >= t.nextConfirm || len(t.dirty) > 0) {
+		t.confirm(now)
+	}
+	if now >= t.nextFresh {
+		t.nextFresh = now + freshEvery
+		t.c.peers.send(methodFresh, t.c.freshness())
+	}
+}
+
+// follow starts granters for keyed workloads, and tells them of restarts.
+func (t *term) follow(now time.Duration, snap *fleet.Snapshot) {
+	if snap.Desired == nil {
+		return
+	}
+	for id, x := range snap.Targets {
+		if t.born[id] != x.Born || t.addresses[id] != x.Address {
+			for _, g := range t.granters {
+				g.Restarted(id)
+			}
+			t.born[id], t.addresses[id] = x.Born, x.Address
+		}
+	}
+	for name, w := range snap.Desired.Workloads {
+		if !w.Keyed || t.granters[name] != nil {
+			continue
+		}
+		if table := t.c.lead.table(name); table != nil {
+			t.granters[name] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, false)
+			t.loads[name] = newKeyLoads()
+			continue
+		}
+		if _, ok := t.first[name]; !ok && len(usable(snap, name)) > 0 {
+			t.first[name] = now
+		}
+		if at, ok := t.first[name]; ok && now >= at+gatherFor && !t.appending && t.dirty[name] == nil {
+			t.dirty[name] = firstTable(snap, name)
+		}
+	}
+}
+
+// usable returns the targets of a workload that may get requests.
+func usable(snap *fleet.Snapshot, workload string) []*fleet.Target {
+	var out []*fleet.Target
+	for _, x := range snap.Of(workload) {
+		if snap.Usable(x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func firstTable(snap *fleet.Snapshot, workload string) *ownership.RangeTable {
+	var owners []string
+	var weights []float64
+	for _, x := range usable(snap, workload) {
+		owners = append(owners, x.ID)
+		weights = append(weights, float64(x.Slots))
+	}
+	return ownership.NewRangeTable(owners, weights)
+}
+
+// collect adds the key counts of all hosts to the loads.
+func (t *term) collect(now time.Duration) {
+	for _, l := range t.loads {
+		l.decay(now)
+	}
+	for _, counts := range []map[string][]KeyCount{t.c.counts.take(), t.c.lead.takeCounts()} {
+		for w, keys := range counts {
+			if l := t.loads[w]; l != nil {
+				l.add(keys)
+			}
+		}
+	}
+}
+
+// plan moves keys where targets came, went or are overloaded.
+func (t *term) plan(now time.Duration, snap *fleet.Snapshot) {
+	if t.appending || snap.Desired == nil {
+		return
+	}
+	for name, g := range t.granters {
+		w := snap.Desired.Workloads[name]
+		table := t.c.lead.table(name)
+		if w == nil || table == nil || t.dirty[name] != nil {
+			continue
+		}
+		failing := map[string]bool{}
+		for _, id := range g.Failing(now) {
+			failing[id] = true
+		}
+		targets := t.planTargets(now, snap, w, failing)
+		if len(targets) == 0 || 2*len(failing) > len(table.Owned())+1 {
+			if len(failing) > 0 && t.c.peers.size() > 0 {
+				t.over = endIsolated
+			}
+			continue
+		}
+		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
+			Table: table, Targets: targets, Rates: t.loads[name].rates(),
+			Settled: func(s ownership.Segment) bool { return g.Settled(now, s, quietAfterMove) },
+		})
+		next := table
+		for _, s := range g.Done() {
+			next = next.Cleared(s.From, s.To)
+		}
+		if len(moves) > 0 {
+			next = next.Move(moves...)
+			for _, m := range moves {
+				t.c.cfg.Log.Info("move", "workload", name, "from", m.From, "to", m.To, "former", table.Find(m.From).Owner,
+					"owner", m.Owner, "rate_per_s", t.loads[name].rate(m.From, m.To), "failing", len(failing))
+			}
+		}
+		if next != table {
+			t.dirty[name] = next
+		}
+	}
+}
+
+// defaultService is the time of a request on a target without a measurement.
+const defaultService = 0.1 // seconds
+
+// planTargets returns the targets that may own keys. Cold ones bear less.
+func (t *term) planTargets(now time.Duration, snap *fleet.Snapshot, w *fleet.Workload, failing map[string]bool) []ownership.RangeTarget {
+	var out []ownership.RangeTarget
+	for _, x := range usable(snap, w.Name) {
+		if failing[x.ID] {
+			continue
+		}
+		service := t.loads[w.Name].service(x.ID)
+		r := ownership.RangeTarget{ID: x.ID, Capacity: float64(x.Slots), Service: service, Receives: true}
+		if now < x.ColdUntil && w.ColdRate > 0 {
+			r.Capacity = min(r.Capacity, w.ColdRate*service)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// order makes the calls that the granters ask for.
+func (t *term) order(now time.Duration, snap *fleet.Snapshot) {
+	for _, g := range t.granters {
+		orders := g.Tick(now, func(id string) bool { return t.address(snap, id) != "" })
+		for _, o := range orders {
+			go t.call(g, o, t.address(snap, o.Target))
+		}
+	}
+}
+
+func (t *term) address(snap *fleet.Snapshot, id string) string {
+	if x := snap.Targets[id]; x != nil {
+		return x.Address
+	}
+	return t.addresses[id]
+}
+
+// call makes one call to a target and posts its result.
+func (t *term) call(g *lease.RangeGranter, o lease.Order, address string) {
+	if o.Release {
+		ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
+		defer cancel()
+		handover, err := t.c.cfg.Grants.Release(ctx, address, o.Target, o.From, o.To, o.Fence)
+		t.post(func(now time.Duration) {
+			g.Released(now, o, handover, err == nil)
+			t.c.cfg.Log.Debug("release", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
+		})
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, grantTimeout)
+	defer cancel()
+	err := t.c.cfg.Grants.Grant(ctx, address, o.Target, platform.Grant{
+		From: o.From, To: o.To, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover,
+	})
+	t.post(func(now time.Duration) {
+		g.Granted(now, o, err == nil)
+		if err == nil {
+			return
+		}
+		t.c.cfg.Log.Info("grant_failed", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
+	})
+}
+
+// publish makes granted ranges visible here and to the peers.
+func (t *term) publish(now time.Duration) {
+	full := now >= t.nextFull
+	if full {
+		t.nextFull = now + fullRangesEvery
+	}
+	for name, g := range t.granters {
+		runs, changed := g.View()
+		if !changed && !full {
+			continue
+		}
+		r := &Ranges{runs: runs}
+		if changed {
+			t.c.setRanges(name, r)
+		}
+		if m := (rangesMessage{Workload: name, Full: full, Runs: runs}); full {
+			t.c.peers.send(methodRanges, m)
+		} else if m.Runs = r.changes(t.sentView[name]); len(m.Runs) > 0 {
+			t.c.peers.send(methodRanges, m)
+		}
+		t.sentView[name] = r
+	}
+}
+
+// confirm appends the leader's record and changed tables.
+func (t *term) confirm(now time.Duration) {
+	t.nextConfirm = now + confirmEvery
+	t.appending = true
+	t.record.Beat++
+	records := []platform.Record{t.record.record()}
+	tables := t.dirty
+	t.dirty = map[string]*ownership.RangeTable{}
+	for name, table := range tables {
+		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
+	}
+	at := t.c.control.position()
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
+		defer cancel()
+		sent := boottime.Now()
+		end, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, at, records)
+		if err != nil {
+			t.checkTopic(at)
+		}
+		t.post(func(now time.Duration) {
+			t.appending = false
+			if err != nil {
+				t.c.cfg.Log.Info("term_not_confirmed", "term", t.record.Term, "err", err)
+				t.nextConfirm = now + retryPause
+				t.appendFailed(err)
+				return
+			}
+			t.lease.Confirm(sent)
+			t.c.control.take(at, platform.Batch{Records: records, Next: end}, false, sent)
+			t.stored(now, tables)
+		})
+	}()
+}
+
+// stored puts tables into force that the store has accepted.
+func (t *term) stored(now time.Duration, tables map[string]*ownership.RangeTable) {
+	for name, table := range tables {
+		if g := t.granters[name]; g != nil {
+			g.SetTable(now, table)
+			continue
+		}
+		t.granters[name] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, true)
+		t.loads[name] = newKeyLoads()
+	}
+}
+
+// checkTopic reads what the control topic holds after a failed append.
+func (t *term) checkTopic(at int64) {
+	ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
+	defer cancel()
+	b, err := t.c.cfg.Store.Read(ctx, platform.TopicControl, at, 0)
+	if err != nil {
+		return // the term ends by itself when this goes on
+	}
+	t.c.control.take(at, b, false, boottime.Now())
+}
+
+// appendFailed decides what a failed append means: a record of another term
+// ends this one; a table that was stored although the answer was lost is in
+// force.
+func (t *term) appendFailed(err error) {
+	var e *platform.Error
+	now := t.c.lead.current()
+	if now.Term > t.record.Term || now.Term == t.record.Term && now.Incarnation != t.record.Incarnation {
+		t.over = endConflict
+		return
+	}
+	if errors.As(err, &e) && e.Outcome == platform.Unknown {
+		for name := range t.granters {
+			if table := t.c.lead.table(name); table != nil {
+				t.stored(boottime.Now(), map[string]*ownership.RangeTable{name: table})
+			}
+		}
+	}
+}
+
+// resign tells the other hosts that this one no longer grants.
+func (t *term) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	r := leaderRecord{Term: t.record.Term, Beat: t.record.Beat + 1}
+	_, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.record()})
+	if err != nil {
+		t.c.cfg.Log.Info("resignation_failed", "term", r.Term, "err", err)
+	}
+}
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -20,7 +20,7 @@
 	"github.com/boragelock/boragelock/internal/entry"
 	"github.com/boragelock/boragelock/internal/settings"
 	"github.com/boragelock/boragelock/internal/standin"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -143,13 +143,13 @@
 	return addr, nil
 }
 
-func (s *System) listed() []platform.Host {
-	var out []platform.Host
+func (s *System) listed() []provider.Host {
+	var out []provider.Host
 	for i, d := range s.deployment.Domains {
-		out = append(out, platform.Host{Name: fmt.Sprintf("entry-%d", i+1), Domain: d.Name, State: platform.HostLive})
+		out = append(out, provider.Host{Name: fmt.Sprintf("entry-%d", i+1), Domain: d.Name, State: provider.HostLive})
 	}
 	for _, t := range s.deployment.Targets {
-		out = append(out, platform.Host{Name: t.Name, Domain: t.Domain, State: platform.HostLive})
+		out = append(out, provider.Host{Name: t.Name, Domain: t.Domain, State: provider.HostLive})
 	}
 	return out
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,7 +24,7 @@
 	"github.com/boragelock/boragelock/internal/settings"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/limits"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // MethodBorrow is the peer method by which a host borrows a share of a
@@ -156,7 +156,7 @@
 		Self: h.self, PeerAddr: advertised(s.Peer.Advertise, h.listen.peers), SeedPeers: s.SeedPeers,
 		Bootstrap: h.cfg.Bootstrap, Timing: controlTiming(s.Timings),
 		Log: logs, HostList: httpplatform.NewHostList(hostList, httpplatform.Options{}),
-		Target: func(addr string) platform.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
+		Target: func(addr string) provider.Target { return httpplatform.NewTarget(addr, httpplatform.Options{}) },
 		Peers:  h.peers, Logger: h.log, SkipLeaseWait: s.Disabled(settings.SafeguardLeaseWait),
 	})
 	h.forward = forward.New(h.forwardConfig())
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // URLError says that a URL of the platform cannot be used.
@@ -31,7 +31,7 @@
 
 // logs is one log that is reachable under several addresses.
 type logs struct {
-	all []platform.Log
+	all []provider.Log
 	// at is the address that worked last.
 	at atomic.Int64
 }
@@ -48,19 +48,19 @@
 	return l, nil
 }
 
-// Append implements platform.Log. Another address is tried only when the
+// Append implements provider.Log. Another address is tried only when the
 // operation certainly had no effect.
 func (l *logs) Append(ctx context.Context, data []byte) (offset int64, err error) {
-	l.each(ctx, func(x platform.Log) error {
+	l.each(ctx, func(x provider.Log) error {
 		offset, err = x.Append(ctx, data)
 		return err
 	})
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *logs) Read(ctx context.Context, from int64, limit int, wait time.Duration) (b platform.Batch, err error) {
-	l.each(ctx, func(x platform.Log) error {
+// Read implements provider.Log.
+func (l *logs) Read(ctx context.Context, from int64, limit int, wait time.Duration) (b provider.Batch, err error) {
+	l.each(ctx, func(x provider.Log) error {
 		b, err = x.Read(ctx, from, limit, wait)
 		return err
 	})
@@ -69,12 +69,12 @@
 
 // each tries the addresses, the last good one first, until one does not fail
 // as unavailable.
-func (l *logs) each(ctx context.Context, op func(platform.Log) error) {
+func (l *logs) each(ctx context.Context, op func(provider.Log) error) {
 	start := l.at.Load()
 	for i := range int64(len(l.all)) {
 		at := (start + i) % int64(len(l.all))
-		var e *platform.Error
-		if err := op(l.all[at]); !errors.As(err, &e) || e.Code != platform.CodeUnavailable || ctx.Err() != nil {
+		var e *provider.Error
+		if err := op(l.all[at]); !errors.As(err, &e) || e.Code != provider.CodeUnavailable || ctx.Err() != nil {
 			l.at.Store(at)
 			return
 		}
--- /dev/null
+++ b/internal/fleetsettings/settings.go
@@ -0,0 +1,118 @@
+// Package fleetsettings decodes and checks the settings of the gateway daemon.
+// deploy/settings.json.tmpl says how the users' platform fills them in.
+package fleetsettings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+)
+
+// Settings are the settings of one gateway daemon.
+type Settings struct {
+	// Host and Domain name the host and its failure domain.
+	Host   string `json:"host"`
+	Domain string `json:"domain"`
+	// Callers and Ready are the addresses for callers and for the balancer's
+	// question whether the host is ready; Peers is the one for other hosts.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	IP      string `json:"ip"`
+	// PeerPort is the port on IP for other hosts, MetricsPort for metrics.
+	PeerPort    int `json:"peer_port"`
+	MetricsPort int `json:"metrics_port"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int `json:"memory_mb"`
+	// StopLimitSeconds is the time from SIGTERM to the end of the process.
+	StopLimitSeconds float64 `json:"stop_limit_s"`
+	// RetryRatio, RetryExtra and RetryWindowSeconds are the budget of repeats of
+	// all hosts: ratio x requests + extra in a window.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryExtra         float64 `json:"retry_extra"`
+	RetryWindowSeconds float64 `json:"retry_window_s"`
+	// MaxHoldSeconds is the longest grant that targets accept.
+	MaxHoldSeconds float64 `json:"max_hold_s"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+}
+
+// InvalidError says which setting is wrong.
+type InvalidError struct {
+	// Field is the name of the setting, Value its value, Allowed what is allowed.
+	Field, Value, Allowed string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("settings: %s is %q; allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// Load reads and checks a settings file. It fails with *InvalidError.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &InvalidError{Field: "file", Value: path, Allowed: "a readable file: " + err.Error()}
+	}
+	return Decode(b)
+}
+
+// Decode decodes and checks settings. Unknown fields are ignored, since the
+// platform may add some. It fails with *InvalidError.
+func Decode(b []byte) (*Settings, error) {
+	s := &Settings{LogLevel: "info"}
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, &InvalidError{Field: "file", Value: err.Error(), Allowed: "a JSON object"}
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct{ name, value string }{{"host", s.Host}, {"domain", s.Domain}, {"ip", s.IP}} {
+		if f.value == "" {
+			return &InvalidError{Field: f.name, Value: f.value, Allowed: "a name"}
+		}
+	}
+	for _, f := range []struct{ name, value string }{{"callers", s.Callers}, {"ready", s.Ready}, {"store", s.Store}} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			return &InvalidError{Field: f.name, Value: f.value, Allowed: "HOST:PORT"}
+		}
+	}
+	for _, f := range []struct {
+		name     string
+		value    float64
+		min, max float64
+	}{
+		{"peer_port", float64(s.PeerPort), 1, 65535}, {"metrics_port", float64(s.MetricsPort), 1, 65535},
+		{"memory_mb", float64(s.MemoryMB), 32, 1 << 20}, {"stop_limit_s", s.StopLimitSeconds, 1, 600},
+		{"retry_ratio", s.RetryRatio, 0, 1}, {"retry_extra", s.RetryExtra, 0, 1e6},
+		{"retry_window_s", s.RetryWindowSeconds, 1, 600}, {"max_hold_s", s.MaxHoldSeconds, 0.5, 600},
+	} {
+		if !(f.value >= f.min && f.value <= f.max) {
+			return &InvalidError{Field: f.name, Value: fmt.Sprint(f.value), Allowed: fmt.Sprintf("%g to %g", f.min, f.max)}
+		}
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return &InvalidError{Field: "log_level", Value: s.LogLevel, Allowed: "debug, info, warn, error"}
+}
+
+// StopLimit returns the time from SIGTERM to the end of the process.
+func (s *Settings) StopLimit() time.Duration {
+	return time.Duration(s.StopLimitSeconds * float64(time.Second))
+}
+
+// MaxHold returns the longest grant that targets accept.
+func (s *Settings) MaxHold() time.Duration {
+	return time.Duration(s.MaxHoldSeconds * float64(time.Second))
+}
+
+// RetryWindow returns the window of the retry budget.
+func (s *Settings) RetryWindow() time.Duration {
+	return time.Duration(s.RetryWindowSeconds * float64(time.Second))
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,7 +10,7 @@
 
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/boottime"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -85,14 +85,14 @@
 		req.Header[name] = values
 	}
 	h := req.Header
-	h[platform.HeaderWorkload] = []string{c.workload}
-	h[platform.HeaderCustomer] = []string{c.customer}
-	h[platform.HeaderRequestID] = []string{c.id}
-	h[platform.HeaderDeadlineMS] = []string{milliseconds(left)}
+	h[provider.HeaderWorkload] = []string{c.workload}
+	h[provider.HeaderCustomer] = []string{c.customer}
+	h[provider.HeaderRequestID] = []string{c.id}
+	h[provider.HeaderDeadlineMS] = []string{milliseconds(left)}
 	if c.keyed {
-		h[platform.HeaderKey] = []string{escaped}
-		h[platform.HeaderShard] = []string{strconv.Itoa(int(r.shard))}
-		h[platform.HeaderEpoch] = []string{strconv.FormatUint(r.epoch, 10)}
+		h[provider.HeaderKey] = []string{escaped}
+		h[provider.HeaderShard] = []string{strconv.Itoa(int(r.shard))}
+		h[provider.HeaderEpoch] = []string{strconv.FormatUint(r.epoch, 10)}
 	}
 	inject(ctx, h)
 	return req, true
--- a/internal/forward/front.go
+++ b/internal/forward/front.go
@@ -11,7 +11,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/limits"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -54,13 +54,13 @@
 		return
 	}
 	s.m.errors.Add(string(e.Code), 1)
-	s.cfg.Log.Info("request failed", "request_id", id, "customer", r.Header.Get(platform.HeaderCustomer), "method", r.Method,
+	s.cfg.Log.Info("request failed", "request_id", id, "customer", r.Header.Get(provider.HeaderCustomer), "method", r.Method,
 		"target", target, "code", e.Code, "outcome", e.Outcome, "duration_ms", time.Since(start).Milliseconds(), "detail", e.Detail, "error", e.Err)
 	if e.Code == codeAborted {
 		s.m.aborted.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(provider.HeaderRequestID, id)
 	writeError(w, e)
 }
 
@@ -90,7 +90,7 @@
 // was tried last.
 func (s *Server) serveFront(w http.ResponseWriter, r *http.Request) (id, target string, e *retry.Error) {
 	v := s.cfg.Source.View()
-	given := r.Header.Get(platform.HeaderRequestID)
+	given := r.Header.Get(provider.HeaderRequestID)
 	c, e := s.accept(w, r, v)
 	if e == nil && c != nil {
 		e = s.serveCall(w, r, v, c, given)
@@ -103,7 +103,7 @@
 		settled = c.idempotent || c.decided
 	}
 	if e != nil && given != "" && !settled {
-		e = s.exact(e, v, r.Header.Get(platform.HeaderCustomer), given)
+		e = s.exact(e, v, r.Header.Get(provider.HeaderCustomer), given)
 	}
 	return id, target, e
 }
@@ -150,7 +150,7 @@
 		return e
 	}
 	copyResponseHeader(w.Header(), ans.header)
-	w.Header()[platform.HeaderRequestID] = []string{c.id}
+	w.Header()[provider.HeaderRequestID] = []string{c.id}
 	if e := ans.relay(w, s.cfg.BodyPause); e != nil {
 		e.Code = codeAborted
 		return e
@@ -212,7 +212,7 @@
 
 // authenticate returns the customer of a request.
 func (s *Server) authenticate(r *http.Request) (string, *retry.Error) {
-	customer := r.Header.Get(platform.HeaderCustomer)
+	customer := r.Header.Get(provider.HeaderCustomer)
 	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !s.creds.Load().Check(customer, credential) || !ok || customer == "" {
 		return "", newError(retry.CodeUnauthenticated)
@@ -221,7 +221,7 @@
 }
 
 func (s *Server) deadline(r *http.Request, wl contract.Workload) (time.Duration, *retry.Error) {
-	text := r.Header.Get(platform.HeaderDeadlineMS)
+	text := r.Header.Get(provider.HeaderDeadlineMS)
 	if text == "" {
 		if wl.DeadlineMS > 0 {
 			return min(time.Duration(wl.DeadlineMS)*time.Millisecond, s.cfg.MaxDeadline), nil
@@ -230,7 +230,7 @@
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < 1 {
-		return 0, badRequest(platform.HeaderDeadlineMS + " is not a whole number of milliseconds from 1")
+		return 0, badRequest(provider.HeaderDeadlineMS + " is not a whole number of milliseconds from 1")
 	}
 	return time.Duration(min(ms, s.cfg.MaxDeadline.Milliseconds())) * time.Millisecond, nil
 }
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -5,14 +5,14 @@
 	"net/textproto"
 	"strings"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Headers of the caller API and between entry hosts, next to those in package
 // platform.
 const (
-	HeaderCode    = platform.HeaderCode
-	HeaderOutcome = platform.HeaderOutcome
+	HeaderCode    = provider.HeaderCode
+	HeaderOutcome = provider.HeaderOutcome
 
 	// headerPrefix marks the headers of boragelock. Those of a caller or a
 	// target are not passed on, except for the ones that are set again.
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -12,7 +12,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -82,7 +82,7 @@
 
 func reportOf(t view.Target) admission.Report {
 	return admission.Report{
-		Incarnation: t.Incarnation, Cold: t.State == platform.TargetCold,
+		Incarnation: t.Incarnation, Cold: t.State == provider.TargetCold,
 		InFlight: t.Load.InFlight, Bears: t.Load.Bears,
 	}
 }
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	var l platform.LoadReport
+	var l provider.LoadReport
 	if json.Unmarshal(data, &l) == nil && l.InFlight+l.Queued >= h.running() {
 		return &stillRunningError{}
 	}
@@ -274,7 +274,7 @@
 // poll asks the target for its load and reports whether it is leaving.
 func (h *home) poll(ctx context.Context) (leaving bool) {
 	data, err := h.pool.get(ctx, h.pool.tr)
-	var l platform.LoadReport
+	var l provider.LoadReport
 	ok := err == nil && json.Unmarshal(data, &l) == nil
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -282,9 +282,9 @@
 	if !ok {
 		return false
 	}
-	h.report.Cold, h.report.InFlight, h.report.Bears = l.State == platform.TargetCold, l.InFlight, l.Bears
+	h.report.Cold, h.report.InFlight, h.report.Bears = l.State == provider.TargetCold, l.InFlight, l.Bears
 	h.deliver(h.lim.Observe(boottime.Now(), h.report))
-	return l.State == platform.TargetLeaving
+	return l.State == provider.TargetLeaving
 }
 
 // enter counts a request that begins with a version of the target; leave ends it.
--- a/internal/forward/inner.go
+++ b/internal/forward/inner.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -30,7 +30,7 @@
 }
 
 func (s *Server) serveInner(w http.ResponseWriter, r *http.Request, prefix string) {
-	id := r.Header.Get(platform.HeaderRequestID)
+	id := r.Header.Get(provider.HeaderRequestID)
 	beat := startHeartbeat(w)
 	// Longest time that the sender waits; the queue and the target keep the
 	// request's own deadline.
@@ -40,7 +40,7 @@
 	defer b.close()
 	beat.stop()
 	h := w.Header()
-	h[platform.HeaderRequestID] = []string{id}
+	h[provider.HeaderRequestID] = []string{id}
 	if e != nil {
 		s.cfg.Log.Debug("request of a peer failed", "request_id", id, "code", e.Code, "outcome", e.Outcome, "detail", e.Detail, "error", e.Err)
 		h[headerHop] = []string{hopError}
@@ -116,8 +116,8 @@
 // innerCall reads what the sender says of a request.
 func (s *Server) innerCall(r *http.Request, v *view.View, prefix string) (*call, route, *retry.Error) {
 	h := r.Header
-	ms, err := strconv.ParseInt(h.Get(platform.HeaderDeadlineMS), 10, 64)
-	wl, ok := v.State.Config.Workloads[h.Get(platform.HeaderWorkload)]
+	ms, err := strconv.ParseInt(h.Get(provider.HeaderDeadlineMS), 10, 64)
+	wl, ok := v.State.Config.Workloads[h.Get(provider.HeaderWorkload)]
 	if err != nil || !ok {
 		return nil, route{}, newError(retry.CodeUnknownWorkload)
 	}
@@ -125,7 +125,7 @@
 	now := boottime.Now()
 	left := time.Duration(ms) * time.Millisecond
 	c := &call{
-		id: h.Get(platform.HeaderRequestID), customer: h.Get(platform.HeaderCustomer), weight: weight,
+		id: h.Get(provider.HeaderRequestID), customer: h.Get(provider.HeaderCustomer), weight: weight,
 		workload: wl.Name, keyed: wl.Keyed, fencing: wl.Fencing, key: strings.TrimPrefix(r.URL.Path, prefix),
 		method: r.Method, query: r.URL.RawQuery, header: make(http.Header, len(h)),
 		idempotent: h.Get(headerIdempotent) == "1",
@@ -134,8 +134,8 @@
 	copyRequestHeader(c.header, h)
 	rt := route{target: h.Get(headerTarget)}
 	if wl.Keyed {
-		n, err1 := strconv.ParseInt(h.Get(platform.HeaderShard), 10, 32)
-		epoch, err2 := strconv.ParseUint(h.Get(platform.HeaderEpoch), 10, 64)
+		n, err1 := strconv.ParseInt(h.Get(provider.HeaderShard), 10, 32)
+		epoch, err2 := strconv.ParseUint(h.Get(provider.HeaderEpoch), 10, 64)
 		if err1 != nil || err2 != nil {
 			return nil, route{}, newError(retry.CodeBadRequest)
 		}
--- a/internal/forward/locate.go
+++ b/internal/forward/locate.go
@@ -8,7 +8,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -91,7 +91,7 @@
 // to targets without shards.
 func takesWork(t view.Target) bool {
 	judged := t.Incarnation != ""
-	return (t.Fit || !judged) && t.State != platform.TargetLeaving
+	return (t.Fit || !judged) && t.State != provider.TargetLeaving
 }
 
 // chooseTarget takes the better of two random targets of the own domain, or of
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -139,7 +139,7 @@
 		}
 		return nil, peerError(resp, a)
 	}
-	if hop != hopTarget || resp.Header.Get(platform.HeaderRequestID) != c.id {
+	if hop != hopTarget || resp.Header.Get(provider.HeaderRequestID) != c.id {
 		a.end(errCrossed)
 		_ = resp.Body.Close()
 		s.m.crossed.Add(1)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -10,7 +10,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/internal/view"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	"github.com/boragelock/boragelock/retry"
 )
 
@@ -151,7 +151,7 @@
 	if e := s.refusal(resp, a, r); e != nil {
 		return nil, 0, e
 	}
-	if id := resp.Header.Get(platform.HeaderRequestID); id != "" && id != c.id {
+	if id := resp.Header.Get(provider.HeaderRequestID); id != "" && id != c.id {
 		a.end(errCrossed)
 		_ = resp.Body.Close()
 		s.m.crossed.Add(1)
@@ -225,15 +225,15 @@
 	}
 	var e *retry.Error
 	switch resp.Header.Get(HeaderCode) {
-	case platform.RefusalNotOwner:
+	case provider.RefusalNotOwner:
 		e = newError(retry.CodeNotOwner)
 		s.cfg.Source.Report(view.Event{Kind: view.EventNotOwner, Target: r.target})
-	case platform.RefusalLeaving:
+	case provider.RefusalLeaving:
 		e = newError(retry.CodeLeaving)
 		s.cfg.Source.Report(view.Event{Kind: view.EventLeaving, Target: r.target})
-	case platform.RefusalShed:
+	case provider.RefusalShed:
 		e = newError(retry.CodeShed)
-	case platform.RefusalDeadline:
+	case provider.RefusalDeadline:
 		e = newError(retry.CodeDeadline)
 	default:
 		return nil
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/placement"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	g       *Gateway
+	req     platform.Request
+	route   *fleet.Route
+	arrived time.Duration
+	// deadline is the earlier one of the caller's and the route's.
+	deadline time.Duration
+	workload string
+	keyed    bool
+	out      outgoing
+	// sends counts targets that may have got the request, tried names them.
+	sends int
+	tried []string
+	// refused counts refusals by targets; mayHaveRun is set when the outcome of
+	// a send is unknown.
+	refused    int
+	mayHaveRun bool
+}
+
+// Times of the request path.
+const (
+	// ownerWait is the longest wait for the owner of a key, long enough for the
+	// work on keys in a hand-over to end.
+	ownerWait = 700 * time.Millisecond
+	// notReadyAfter is the time after which a host that starts is likely ready.
+	notReadyAfter = 500 * time.Millisecond
+	// shedRetry is the pause before a request goes again to the owner of its key
+	// that was full.
+	shedRetry = 80 * time.Millisecond
+)
+
+// serve answers one request. body has been read whole.
+func (g *Gateway) serve(ctx context.Context, r *http.Request, body []byte, arrived time.Duration) (*answer, *Failure) {
+	snap := g.sync()
+	if snap.Desired == nil {
+		return nil, refuse(CodeNotReady, notReadyAfter)
+	}
+	host, _, _ := strings.Cut(strings.ToLower(r.Host), ":")
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := snap.Desired.Match(host, path)
+	if route == nil {
+		if !g.cfg.Source.Fresh() {
+			return nil, refuse(CodeNotReady, notReadyAfter)
+		}
+		return nil, &Failure{Code: CodeNoRoute, Status: http.StatusNotFound}
+	}
+	c := &call{g: g, req: platform.ReadRequest(r.Header), route: route, arrived: arrived, workload: g.part(route)}
+	left := route.Timeout
+	if c.req.Deadline > 0 && (left <= 0 || c.req.Deadline < left) {
+		left = c.req.Deadline
+	}
+	c.deadline = arrived + left
+	c.keyed = c.req.Key >= 0 && snap.Desired.Workloads[c.workload] != nil && snap.Desired.Workloads[c.workload].Keyed
+	c.out = outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body, id: c.req.ID}
+	g.earn(c.workload)
+	if c.keyed {
+		g.cfg.Source.CountKey(c.workload, c.req.Key)
+	}
+	return c.run(ctx)
+}
+
+// run places and sends the request until there is an answer.
+func (c *call) run(ctx context.Context) (*answer, *Failure) {
+	for {
+		d, failure := c.place(ctx)
+		if failure != nil {
+			return nil, c.final(failure)
+		}
+		a, failure, again := c.send(ctx, d.Target)
+		if !again {
+			return a, failure
+		}
+	}
+}
+
+// final turns a refusal into a failure that does not promise too much, when an
+// earlier send may have run the request.
+func (c *call) final(f *Failure) *Failure {
+	if c.mayHaveRun {
+		return &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: f}
+	}
+	return f
+}
+
+// place finds a target.
+func (c *call) place(ctx context.Context) (placement.Decision, *Failure) {
+	r := placement.Request{
+		Workload: c.workload, Route: c.route.Name, Priority: c.route.Priority, Deadline: c.deadline,
+		Objective: c.route.Objective, Large: c.route.Kind == fleet.Download, Tried: c.tried,
+	}
+	if c.keyed {
+		owner, failure := c.owner(ctx)
+		if failure != nil {
+			return placement.Decision{}, failure
+		}
+		r.Target, r.Tried = owner, nil
+	}
+	start := boottime.Now()
+	d, ok := c.g.place(ctx, r)
+	c.g.m.queue.add(boottime.Now() - start)
+	if !ok {
+		return d, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: ctx.Err()}
+	}
+	if d.Verdict == placement.Refuse {
+		code := CodeOverload
+		if d.Reason == placement.ReasonNoTarget {
+			code = CodeNoTarget
+		}
+		c.g.cfg.Log.Info("refused", "request", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
+			"reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(), "left_ms", (c.deadline - boottime.Now()).Milliseconds())
+		return d, refuse(code, d.RetryAfter)
+	}
+	return d, nil
+}
+
+// owner returns the target that holds the request's key. It waits while the key
+// is handed over.
+func (c *call) owner(ctx context.Context) (string, *Failure) {
+	until := min(boottime.Now()+ownerWait, c.deadline)
+	for {
+		changed := c.g.cfg.Source.Changed()
+		snap := c.g.sync()
+		if r := c.g.cfg.Source.Ranges(c.workload); r != nil {
+			id, ready := r.Owner(c.req.Key)
+			if t := snap.Targets[id]; ready && t != nil && snap.Usable(t) {
+				return id, nil
+			}
+		}
+		now := boottime.Now()
+		if now >= until {
+			c.g.cfg.Log.Info("no_owner", "request", c.req.ID, "workload", c.workload, "key", c.req.Key,
+				"waited_ms", ownerWait.Milliseconds())
+			return "", refuse(CodeNoOwner, ownerWait)
+		}
+		timer := time.NewTimer(until - now)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return "", &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: ctx.Err()}
+		}
+		timer.Stop()
+	}
+}
+
+// send sends the request to a target. again says that it may go to another.
+func (c *call) send(ctx context.Context, id string) (a *answer, f *Failure, again bool) {
+	snap := c.g.sync()
+	t := snap.Targets[id]
+	if t == nil {
+		c.g.withdrawn(id)
+		c.tried = append(c.tried, id)
+		return nil, nil, true
+	}
+	if c.sends > 0 && !c.g.repeat(c.workload) {
+		c.g.withdrawn(id)
+		return nil, c.final(refuse(CodeShed, shedRetry)), false
+	}
+	now := boottime.Now()
+	c.out.left = c.deadline - now
+	if !c.route.Kind.Idempotent() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	a, failure := c.g.pools.roundTrip(ctx, &c.out, id, t.Address)
+	took := boottime.Now() - now
+	if failure != nil {
+		return c.sendFailed(ctx, id, failure, took)
+	}
+	return c.answered(id, a, took)
+}
+
+func (g *Gateway) withdrawn(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Withdrawn(id)
+}
+
+// sendFailed decides what follows a send without a proper answer.
+func (c *call) sendFailed(ctx context.Context, id string, e *sendError, took time.Duration) (*answer, *Failure, bool) {
+	c.g.m.sends.Add(e.reason, 1)
+	gone := ctx.Err() != nil
+	c.g.ended(id, placement.Sample{Route: c.route.Name, Failed: !gone, Cold: -1})
+	c.tried = append(c.tried, id)
+	c.g.cfg.Log.Info("send_failed", "request", c.req.ID, "target", id, "reason", e.reason, "sent", e.sent,
+		"took_ms", took.Milliseconds(), "err", e.err)
+	if gone {
+		return nil, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: e}, false
+	}
+	if !e.sent {
+		// A target that refuses connections may be an owner that is gone; the
+		// next owner is known within the hold.
+		if c.keyed && !c.pause(ctx, shedRetry) {
+			return nil, c.final(refuse(CodeNoTarget, shedRetry)), false
+		}
+		return nil, nil, true
+	}
+	c.sends++
+	c.mayHaveRun = true
+	if c.route.Kind.Idempotent() && c.sends < c.route.MaxAttempts && c.timeLeft() {
+		return nil, nil, true
+	}
+	if e.timeout() {
+		return nil, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: e}, false
+	}
+	return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: e}, false
+}
+
+// timeLeft reports whether another send could still end in time.
+func (c *call) timeLeft() bool {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	now := boottime.Now()
+	return now+c.g.board.Service(now, c.route.Name, "")/2 < c.deadline
+}
+
+// pause waits and reports whether the request goes on.
+func (c *call) pause(ctx context.Context, d time.Duration) bool {
+	if boottime.Now()+d >= c.deadline {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// answered decides what follows an answer.
+func (c *call) answered(id string, a *answer, took time.Duration) (*answer, *Failure, bool) {
+	s := placement.Sample{Route: c.route.Name, Took: took, Cold: a.said.Cold}
+	if l := a.said.Load; l != nil {
+		s.Load = &placement.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace}
+	}
+	broken := a.status < 300 && (!a.said.Signed || a.header.Get("Content-Encoding") != "")
+	s.Shed = a.said.NotRun && !a.said.WrongTarget
+	s.Failed = !a.said.NotRun && (a.status >= 500 || broken)
+	if a.said.WrongTarget {
+		s.Took = 0
+	}
+	c.g.ended(id, s)
+	c.g.m.target.add(took)
+	switch {
+	case a.said.NotRun:
+		return c.notRun(id, a)
+	case s.Failed && c.route.Kind.Idempotent() && c.sends+1 < c.route.MaxAttempts && !c.keyed && c.timeLeft():
+		c.sends++
+		c.tried = append(c.tried, id)
+		c.mayHaveRun = true
+		c.g.m.sends.Add("failed", 1)
+		if a.rest != nil {
+			a.finish(false)
+		}
+		return nil, nil, true
+	case broken:
+		c.g.m.sends.Add("broken", 1)
+		return nil, &Failure{Code: CodeBadAnswer, Status: http.StatusBadGateway}, false
+	}
+	c.g.m.sends.Add("answered", 1)
+	return a, nil, false
+}
+
+// notRun decides what follows a refusal by a target.
+func (c *call) notRun(id string, a *answer) (*answer, *Failure, bool) {
+	c.sends++
+	c.refused++
+	c.g.m.sends.Add("not_run", 1)
+	c.g.cfg.Log.Info("not_run", "request", c.req.ID, "target", id, "status", a.status, "wrong_target", a.said.WrongTarget,
+		"key", c.req.Key, "sends", c.sends)
+	if !c.keyed {
+		c.tried = append(c.tried, id)
+	}
+	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || c.keyed && !c.pause(context.Background(), shedRetry) {
+		return nil, c.final(refuse(CodeShed, shedRetry)), false
+	}
+	return nil, nil, true
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/placement"
+	"github.com/boragelock/boragelock/retry"
+)
+
+// Source is what the gateway knows of the deployment.
+type Source interface {
+	Snapshot() *fleet.Snapshot
+	Ranges(workload string) *coordinator.Ranges
+	Changed() <-chan struct{}
+	CountKey(workload string, key int)
+	Ready() bool
+	// Hosts returns the number of hosts that share budgets, at least 1.
+	Hosts() int
+	// Fresh reports whether desired states are known without delay.
+	Fresh() bool
+}
+
+// Config holds the settings of a Gateway.
+type Config struct {
+	Domain string
+	Source Source
+	Log    hclog.Logger
+	// RetryRatio and RetryExtra are the deployment's budget: in each window,
+	// ratio x requests + extra requests may be sent once more, by all hosts.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Gateway is the request path of one host.
+type Gateway struct {
+	cfg   Config
+	pools *pools
+
+	mu       sync.Mutex
+	board    *placement.Board
+	snapshot *fleet.Snapshot
+	waits    map[uint64]chan placement.Decision
+	budgets  map[string]*retry.Budget
+	hosts    int
+	splits   map[string]float64 // position in each route's split
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	open     atomic.Int64
+	m        *metrics
+}
+
+// New returns a gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{
+		cfg: cfg, pools: newPools(), board: placement.NewBoard(placement.Config{Domain: cfg.Domain}),
+		waits: map[uint64]chan placement.Decision{}, budgets: map[string]*retry.Budget{}, hosts: 1,
+		splits: map[string]float64{}, m: newMetrics(),
+	}
+}
+
+// Times of the gateway's upkeep.
+const (
+	dispatchEvery = 20 * time.Millisecond
+	sweepEvery    = 1 * time.Second
+)
+
+// Serve implements suture.Service: it keeps the board in step with the
+// deployment and looks after waiting requests and idle connections.
+func (g *Gateway) Serve(ctx context.Context) error {
+	tick := time.NewTicker(dispatchEvery)
+	defer tick.Stop()
+	sweep := boottime.Now()
+	for {
+		changed := g.cfg.Source.Changed()
+		g.sync()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-tick.C:
+			g.dispatch()
+			if now := boottime.Now(); now-sweep > sweepEvery {
+				sweep = now
+				g.pools.sweep(now)
+			}
+		}
+	}
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (g *Gateway) String() string { return "gateway" }
+
+// sync brings the board up to the deployment's snapshot.
+func (g *Gateway) sync() *fleet.Snapshot {
+	snap := g.cfg.Source.Snapshot()
+	hosts := max(1, g.cfg.Source.Hosts())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if hosts != g.hosts {
+		g.hosts = hosts
+		clear(g.budgets)
+		g.board.SetColdShare(1 / float64(hosts))
+	}
+	if snap == g.snapshot {
+		return snap
+	}
+	g.snapshot = snap
+	list := make([]placement.Target, 0, len(snap.Targets))
+	for _, t := range snap.Targets {
+		x := placement.Target{
+			ID: t.ID, Workload: t.Workload, Domain: t.Domain, Slots: t.Slots, Usable: snap.Usable(t), ColdUntil: t.ColdUntil,
+		}
+		if snap.Desired != nil {
+			if w := snap.Desired.Workloads[t.Workload]; w != nil {
+				x.ColdRate = w.ColdRate
+			}
+		}
+		list = append(list, x)
+	}
+	g.board.SetTargets(list)
+	g.dispatchLocked(boottime.Now())
+	return snap
+}
+
+func (g *Gateway) dispatch() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.board.Waiting() > 0 {
+		g.dispatchLocked(boottime.Now())
+	}
+}
+
+// dispatchLocked passes decisions to waiting requests; g.mu is held.
+func (g *Gateway) dispatchLocked(now time.Duration) {
+	for _, p := range g.board.Dispatch(now) {
+		if ch := g.waits[p.Ticket]; ch != nil {
+			delete(g.waits, p.Ticket)
+			ch <- p.Decision
+		}
+	}
+}
+
+// place asks the board for a target and waits for its decision. It returns
+// false when the context ended first.
+func (g *Gateway) place(ctx context.Context, r placement.Request) (placement.Decision, bool) {
+	r.Random = rand.Float64()
+	g.mu.Lock()
+	d := g.board.Submit(boottime.Now(), r)
+	if d.Verdict != placement.Wait {
+		g.mu.Unlock()
+		return d, true
+	}
+	ch := make(chan placement.Decision, 1)
+	g.waits[d.Ticket] = ch
+	g.dispatchLocked(boottime.Now())
+	g.mu.Unlock()
+	select {
+	case d := <-ch:
+		return d, true
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waits, d.Ticket)
+	if !g.board.Cancel(d.Ticket) {
+		if late := <-ch; late.Verdict == placement.Send {
+			g.board.Withdrawn(late.Target)
+		}
+	}
+	return placement.Decision{}, false
+}
+
+// ended reports the end of a request at a target.
+func (g *Gateway) ended(id string, s placement.Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.board.Ended(now, id, s)
+	if g.board.Waiting() > 0 {
+		g.dispatchLocked(now)
+	}
+}
+
+// budgetShare keeps this host's part of the shared budget below the whole,
+// since requests are spread unevenly over the hosts.
+const budgetShare = 0.7
+
+// budget returns the retry budget of a workload; g.mu is held.
+func (g *Gateway) budget(workload string) *retry.Budget {
+	b := g.budgets[workload]
+	if b == nil {
+		perSecond := budgetShare * g.cfg.RetryExtra / max(g.cfg.RetryWindow.Seconds(), 1) / float64(g.hosts)
+		limit := max(1, budgetShare*g.cfg.RetryExtra/float64(g.hosts))
+		b = retry.NewBudget(retry.BudgetConfig{
+			Ratio: budgetShare * g.cfg.RetryRatio, HostMinimum: perSecond, CustomerMinimum: perSecond,
+			HostMax: limit, CustomerMax: limit,
+		}, boottime.Now())
+		g.budgets[workload] = b
+	}
+	return b
+}
+
+// earn adds a request to the retry budget of a workload.
+func (g *Gateway) earn(workload string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(workload).Success(boottime.Now(), "")
+}
+
+// repeat takes a repeat from the budget of a workload.
+func (g *Gateway) repeat(workload string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(workload).Take(boottime.Now(), "")
+}
+
+// golden spreads the positions in a split evenly.
+const golden = 0.6180339887498949
+
+// part chooses the workload of a request on a route with a split. Consecutive
+// requests take positions that are evenly spread, so that the shares of a short
+// span are near the weights.
+func (g *Gateway) part(r *fleet.Route) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Workload
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x, ok := g.splits[r.Name]
+	if !ok {
+		x = rand.Float64()
+	}
+	if x += golden; x >= 1 {
+		x--
+	}
+	g.splits[r.Name] = x
+	return r.Choose(x)
+}
+
+// Drain makes the host report that it is not ready and end connections after
+// their next answer.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Open returns the number of open connections of callers.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+// Ready reports whether callers should be sent to this host.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.cfg.Source.Ready() }
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"sync"
+)
+
+// Bounds of latency histograms: 0.1 ms to 60 s with two significant digits.
+const (
+	histogramMin    = 100
+	histogramMax    = 60_000_000
+	histogramDigits = 2
+)
+
+// histogram is a latency histogram in microseconds for expvar.
+type histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newHistogram() *histogram {
+	return &histogram{h: hdrhistogram.New(histogramMin, histogramMax, histogramDigits)}
+}
+
+func (h *histogram) add(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// Values beyond the bounds are counted at them.
+	_ = h.h.RecordValue(min(max(d.Microseconds(), histogramMin), histogramMax))
+}
+
+// String implements expvar.Var.
+func (h *histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := new(expvar.Map).Init()
+	set := func(name string, v int64) {
+		i := new(expvar.Int)
+		i.Set(v)
+		m.Set(name, i)
+	}
+	set("count", h.h.TotalCount())
+	set("p50_us", h.h.ValueAtQuantile(50))
+	set("p90_us", h.h.ValueAtQuantile(90))
+	set("p99_us", h.h.ValueAtQuantile(99))
+	set("max_us", h.h.Max())
+	return m.String()
+}
+
+// metrics are the counters of the request path.
+type metrics struct {
+	all *expvar.Map
+	// outcomes counts requests by route kind and outcome.
+	outcomes *expvar.Map
+	// sends counts requests to targets by result.
+	sends  *expvar.Map
+	total  *histogram // arrival to answer
+	queue  *histogram // wait for a target
+	target *histogram // send to answer
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
+		total: newHistogram(), queue: newHistogram(), target: newHistogram(),
+	}
+	m.all.Set("requests_total", m.outcomes)
+	m.all.Set("sends_total", m.sends)
+	m.all.Set("request_latency", m.total)
+	m.all.Set("queue_wait", m.queue)
+	m.all.Set("target_latency", m.target)
+	return m
+}
+
+// Vars returns the metrics of the gateway.
+func (g *Gateway) Vars() *expvar.Map { return g.m.all }
--- a/internal/httpplatform/client.go
+++ b/internal/httpplatform/client.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -148,7 +148,7 @@
 	}
 	req, err := http.NewRequestWithContext(traced, method, c.base+path, rd)
 	if err != nil {
-		return &platform.Error{Op: op, Code: platform.CodeUnavailable, Detail: "request could not be built", Err: err}
+		return &provider.Error{Op: op, Code: provider.CodeUnavailable, Detail: "request could not be built", Err: err}
 	}
 	req.GetBody = nil
 	// An empty value keeps the transport from sending its own name, which
@@ -157,20 +157,20 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if sent.mayHaveSent(ctx.Err() != nil) {
-			return &platform.Error{Op: op, Code: platform.CodeUnknownOutcome, Detail: "no answer", Err: err}
+			return &provider.Error{Op: op, Code: provider.CodeUnknownOutcome, Detail: "no answer", Err: err}
 		}
-		return &platform.Error{Op: op, Code: platform.CodeUnavailable, Detail: "no connection", Err: err}
+		return &provider.Error{Op: op, Code: provider.CodeUnavailable, Detail: "no connection", Err: err}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return &platform.Error{Op: op, Code: platform.CodeUnknownOutcome, Detail: "answer was cut", Err: err}
+		return &provider.Error{Op: op, Code: provider.CodeUnknownOutcome, Detail: "answer was cut", Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return refusal(op, resp, data)
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return &platform.Error{Op: op, Code: platform.CodeMalformed, Detail: "answer is not the expected JSON", Err: err}
+		return &provider.Error{Op: op, Code: provider.CodeMalformed, Detail: "answer is not the expected JSON", Err: err}
 	}
 	return nil
 }
@@ -178,16 +178,16 @@
 // refusal turns an answer other than 200 into an error.
 func refusal(op string, resp *http.Response, body []byte) error {
 	detail := strings.TrimSpace(string(body[:min(len(body), maxDetailBytes)]))
-	e := &platform.Error{Op: op, Detail: resp.Status + " " + detail}
+	e := &provider.Error{Op: op, Detail: resp.Status + " " + detail}
 	switch {
 	case resp.StatusCode == http.StatusGone:
-		e.Code = platform.CodeExpired
+		e.Code = provider.CodeExpired
 	case resp.StatusCode >= 400 && resp.StatusCode < 500:
-		e.Code = platform.CodeRejected
-	case resp.Header.Get(platform.HeaderOutcome) == "not_run":
-		e.Code = platform.CodeUnavailable
+		e.Code = provider.CodeRejected
+	case resp.Header.Get(provider.HeaderOutcome) == "not_run":
+		e.Code = provider.CodeUnavailable
 	default:
-		e.Code = platform.CodeUnknownOutcome
+		e.Code = provider.CodeUnknownOutcome
 	}
 	return e
 }
--- a/internal/httpplatform/platform_test.go
+++ b/internal/httpplatform/platform_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func codeOf(err error) platform.Code {
-	var e *platform.Error
+func codeOf(err error) provider.Code {
+	var e *provider.Error
 	if errors.As(err, &e) {
 		return e.Code
 	}
@@ -35,7 +35,7 @@
 		addr := ln.Addr().String()
 		So(ln.Close(), ShouldBeNil)
 		_, err = NewLog(addr, Options{}).Append(ctx, []byte("x"))
-		So(codeOf(err), ShouldEqual, platform.CodeUnavailable)
+		So(codeOf(err), ShouldEqual, provider.CodeUnavailable)
 	})
 	Convey("an answer lost after the request was sent leaves the outcome unknown, and the request is sent once", t, func() {
 		var calls atomic.Int64
@@ -46,7 +46,7 @@
 		})
 		defer stop()
 		_, err := l.Append(ctx, []byte("x"))
-		So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+		So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
 		So(calls.Load(), ShouldEqual, 1)
 	})
 	Convey("a timeout on an open connection leaves the outcome unknown", t, func() {
@@ -55,24 +55,24 @@
 		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 		defer cancel()
 		_, err := l.Append(short, []byte("x"))
-		So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+		So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
 	})
 	Convey("answers map to codes", t, func() {
 		for _, c := range []struct {
 			status  int
 			outcome string
 			body    string
-			want    platform.Code
+			want    provider.Code
 		}{
-			{410, "", "", platform.CodeExpired},
-			{429, "not_run", "", platform.CodeRejected},
-			{503, "not_run", "", platform.CodeUnavailable},
-			{502, "", "", platform.CodeUnknownOutcome},
-			{200, "", "{}", platform.CodeMalformed},
-			{200, "", "<html>", platform.CodeMalformed},
+			{410, "", "", provider.CodeExpired},
+			{429, "not_run", "", provider.CodeRejected},
+			{503, "not_run", "", provider.CodeUnavailable},
+			{502, "", "", provider.CodeUnknownOutcome},
+			{200, "", "{}", provider.CodeMalformed},
+			{200, "", "<html>", provider.CodeMalformed},
 		} {
 			l, stop := serve(func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(platform.HeaderOutcome, c.outcome)
+				w.Header().Set(provider.HeaderOutcome, c.outcome)
 				w.WriteHeader(c.status)
 				_, _ = w.Write([]byte(c.body))
 			})
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -15,7 +15,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // fakeControl folds appended records at once.
@@ -70,7 +70,7 @@
 	}
 	for _, name := range []string{"t1", "t2"} {
 		d.Targets = append(d.Targets, contract.Target{Name: name, Workload: "lookups", Domain: "d" + name[1:], Addr: "127.0.0.1:1", Slots: 2, Connections: 9})
-		f.targets[name] = view.Target{Known: true, Fit: true, Load: platform.LoadReport{InFlight: 1}}
+		f.targets[name] = view.Target{Known: true, Fit: true, Load: provider.LoadReport{InFlight: 1}}
 	}
 	d.Contracts = []contract.Contract{newContract("anna", "a")}
 	f.append(journal.KindBootstrap, d)
@@ -127,7 +127,7 @@
 			So(failure(err).Code, ShouldEqual, CodeNoState)
 		})
 		Convey("taking out too many slots is refused unless forced", func() {
-			f.targets["t2"] = view.Target{Known: true, Fit: true, Load: platform.LoadReport{InFlight: 2}}
+			f.targets["t2"] = view.Target{Known: true, Fit: true, Load: provider.LoadReport{InFlight: 2}}
 			_, err := c.Change(ctx, domainOut(1, "d1"))
 			So(failure(err).Code, ShouldEqual, CodeRefused)
 			So(failure(err).Message, ShouldContainSubstring, "2 slots, 3 requests")
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // keptNonces is how many nonces of a granter stay valid, so that one lost
@@ -73,16 +73,16 @@
 }
 
 // grant applies a grant by the rules of docs/platform.md.
-func (f *fence) grant(g platform.Grant, now time.Duration) platform.GrantResult {
+func (f *fence) grant(g provider.Grant, now time.Duration) provider.GrantResult {
 	at, ok := f.issuedAt(g.Granter, g.Nonce)
 	end := at + time.Duration(g.LeaseMS)*time.Millisecond
 	switch {
 	case !ok || end <= now:
-		return platform.GrantNonce
+		return provider.GrantNonce
 	case g.Version < f.version:
-		return platform.GrantStale
+		return provider.GrantStale
 	case !g.HasShards && (g.Version != f.version || !f.hasList):
-		return platform.GrantNeedShards
+		return provider.GrantNeedShards
 	}
 	if now >= f.leaseEnd {
 		f.session++
@@ -93,10 +93,10 @@
 	if g.HasShards {
 		f.replace(g)
 	}
-	return platform.GrantAccepted
+	return provider.GrantAccepted
 }
 
-func (f *fence) replace(g platform.Grant) {
+func (f *fence) replace(g provider.Grant) {
 	f.hasList = true
 	f.held = make(map[shardKey]uint64, len(g.Shards))
 	for _, s := range g.Shards {
@@ -130,8 +130,8 @@
 }
 
 // draining lists the running shards that are not held at their epoch any more.
-func (f *fence) draining(running map[*run]struct{}) []platform.ShardEpoch {
-	var out []platform.ShardEpoch
+func (f *fence) draining(running map[*run]struct{}) []provider.ShardEpoch {
+	var out []provider.ShardEpoch
 	for r := range running {
 		if !r.fenced || r.session != f.session {
 			continue
@@ -139,7 +139,7 @@
 		if e, ok := f.held[shardKey{r.workload, r.shard}]; ok && e == r.epoch {
 			continue
 		}
-		se := platform.ShardEpoch{Workload: r.workload, Shard: r.shard, Epoch: r.epoch}
+		se := provider.ShardEpoch{Workload: r.workload, Shard: r.shard, Epoch: r.epoch}
 		if !slices.Contains(out, se) {
 			out = append(out, se)
 		}
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -9,11 +9,11 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // HostGone removes a host from the list when it is set as its state.
-const HostGone platform.HostState = "gone"
+const HostGone provider.HostState = "gone"
 
 // HostSwitches make a list of hosts fail.
 type HostSwitches struct {
@@ -24,20 +24,20 @@
 
 type hostChange struct {
 	at   time.Duration
-	host platform.Host
+	host provider.Host
 }
 
 // Hosts is a stand-in for the platform's list of hosts.
 type Hosts struct {
 	mu       sync.Mutex
-	visible  map[string]platform.Host
+	visible  map[string]provider.Host
 	pending  []hostChange
 	switches HostSwitches
 }
 
 // NewHosts returns a list that shows the given hosts at once.
-func NewHosts(lag time.Duration, hosts ...platform.Host) *Hosts {
-	h := &Hosts{visible: map[string]platform.Host{}, switches: HostSwitches{LagMS: lag.Milliseconds()}}
+func NewHosts(lag time.Duration, hosts ...provider.Host) *Hosts {
+	h := &Hosts{visible: map[string]provider.Host{}, switches: HostSwitches{LagMS: lag.Milliseconds()}}
 	for _, x := range hosts {
 		h.visible[x.Name] = x
 	}
@@ -45,7 +45,7 @@
 }
 
 // Set changes one host. It becomes visible after the lag.
-func (h *Hosts) Set(host platform.Host) {
+func (h *Hosts) Set(host provider.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lag := time.Duration(h.switches.LagMS) * time.Millisecond
@@ -53,7 +53,7 @@
 }
 
 // List returns the hosts as the list shows them now, by name.
-func (h *Hosts) List() []platform.Host {
+func (h *Hosts) List() []provider.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := boottime.Now()
@@ -66,11 +66,11 @@
 		}
 		h.visible[x.Name] = x
 	}
-	out := make([]platform.Host, 0, len(h.visible))
+	out := make([]provider.Host, 0, len(h.visible))
 	for _, x := range h.visible {
 		out = append(out, x)
 	}
-	slices.SortFunc(out, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b provider.Host) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -107,15 +107,15 @@
 }
 
 // Admin returns the handler of the switches: GET and POST /admin/switches, and
-// POST /admin/host with a platform.Host whose state may be "gone".
+// POST /admin/host with a provider.Host whose state may be "gone".
 func (h *Hosts) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/admin/switches", func(w http.ResponseWriter, r *http.Request) {
 		update(w, r, h.Switches, h.SetSwitches)
 	})
 	mux.HandleFunc("POST /admin/host", func(w http.ResponseWriter, r *http.Request) {
-		var x platform.Host
-		update(w, r, func() platform.Host { return x }, func(v platform.Host) { x = v; h.Set(v) })
+		var x provider.Host
+		update(w, r, func() provider.Host { return x }, func(v provider.Host) { x = v; h.Set(v) })
 	})
 	return mux
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const outcomeNotRun = "not_run"
@@ -18,8 +18,8 @@
 
 // refuse answers a request that had no effect.
 func refuse(w http.ResponseWriter, status int, code string) {
-	w.Header().Set(platform.HeaderOutcome, outcomeNotRun)
-	w.Header().Set(platform.HeaderCode, code)
+	w.Header().Set(provider.HeaderOutcome, outcomeNotRun)
+	w.Header().Set(provider.HeaderCode, code)
 	http.Error(w, code, status)
 }
 
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -12,7 +12,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const (
@@ -228,11 +228,11 @@
 }
 
 // read returns a batch, and false when from has expired.
-func (l *Log) read(from int64, limit int) (platform.Batch, Down, <-chan struct{}, bool) {
+func (l *Log) read(from int64, limit int) (provider.Batch, Down, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
-	b := platform.Batch{First: l.first, End: l.first + int64(len(l.entries)), Records: []platform.Record{}}
+	b := provider.Batch{First: l.first, End: l.first + int64(len(l.entries)), Records: []provider.Record{}}
 	if from == 0 {
 		from = l.first
 	}
@@ -240,7 +240,7 @@
 		return b, l.switches.Down, l.changed, false
 	}
 	for off := from; off < b.End && len(b.Records) < limit; off++ {
-		b.Records = append(b.Records, platform.Record{Offset: off, Data: l.entries[off-l.first].data})
+		b.Records = append(b.Records, provider.Record{Offset: off, Data: l.entries[off-l.first].data})
 	}
 	return b, l.switches.Down, l.changed, true
 }
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -15,7 +15,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // maxWorkBytes limits the body of a work request.
@@ -64,8 +64,8 @@
 	}
 	h := r.Header
 	out := &run{
-		requestID: h.Get(platform.HeaderRequestID), tag: r.URL.Query().Get("tag"), method: r.Method,
-		workload: h.Get(platform.HeaderWorkload), customer: h.Get(platform.HeaderCustomer),
+		requestID: h.Get(provider.HeaderRequestID), tag: r.URL.Query().Get("tag"), method: r.Method,
+		workload: h.Get(provider.HeaderWorkload), customer: h.Get(provider.HeaderCustomer),
 		fenced: t.cfg.Keyed && t.cfg.Fencing, deadline: math.MaxInt64,
 		bodyBytes: len(body), bodyHash: xxhash.Sum64(body),
 	}
@@ -73,21 +73,21 @@
 		refuse(w, http.StatusBadRequest, "malformed_key")
 		return nil
 	}
-	if named := h.Get(platform.HeaderKey); named != "" {
+	if named := h.Get(provider.HeaderKey); named != "" {
 		if k, err := url.PathUnescape(named); err != nil || (t.cfg.Keyed && k != out.key) {
 			refuse(w, http.StatusBadRequest, "key_differs_from_path")
 			return nil
 		}
 	}
-	shard, err1 := strconv.ParseInt(orZero(h.Get(platform.HeaderShard)), 10, 32)
-	epoch, err2 := strconv.ParseUint(orZero(h.Get(platform.HeaderEpoch)), 10, 64)
-	left, err3 := strconv.ParseInt(orZero(h.Get(platform.HeaderDeadlineMS)), 10, 64)
+	shard, err1 := strconv.ParseInt(orZero(h.Get(provider.HeaderShard)), 10, 32)
+	epoch, err2 := strconv.ParseUint(orZero(h.Get(provider.HeaderEpoch)), 10, 64)
+	left, err3 := strconv.ParseInt(orZero(h.Get(provider.HeaderDeadlineMS)), 10, 64)
 	if err1 != nil || err2 != nil || err3 != nil {
 		refuse(w, http.StatusBadRequest, "malformed_header")
 		return nil
 	}
 	out.shard, out.epoch = int32(shard), epoch
-	if h.Get(platform.HeaderDeadlineMS) != "" {
+	if h.Get(provider.HeaderDeadlineMS) != "" {
 		out.deadline = boottime.Now() + time.Duration(left)*time.Millisecond
 	}
 	return out
@@ -118,9 +118,9 @@
 	case RunEffect:
 		t.answer(w, x)
 	case RunNotOwner:
-		refuse(w, http.StatusConflict, platform.RefusalNotOwner)
+		refuse(w, http.StatusConflict, provider.RefusalNotOwner)
 	case RunDeadline:
-		refuse(w, http.StatusServiceUnavailable, platform.RefusalDeadline)
+		refuse(w, http.StatusServiceUnavailable, provider.RefusalDeadline)
 	default:
 		cutConnection(w)
 	}
@@ -133,18 +133,18 @@
 	now := boottime.Now()
 	switch {
 	case now < t.fallen:
-		return 0, http.StatusServiceUnavailable, platform.RefusalShed
+		return 0, http.StatusServiceUnavailable, provider.RefusalShed
 	case t.switches.Leaving && t.switches.RefuseLeaving:
 		t.event(EventRefusedLeaving)
-		return 0, http.StatusServiceUnavailable, platform.RefusalLeaving
+		return 0, http.StatusServiceUnavailable, provider.RefusalLeaving
 	case now >= x.deadline:
-		return 0, http.StatusServiceUnavailable, platform.RefusalDeadline
+		return 0, http.StatusServiceUnavailable, provider.RefusalDeadline
 	case x.fenced && !t.fence.mayStart(x, now):
 		t.event(EventNotOwner)
-		return 0, http.StatusConflict, platform.RefusalNotOwner
+		return 0, http.StatusConflict, provider.RefusalNotOwner
 	case len(t.running) >= t.bears():
 		t.shed(now)
-		return 0, http.StatusServiceUnavailable, platform.RefusalShed
+		return 0, http.StatusServiceUnavailable, provider.RefusalShed
 	}
 	t.running[x] = struct{}{}
 	x.start, x.wall, x.running, x.session = now, time.Now(), len(t.running), t.fence.session
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -15,11 +15,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
-func codeOf(err error) platform.Code {
-	var e *platform.Error
+func codeOf(err error) provider.Code {
+	var e *provider.Error
 	if errors.As(err, &e) {
 		return e.Code
 	}
@@ -35,7 +35,7 @@
 		defer s.Close()
 		c := httpplatform.NewLog(s.Listener.Addr().String(), httpplatform.Options{})
 		Convey("keeps order, limits retention and wakes long polls", func() {
-			done := make(chan platform.Batch, 1)
+			done := make(chan provider.Batch, 1)
 			go func() { b, _ := c.Read(ctx, 1, 10, 5*time.Second); done <- b }()
 			time.Sleep(20 * time.Millisecond)
 			for i := range int64(5) {
@@ -45,7 +45,7 @@
 			}
 			So((<-done).Records[0].Offset, ShouldEqual, 1)
 			_, err := c.Read(ctx, 2, 10, 0)
-			So(codeOf(err), ShouldEqual, platform.CodeExpired)
+			So(codeOf(err), ShouldEqual, provider.CodeExpired)
 			b, err := c.Read(ctx, 3, 2, 0)
 			So(err, ShouldBeNil)
 			So([]int64{b.First, b.End, int64(len(b.Records))}, ShouldResemble, []int64{3, 6, 2})
@@ -53,10 +53,10 @@
 		Convey("loses answers after and without effect", func() {
 			l.SetSwitches(LogSwitches{LoseAfterEffect: 1})
 			_, err := c.Append(ctx, []byte("a"))
-			So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+			So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
 			l.SetSwitches(LogSwitches{LoseWithoutEffect: 1})
 			_, err = c.Append(ctx, []byte("b"))
-			So(codeOf(err), ShouldEqual, platform.CodeUnknownOutcome)
+			So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
 			off, err := c.Append(ctx, []byte("c"))
 			So(err, ShouldBeNil)
 			So(off, ShouldEqual, 2)
@@ -66,15 +66,15 @@
 			go func() { _, err := c.Read(ctx, 1, 10, 5*time.Second); done <- err }()
 			time.Sleep(20 * time.Millisecond)
 			l.SetSwitches(LogSwitches{Down: DownRefuse})
-			So(codeOf(<-done), ShouldEqual, platform.CodeUnavailable)
+			So(codeOf(<-done), ShouldEqual, provider.CodeUnavailable)
 		})
 	})
 }
 
 func TestHostsLag(t *testing.T) {
 	Convey("a change is visible after the lag and not before", t, func() {
-		h := NewHosts(50*time.Millisecond, platform.Host{Name: "a", State: platform.HostLive})
-		h.Set(platform.Host{Name: "a", State: HostGone})
+		h := NewHosts(50*time.Millisecond, provider.Host{Name: "a", State: provider.HostLive})
+		h.Set(provider.Host{Name: "a", State: HostGone})
 		So(h.List(), ShouldHaveLength, 1)
 		time.Sleep(60 * time.Millisecond)
 		So(h.List(), ShouldBeEmpty)
@@ -101,11 +101,11 @@
 // send makes one work request and returns status and refusal code.
 func (b *bed) send(key string, shard int32, epoch uint64, deadline string) (int, string) {
 	req, _ := http.NewRequest("POST", "http://"+b.addr+"/v1/work/"+key+"?tag=x", nil)
-	req.Header.Set(platform.HeaderWorkload, "orders")
-	req.Header.Set(platform.HeaderShard, strconv.Itoa(int(shard)))
-	req.Header.Set(platform.HeaderEpoch, strconv.FormatUint(epoch, 10))
+	req.Header.Set(provider.HeaderWorkload, "orders")
+	req.Header.Set(provider.HeaderShard, strconv.Itoa(int(shard)))
+	req.Header.Set(provider.HeaderEpoch, strconv.FormatUint(epoch, 10))
 	if deadline != "" {
-		req.Header.Set(platform.HeaderDeadlineMS, deadline)
+		req.Header.Set(provider.HeaderDeadlineMS, deadline)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -113,10 +113,10 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, resp.Header.Get(platform.HeaderCode)
+	return resp.StatusCode, resp.Header.Get(provider.HeaderCode)
 }
 
-func (b *bed) grant(g platform.Grant) platform.GrantReply {
+func (b *bed) grant(g provider.Grant) provider.GrantReply {
 	r, err := b.ctl.Grant(context.Background(), g)
 	So(err, ShouldBeNil)
 	return r
@@ -137,22 +137,22 @@
 func TestFence(t *testing.T) {
 	key := "k1"
 	shard := int32(xxhash.Sum64String(key) % 4)
-	hold := func(v uint64, e uint64) platform.Grant {
-		return platform.Grant{Granter: "g", LeaseMS: 200, Version: v, HasShards: true,
-			Shards: []platform.ShardEpoch{{Workload: "orders", Shard: shard, Epoch: e}}}
+	hold := func(v uint64, e uint64) provider.Grant {
+		return provider.Grant{Granter: "g", LeaseMS: 200, Version: v, HasShards: true,
+			Shards: []provider.ShardEpoch{{Workload: "orders", Shard: shard, Epoch: e}}}
 	}
 	Convey("a fencing target", t, func() {
 		b, stop := newBed(TargetConfig{Fencing: true, ServiceMS: 40, Slots: 4})
 		defer stop()
 		g := hold(5, 2)
 		r := b.grant(g)
-		So(r.Result, ShouldEqual, platform.GrantNonce)
+		So(r.Result, ShouldEqual, provider.GrantNonce)
 		status, code := b.send(key, shard, 2, "")
 		So(status, ShouldEqual, 409)
-		So(code, ShouldEqual, platform.RefusalNotOwner)
+		So(code, ShouldEqual, provider.RefusalNotOwner)
 		g.Nonce = r.Nonce
 		r = b.grant(g)
-		So(r.Result, ShouldEqual, platform.GrantAccepted)
+		So(r.Result, ShouldEqual, provider.GrantAccepted)
 
 		Convey("checks epoch, shard and key, and hot keys", func() {
 			status, _ = b.send(key, shard, 2, "")
@@ -162,8 +162,8 @@
 			status, _ = b.send(key, (shard+1)%4, 2, "")
 			So(status, ShouldEqual, 409)
 			g := hold(6, 2)
-			g.Nonce, g.HotKeys = r.Nonce, []platform.HotKey{{Workload: "orders", Key: key, Shard: 4}}
-			So(b.grant(g).Result, ShouldEqual, platform.GrantAccepted)
+			g.Nonce, g.HotKeys = r.Nonce, []provider.HotKey{{Workload: "orders", Key: key, Shard: 4}}
+			So(b.grant(g).Result, ShouldEqual, provider.GrantAccepted)
 			status, _ = b.send(key, shard, 2, "")
 			So(status, ShouldEqual, 409)
 		})
@@ -171,27 +171,27 @@
 			old := hold(4, 1)
 			old.Nonce = r.Nonce
 			r = b.grant(old)
-			So(r.Result, ShouldEqual, platform.GrantStale)
-			So(b.grant(platform.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 6}).Result, ShouldEqual, platform.GrantNeedShards)
-			So(b.grant(platform.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 5}).Result, ShouldEqual, platform.GrantAccepted)
+			So(r.Result, ShouldEqual, provider.GrantStale)
+			So(b.grant(provider.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 6}).Result, ShouldEqual, provider.GrantNeedShards)
+			So(b.grant(provider.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 5}).Result, ShouldEqual, provider.GrantAccepted)
 		})
 		Convey("counts the lease from the nonce", func() {
 			time.Sleep(120 * time.Millisecond)
-			renew := platform.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 5}
-			So(b.grant(renew).Result, ShouldEqual, platform.GrantAccepted)
+			renew := provider.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 5}
+			So(b.grant(renew).Result, ShouldEqual, provider.GrantAccepted)
 			time.Sleep(100 * time.Millisecond)
 			status, _ = b.send(key, shard, 2, "")
 			So(status, ShouldEqual, 409)
-			So(b.grant(renew).Result, ShouldEqual, platform.GrantNonce)
+			So(b.grant(renew).Result, ShouldEqual, provider.GrantNonce)
 		})
 		Convey("lists a dropped shard as draining and lets its run finish", func() {
 			done := make(chan int)
 			go func() { s, _ := b.send(key, shard, 2, ""); done <- s }()
 			time.Sleep(15 * time.Millisecond)
-			r = b.grant(platform.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 7, HasShards: true})
+			r = b.grant(provider.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 7, HasShards: true})
 			So(r.Draining, ShouldHaveLength, 1)
 			So(<-done, ShouldEqual, 200)
-			r = b.grant(platform.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 7})
+			r = b.grant(provider.Grant{Granter: "g", Nonce: r.Nonce, LeaseMS: 200, Version: 7})
 			So(r.Draining, ShouldBeEmpty)
 		})
 		Convey("lets no run of an ended lease take effect, even after a new lease", func() {
@@ -202,7 +202,7 @@
 			r = b.grant(hold(5, 2))
 			again := hold(5, 2)
 			again.Nonce = r.Nonce
-			So(b.grant(again).Result, ShouldEqual, platform.GrantAccepted)
+			So(b.grant(again).Result, ShouldEqual, provider.GrantAccepted)
 			So(<-done, ShouldEqual, 409)
 			So(b.outcomes(), ShouldResemble, map[RunOutcome]int{RunNotOwner: 1})
 		})
@@ -218,7 +218,7 @@
 		Convey("stops at the deadline with a true not_run", func() {
 			status, code = b.send(key, shard, 2, "10")
 			So(status, ShouldEqual, 503)
-			So(code, ShouldEqual, platform.RefusalDeadline)
+			So(code, ShouldEqual, provider.RefusalDeadline)
 			So(b.outcomes()[RunEffect], ShouldEqual, 0)
 		})
 	})
@@ -273,7 +273,7 @@
 		}
 		_, err := httpplatform.NewTarget(s.Listener.Addr().String(), httpplatform.Options{}).Load(context.Background())
 		// The client may see the closed connection before or after its write.
-		So(codeOf(err), ShouldBeIn, platform.CodeUnknownOutcome, platform.CodeUnavailable)
+		So(codeOf(err), ShouldBeIn, provider.CodeUnknownOutcome, provider.CodeUnavailable)
 		events := 0
 		for _, r := range rec.Since(0) {
 			if r.Event == EventConnection {
@@ -285,13 +285,13 @@
 	Convey("late and false load reports differ from the truth", t, func() {
 		tg := NewTarget(TargetConfig{Name: "t1"}, NewRecorder(nil, true))
 		tg.SetSwitches(TargetSwitches{LoadLagMS: 50, Leaving: true})
-		r, _ := tg.Grant(platform.Grant{})
-		So(r.Load.State, ShouldEqual, platform.TargetServing)
+		r, _ := tg.Grant(provider.Grant{})
+		So(r.Load.State, ShouldEqual, provider.TargetServing)
 		time.Sleep(60 * time.Millisecond)
-		r, _ = tg.Grant(platform.Grant{})
-		So(r.Load.State, ShouldEqual, platform.TargetLeaving)
-		tg.SetSwitches(TargetSwitches{FalseLoad: &platform.LoadReport{Bears: 99}})
-		r, _ = tg.Grant(platform.Grant{})
+		r, _ = tg.Grant(provider.Grant{})
+		So(r.Load.State, ShouldEqual, provider.TargetLeaving)
+		tg.SetSwitches(TargetSwitches{FalseLoad: &provider.LoadReport{Bears: 99}})
+		r, _ = tg.Grant(provider.Grant{})
 		So(r.Load.Bears, ShouldEqual, 99)
 	})
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -12,7 +12,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/httpplatform"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // TargetConfig describes a target.
@@ -85,7 +85,7 @@
 	// LoadLagMS is the age of load reports, in milliseconds.
 	LoadLagMS int64 `json:"load_lag_ms"`
 	// FalseLoad is reported instead of the load.
-	FalseLoad *platform.LoadReport `json:"false_load"`
+	FalseLoad *provider.LoadReport `json:"false_load"`
 	// Down refuses, cuts or ignores all requests.
 	Down Down `json:"down"`
 }
@@ -93,7 +93,7 @@
 // loadSample is the load at one time.
 type loadSample struct {
 	at   time.Duration
-	load platform.LoadReport
+	load provider.LoadReport
 }
 
 // maxLoadSamples limits the kept history of the load.
@@ -219,13 +219,13 @@
 }
 
 // load returns the true load. The mutex is held.
-func (t *Target) load() platform.LoadReport {
-	l := platform.LoadReport{State: platform.TargetServing, Incarnation: t.fence.incarnation, InFlight: len(t.running), Bears: t.bears()}
+func (t *Target) load() provider.LoadReport {
+	l := provider.LoadReport{State: provider.TargetServing, Incarnation: t.fence.incarnation, InFlight: len(t.running), Bears: t.bears()}
 	switch {
 	case t.switches.Leaving:
-		l.State = platform.TargetLeaving
+		l.State = provider.TargetLeaving
 	case t.cold:
-		l.State = platform.TargetCold
+		l.State = provider.TargetCold
 	}
 	return l
 }
@@ -239,7 +239,7 @@
 }
 
 // report returns the load as the target reports it. The mutex is held.
-func (t *Target) report() platform.LoadReport {
+func (t *Target) report() provider.LoadReport {
 	if t.switches.FalseLoad != nil {
 		return *t.switches.FalseLoad
 	}
@@ -262,7 +262,7 @@
 	t.awaitThaw()
 	switch t.Switches().Down {
 	case DownRefuse:
-		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+		refuse(w, http.StatusServiceUnavailable, provider.RefusalShed)
 	case DownCut:
 		cutConnection(w)
 	case DownSilent:
@@ -292,7 +292,7 @@
 }
 
 func (t *Target) serveGrant(w http.ResponseWriter, r *http.Request) {
-	var g platform.Grant
+	var g provider.Grant
 	body, err := io.ReadAll(io.LimitReader(r.Body, 16<<20))
 	if err == nil {
 		err = json.Unmarshal(body, &g)
@@ -304,27 +304,27 @@
 	t.awaitThaw()
 	reply, ok := t.Grant(g)
 	if !ok {
-		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+		refuse(w, http.StatusServiceUnavailable, provider.RefusalShed)
 		return
 	}
 	writeJSON(w, reply)
 }
 
 // Grant takes a grant. It returns false while the target has fallen over.
-func (t *Target) Grant(g platform.Grant) (platform.GrantReply, bool) {
+func (t *Target) Grant(g provider.Grant) (provider.GrantReply, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := boottime.Now()
 	if now < t.fallen {
-		return platform.GrantReply{}, false
+		return provider.GrantReply{}, false
 	}
-	res := platform.GrantAccepted
+	res := provider.GrantAccepted
 	if t.cfg.Fencing {
 		res = t.fence.grant(g, now)
 	} else {
 		t.fence.version = g.Version
 	}
-	reply := platform.GrantReply{
+	reply := provider.GrantReply{
 		Result: res, Nonce: t.fence.issue(g.Granter, now), Version: t.fence.version,
 		Incarnation: t.fence.incarnation, Load: t.report(),
 	}
@@ -339,7 +339,7 @@
 	l, fallen := t.report(), boottime.Now() < t.fallen
 	t.mu.Unlock()
 	if fallen {
-		refuse(w, http.StatusServiceUnavailable, platform.RefusalShed)
+		refuse(w, http.StatusServiceUnavailable, provider.RefusalShed)
 		return
 	}
 	writeJSON(w, l)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/journal"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Self identifies this entry host.
@@ -36,8 +36,8 @@
 	// Fit says that the target answers its granter.
 	Fit bool
 	// State, Load and Incarnation are the target's own words and may lag.
-	State       platform.TargetState
-	Load        platform.LoadReport
+	State       provider.TargetState
+	Load        provider.LoadReport
 	Incarnation string
 	// Since is when the target's present incarnation was first seen, on the
 	// boot-time clock; zero when unknown.
--- a/lease/api.go
+++ b/lease/api.go
@@ -5,7 +5,7 @@
 
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Event is an input of Step.
@@ -32,7 +32,7 @@
 	GrantAnswer struct {
 		Target string
 		Seq    uint64
-		Reply  platform.GrantReply
+		Reply  provider.GrantReply
 	}
 
 	// GrantFailed says that a SendGrant had no answer or was not written.
@@ -95,7 +95,7 @@
 		Target string
 		// Seq ties the answer to the grant.
 		Seq   uint64
-		Grant platform.Grant
+		Grant provider.Grant
 	}
 
 	// AskConsent asks another granter of the domain for its consent, by
--- a/lease/bench_test.go
+++ b/lease/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // domainAtDesignScale returns a state of 1,200 targets and 65,536 shards, of
@@ -65,12 +65,12 @@
 				if !g.MayRenew(now, s) {
 					b.Fatal("not allowed")
 				}
-				res := platform.GrantAccepted
+				res := provider.GrantAccepted
 				if s.Grant.Nonce == "" {
-					res = platform.GrantNonce
+					res = provider.GrantNonce
 				}
 				grants++
-				step(GrantAnswer{Target: s.Target, Seq: s.Seq, Reply: platform.GrantReply{Result: res, Nonce: "n", Version: s.Grant.Version, Incarnation: "1"}})
+				step(GrantAnswer{Target: s.Target, Seq: s.Seq, Reply: provider.GrantReply{Result: res, Nonce: "n", Version: s.Grant.Version, Incarnation: "1"}})
 			}
 		}
 	}
--- a/lease/consent_test.go
+++ b/lease/consent_test.go
@@ -9,7 +9,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // The model check found two owners: a granter that could not read the log took
@@ -55,8 +55,8 @@
 		g := New(DefaultConfig(), Self{})
 		g.state = journal.NewState()
 		g.state.Table.AddWorkload("w", 8)
-		running := func(shard int32) platform.ShardEpoch {
-			return platform.ShardEpoch{Workload: "w", Shard: shard, Epoch: 1}
+		running := func(shard int32) provider.ShardEpoch {
+			return provider.ShardEpoch{Workload: "w", Shard: shard, Epoch: 1}
 		}
 		shares := func(a, b int32) bool { return g.mayShareKey(running(a), ownership.ID{Workload: "w", Shard: b}) }
 		So(shares(3, 3), ShouldBeTrue)
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -8,7 +8,7 @@
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // The only granter of a domain fetches a nonce from a target, then grants it
@@ -45,8 +45,8 @@
 	}
 	g.Step(0, lease.Published{State: state})
 	first := show(g.Step(0, lease.LogRead{Start: 0, End: state.Next}))
-	g.Step(1*time.Millisecond, lease.GrantAnswer{Target: "t1", Seq: first.Seq, Reply: platform.GrantReply{
-		Result: platform.GrantNonce, Nonce: "n1", Incarnation: "x"}})
+	g.Step(1*time.Millisecond, lease.GrantAnswer{Target: "t1", Seq: first.Seq, Reply: provider.GrantReply{
+		Result: provider.GrantNonce, Nonce: "n1", Incarnation: "x"}})
 	// The log is read once more, since this incarnation is new to the granter.
 	second := show(g.Step(3*time.Millisecond, lease.LogRead{Start: 2 * time.Millisecond, End: state.Next}))
 	fmt.Println("may write:", g.MayRenew(4*time.Millisecond, second))
--- /dev/null
+++ b/lease/rangegranter.go
@@ -0,0 +1,318 @@
+package lease
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/boragelock/boragelock/ownership"
+)
+
+// RangeConfig holds the settings of a RangeGranter. A zero field takes its
+// default.
+type RangeConfig struct {
+	Holds HoldConfig
+	// Renew is the time between two grants of a run of keys. Default: a quarter
+	// of the hold, so that three may be lost.
+	Renew time.Duration
+	// Retry is the time before a call that failed is repeated. Default: 300 ms.
+	Retry time.Duration
+	// Failing is the time without an accepted grant after which a target counts
+	// as failing. Default: 1.3 s, a renewal and one repeat.
+	Failing time.Duration
+}
+
+func (c RangeConfig) withDefaults() RangeConfig {
+	c.Holds = c.Holds.WithDefaults()
+	set := func(p *time.Duration, v time.Duration) {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	set(&c.Renew, c.Holds.Hold/4)
+	set(&c.Retry, 300*time.Millisecond)
+	set(&c.Failing, 1300*time.Millisecond)
+	return c
+}
+
+// Order is a call to a target that a RangeGranter asks for.
+type Order struct {
+	// Release tells a release from a grant.
+	Release bool
+	Target  string
+	From    int
+	To      int
+	Fence   uint64
+	// Hold and Handover belong to grants.
+	Hold     time.Duration
+	Handover string
+}
+
+// former is a target from which a run of keys is taken.
+type former struct {
+	id       string
+	holding  Holding
+	released bool
+	busy     bool
+	next     time.Duration
+}
+
+// run is one segment of the table with the state of its grants.
+type run struct {
+	ownership.Segment
+	holding Holding
+	formers []former
+	// granted says that the owner accepted a grant of this granter.
+	granted  bool
+	handover string
+	busy     bool
+	next     time.Duration
+	// moved is when the run was last given to another owner.
+	moved time.Duration
+	// since is the time of the last accepted grant, or the first attempt.
+	since time.Duration
+}
+
+// RangeGranter grants the keys of one range-partitioned workload in one term.
+//
+// It grants a run to its owner only after each former owner released it or its
+// hold has ended, and never grants a run to a former owner. A move may be
+// passed to SetTable only after it was stored, so that a later granter knows
+// each target that may hold keys.
+//
+// It performs no I/O: Tick returns calls to be made, and their results come
+// back through Granted and Released. It is not safe for concurrent use.
+type RangeGranter struct {
+	cfg  RangeConfig
+	term *Term
+	runs []*run
+	// lastOK is when each target last accepted a grant.
+	lastOK map[string]time.Duration
+	// changed says that the set of granted runs differs from the last View.
+	changed bool
+}
+
+// NewRangeGranter returns a granter of a table that was read from the store
+// after the term began. The owners may hold their keys from earlier terms
+// unless the table is new.
+func NewRangeGranter(cfg RangeConfig, term *Term, table *ownership.RangeTable, isNew bool) *RangeGranter {
+	g := &RangeGranter{cfg: cfg.withDefaults(), term: term, lastOK: map[string]time.Duration{}, changed: true}
+	for _, s := range table.Segments {
+		r := &run{Segment: s, since: term.began, moved: -time.Hour}
+		if !isNew {
+			r.holding = Inherit(term)
+		}
+		for _, id := range s.Former {
+			r.formers = append(r.formers, former{id: id, holding: Former(term)})
+		}
+		g.runs = append(g.runs, r)
+	}
+	return g
+}
+
+// SetTable takes a table that was stored.
+func (g *RangeGranter) SetTable(now time.Duration, table *ownership.RangeTable) {
+	old := g.runs
+	g.runs = make([]*run, 0, len(table.Segments))
+	for _, s := range table.Segments {
+		g.runs = append(g.runs, follow(now, old, s))
+	}
+	g.changed = true
+}
+
+// follow makes the run of a new segment from the runs that it overlaps.
+func follow(now time.Duration, old []*run, s ownership.Segment) *run {
+	first := sort.Search(len(old), func(i int) bool { return old[i].To >= s.From })
+	if old[first].From == s.From && old[first].To == s.To && old[first].Owner == s.Owner {
+		old[first].Segment = s
+		return old[first]
+	}
+	r := &run{Segment: s, granted: true, moved: -time.Hour, since: now}
+	known := map[string]Holding{}
+	for _, o := range old[first:] {
+		if o.From > s.To {
+			break
+		}
+		known[o.Owner] = known[o.Owner].join(o.holding)
+		for _, f := range o.formers {
+			known[f.id] = known[f.id].join(f.holding)
+		}
+		if o.Owner != s.Owner {
+			r.granted, r.moved = false, now
+			continue
+		}
+		r.granted = r.granted && o.granted
+		r.moved = max(r.moved, o.moved)
+		r.since = min(r.since, o.since)
+		r.busy = r.busy || o.busy
+	}
+	if len(s.Former) > 0 {
+		r.granted = false
+	}
+	r.holding = known[s.Owner]
+	r.busy = false
+	for _, id := range s.Former {
+		r.formers = append(r.formers, former{id: id, holding: known[id]})
+	}
+	return r
+}
+
+// Tick returns the calls that are due. reachable tells whether a target can be
+// called; the others' holds are waited for.
+func (g *RangeGranter) Tick(now time.Duration, reachable func(id string) bool) []Order {
+	if !g.term.MayGrant(now) {
+		return nil
+	}
+	var orders []Order
+	for _, r := range g.runs {
+		if g.waits(now, r) {
+			orders = g.releases(now, r, reachable, orders)
+			continue
+		}
+		if r.busy || now < r.next || !reachable(r.Owner) {
+			continue
+		}
+		r.busy = true
+		r.holding.Sent(g.cfg.Holds, now)
+		orders = append(orders, Order{
+			Target: r.Owner, From: r.From, To: r.To, Fence: g.term.Fence(), Hold: g.cfg.Holds.Hold, Handover: r.handover,
+		})
+	}
+	return orders
+}
+
+// waits reports whether a former owner may still hold keys of the run.
+func (g *RangeGranter) waits(now time.Duration, r *run) bool {
+	for i := range r.formers {
+		if !r.formers[i].holding.Free(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *RangeGranter) releases(now time.Duration, r *run, reachable func(string) bool, orders []Order) []Order {
+	for i := range r.formers {
+		f := &r.formers[i]
+		if f.released || f.busy || now < f.next || !reachable(f.id) {
+			continue
+		}
+		f.busy = true
+		orders = append(orders, Order{Release: true, Target: f.id, From: r.From, To: r.To, Fence: g.term.Fence()})
+	}
+	return orders
+}
+
+func (g *RangeGranter) find(o Order) *run {
+	i := sort.Search(len(g.runs), func(i int) bool { return g.runs[i].To >= o.From })
+	if i == len(g.runs) || g.runs[i].From != o.From || g.runs[i].To != o.To {
+		return nil
+	}
+	return g.runs[i]
+}
+
+// Granted takes the result of a grant.
+func (g *RangeGranter) Granted(now time.Duration, o Order, ok bool) {
+	if ok {
+		g.lastOK[o.Target] = now
+	}
+	r := g.find(o)
+	if r == nil || r.Owner != o.Target {
+		return
+	}
+	r.busy = false
+	if !ok {
+		r.next = now + g.cfg.Retry
+		return
+	}
+	r.next, r.since, r.handover = now+g.cfg.Renew, now, ""
+	r.holding.Answered(g.cfg.Holds, now)
+	if !r.granted {
+		r.granted, g.changed = true, true
+		r.formers = nil
+	}
+}
+
+// Released takes the result of a release.
+func (g *RangeGranter) Released(now time.Duration, o Order, handover string, ok bool) {
+	r := g.find(o)
+	if r == nil {
+		return
+	}
+	for i := range r.formers {
+		f := &r.formers[i]
+		if f.id != o.Target {
+			continue
+		}
+		f.busy = false
+		if !ok {
+			f.next = now + g.cfg.Retry
+			continue
+		}
+		f.released = true
+		f.holding.Released()
+		if handover != "" {
+			r.handover = handover
+		}
+	}
+}
+
+// Restarted notes that a target started anew under its ID: it holds nothing.
+func (g *RangeGranter) Restarted(id string) {
+	for _, r := range g.runs {
+		if r.Owner == id {
+			r.next = 0
+		}
+	}
+}
+
+// Failing returns the owners without an accepted grant for a while.
+func (g *RangeGranter) Failing(now time.Duration) []string {
+	var ids []string
+	for _, r := range g.runs {
+		if len(r.formers) == 0 && now-max(r.since, g.lastOK[r.Owner]) > g.cfg.Failing {
+			ids = append(ids, r.Owner)
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// Settled reports whether a run may be moved for the sake of load: nothing is
+// under way for it and its last move is a while ago.
+func (g *RangeGranter) Settled(now time.Duration, s ownership.Segment, quiet time.Duration) bool {
+	r := g.find(Order{From: s.From, To: s.To})
+	return r != nil && r.granted && !r.busy && now-r.moved >= quiet && !r.holding.Inherited()
+}
+
+// Done lists segments whose former owners are no longer waited for, though the
+// stored table still names them.
+func (g *RangeGranter) Done() []ownership.Segment {
+	var done []ownership.Segment
+	for _, r := range g.runs {
+		if r.granted && len(r.Former) > 0 {
+			done = append(done, r.Segment)
+		}
+	}
+	return done
+}
+
+// RangeView is a run of keys as the request path sees it.
+type RangeView struct {
+	From  int    `json:"f"`
+	To    int    `json:"t"`
+	Owner string `json:"o"`
+	// Ready says that the owner accepted a grant of the keys.
+	Ready bool `json:"r"`
+}
+
+// View returns the runs, and whether they differ from the last call's.
+func (g *RangeGranter) View() ([]RangeView, bool) {
+	changed := g.changed
+	g.changed = false
+	view := make([]RangeView, len(g.runs))
+	for i, r := range g.runs {
+		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: r.granted}
+	}
+	return view, changed
+}
--- a/lease/release.go
+++ b/lease/release.go
@@ -8,7 +8,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // releaseBatch limits the shards of one released record, so that a record
@@ -176,12 +176,12 @@
 // acknowledged takes a target's accepted grant as its word on the waiting
 // shards. The grant must have been sent after everything that could have let
 // another granter give the old list to a restarted target.
-func (g *Granter) acknowledged(t *target, reply platform.GrantReply) {
+func (g *Granter) acknowledged(t *target, reply provider.GrantReply) {
 	if reply.Version < t.version || t.renewal.version < t.version || !g.ackCounts(t) {
 		return
 	}
 	for _, w := range t.waiting {
-		if !slices.ContainsFunc(reply.Draining, func(s platform.ShardEpoch) bool { return g.mayShareKey(s, w.released.ID) }) {
+		if !slices.ContainsFunc(reply.Draining, func(s provider.ShardEpoch) bool { return g.mayShareKey(s, w.released.ID) }) {
 			t.acked[w.released] = true
 		}
 	}
@@ -191,7 +191,7 @@
 // can be for a key of another shard of the same target: the shard itself, or a
 // hashed and a split shard, since a split or merge moves a key between them
 // while its requests run on under the former number and epoch.
-func (g *Granter) mayShareKey(running platform.ShardEpoch, id ownership.ID) bool {
+func (g *Granter) mayShareKey(running provider.ShardEpoch, id ownership.ID) bool {
 	if running.Workload != id.Workload {
 		return false
 	}
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // renewal is this granter's exchange with one fenced target.
@@ -102,7 +102,7 @@
 func (g *Granter) grant(now time.Duration, t *target) SendGrant {
 	r := &t.renewal
 	g.seq++
-	msg := platform.Grant{Granter: g.self.Host, LeaseMS: g.cfg.Lease.Milliseconds(), Version: t.version}
+	msg := provider.Grant{Granter: g.self.Host, LeaseMS: g.cfg.Lease.Milliseconds(), Version: t.version}
 	r.seq, r.sentAt, r.version, r.listed, r.nonced = g.seq, now, t.version, false, false
 	r.sent, r.nextAt = true, now+g.cfg.RenewEvery
 	// An old nonce would give a short lease; a new one costs one exchange.
@@ -144,16 +144,16 @@
 	}
 	r.nonce, r.nonceAt = e.Reply.Nonce, now
 	switch e.Reply.Result {
-	case platform.GrantAccepted:
+	case provider.GrantAccepted:
 		r.accepted, r.acceptedAt = true, now
 		r.known, r.holds = r.known || r.listed, r.version
 		g.acknowledged(t, e.Reply)
-	case platform.GrantStale:
+	case provider.GrantStale:
 		r.stale = max(r.stale, e.Reply.Version)
-	case platform.GrantNeedShards:
+	case provider.GrantNeedShards:
 		r.known = false
 		r.nextAt = g.again(now, r.listed)
-	case platform.GrantNonce:
+	case provider.GrantNonce:
 		r.nextAt = g.again(now, r.nonced)
 	}
 }
--- a/lease/target.go
+++ b/lease/target.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // target is what is known of one target with keyed work.
@@ -17,8 +17,8 @@
 	version uint64
 	// shards are those that it holds actively in the state, hot the split keys
 	// that concern them.
-	shards []platform.ShardEpoch
-	hot    []platform.HotKey
+	shards []provider.ShardEpoch
+	hot    []provider.HotKey
 	// waiting are the shards that moved away and wait for release.
 	waiting []waitingShard
 	// lost says that some of them were taken as lost: since lostAt, with the
@@ -111,7 +111,7 @@
 		for n, s := range g.state.Table.Workloads[name].Shards {
 			id := ownership.ID{Workload: name, Shard: int32(n)}
 			if t := g.targets[s.Owner]; t != nil && s.Active() {
-				t.shards = append(t.shards, platform.ShardEpoch{Workload: name, Shard: id.Shard, Epoch: s.Epoch})
+				t.shards = append(t.shards, provider.ShardEpoch{Workload: name, Shard: id.Shard, Epoch: s.Epoch})
 			}
 			if t := g.targets[s.Previous]; t != nil && s.Waiting != 0 {
 				r := ownership.ReleasedShard{ID: id, Epoch: s.Waiting}
@@ -182,7 +182,7 @@
 		for _, key := range slices.Sorted(maps.Keys(w.Hot)) {
 			n := w.Hot[key]
 			if held[ownership.ID{Workload: name, Shard: n}] || held[ownership.ID{Workload: name, Shard: w.HashShard(key)}] {
-				t.hot = append(t.hot, platform.HotKey{Workload: name, Key: key, Shard: n})
+				t.hot = append(t.hot, provider.HotKey{Workload: name, Key: key, Shard: n})
 			}
 		}
 	}
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -11,7 +11,7 @@
 	"github.com/boragelock/boragelock/contract"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const ms = time.Millisecond
@@ -534,25 +534,25 @@
 func (t *simTarget) leased(w *world) bool { return t.up && t.clock(w.now) < t.leaseEnd }
 
 // grant applies the rules that docs/platform.md states for targets.
-func (t *simTarget) grant(w *world, g platform.Grant) platform.GrantReply {
+func (t *simTarget) grant(w *world, g provider.Grant) provider.GrantReply {
 	now := t.clock(w.now)
-	rep := platform.GrantReply{Incarnation: t.incarnation(), Result: t.take(w, g, now)}
+	rep := provider.GrantReply{Incarnation: t.incarnation(), Result: t.take(w, g, now)}
 	w.seq++
 	nonce := fmt.Sprint(t.incarnation(), "-", w.seq)
 	t.nonces[g.Granter] = simNonce{nonce, now}
 	rep.Nonce, rep.Version = nonce, t.version
 	for k, ends := range t.draining {
 		if t.leased(w) && w.now < ends {
-			rep.Draining = append(rep.Draining, platform.ShardEpoch{Workload: "w", Shard: w.shardOf(k)})
+			rep.Draining = append(rep.Draining, provider.ShardEpoch{Workload: "w", Shard: w.shardOf(k)})
 			if n, split := w.truth.Table.Workloads["w"].Hot[k]; split {
-				rep.Draining = append(rep.Draining, platform.ShardEpoch{Workload: "w", Shard: n})
+				rep.Draining = append(rep.Draining, provider.ShardEpoch{Workload: "w", Shard: n})
 			}
 		}
 	}
 	return rep
 }
 
-func (t *simTarget) take(w *world, g platform.Grant, now time.Duration) platform.GrantResult {
+func (t *simTarget) take(w *world, g provider.Grant, now time.Duration) provider.GrantResult {
 	n, ok := t.nonces[g.Granter]
 	if t.laxNonce {
 		n, ok = simNonce{g.Nonce, now}, g.Nonce != ""
@@ -560,11 +560,11 @@
 	end := n.at + time.Duration(g.LeaseMS)*ms
 	switch {
 	case !ok || n.value != g.Nonce || end <= now:
-		return platform.GrantNonce
+		return provider.GrantNonce
 	case g.Version < t.version:
-		return platform.GrantStale
+		return provider.GrantStale
 	case !g.HasShards && (g.Version != t.version || !t.hasList):
-		return platform.GrantNeedShards
+		return provider.GrantNeedShards
 	}
 	// Requests of a lease that has ended cannot take effect any more.
 	if !t.leased(w) {
@@ -589,7 +589,7 @@
 			t.draining[k] = w.now + time.Duration(w.rng.IntN(1500))*ms
 		}
 	}
-	return platform.GrantAccepted
+	return provider.GrantAccepted
 }
 
 func (w *world) shardOf(key string) int32 { return w.truth.Table.Workloads["w"].HashShard(key) }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 // Kind tells targets from entry hosts.
@@ -73,7 +73,7 @@
 		Fresh       bool
 		Incarnation string
 		// State is what a target says of itself; empty for hosts.
-		State platform.TargetState
+		State provider.TargetState
 	}
 
 	// Failed says that an attempt had no answer within its time, or was refused.
@@ -101,7 +101,7 @@
 
 	// Listed is the platform's list of hosts; target hosts and entry hosts
 	// are in it by their names.
-	Listed struct{ Hosts []platform.Host }
+	Listed struct{ Hosts []provider.Host }
 )
 
 func (Tick) observation()         {}
@@ -182,7 +182,7 @@
 	// goodAt is the latest GoodEndpoint.Start.
 	goodAt  time.Duration
 	hasGood bool
-	list    map[string]platform.HostState
+	list    map[string]provider.HostState
 	listAt  time.Duration
 	ownSide bool
 }
@@ -224,7 +224,7 @@
 			keep[k] = true
 			if t.nodes[k] == nil {
 				t.nodes[k] = &node{fit: Fitness{State: Unknown}, reports: map[string]Reported{}}
-				t.nodes[k].listLeaving = t.list[name] == platform.HostLeaving
+				t.nodes[k].listLeaving = t.list[name] == provider.HostLeaving
 			}
 		}
 	}
@@ -252,7 +252,7 @@
 	}
 	// An older answer may still be under way when a node starts to leave, so
 	// within one incarnation "leaving" is never taken back.
-	n.selfLeaving = n.selfLeaving || e.State == platform.TargetLeaving
+	n.selfLeaving = n.selfLeaving || e.State == provider.TargetLeaving
 	n.fit.LastOK = now
 	n.fails, n.failing, n.openFailed = 0, false, false
 	return out
@@ -289,12 +289,12 @@
 }
 
 func (t *Tracker) listed(now time.Duration, l Listed) {
-	t.list, t.listAt = make(map[string]platform.HostState, len(l.Hosts)), now
+	t.list, t.listAt = make(map[string]provider.HostState, len(l.Hosts)), now
 	for _, h := range l.Hosts {
 		t.list[h.Name] = h.State
 	}
 	for k, n := range t.nodes {
-		n.listLeaving = t.list[k.Name] == platform.HostLeaving
+		n.listLeaving = t.list[k.Name] == provider.HostLeaving
 	}
 }
 
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/provider"
 )
 
 const ms = time.Millisecond
@@ -101,14 +101,14 @@
 func TestPlatformList(t *testing.T) {
 	Convey("the list alone makes nothing lost, but leaving is believed", t, func() {
 		tr := watched(4)
-		tr.Step(10*ms, Listed{Hosts: []platform.Host{{Name: "t0", State: platform.HostLeaving}}})
+		tr.Step(10*ms, Listed{Hosts: []provider.Host{{Name: "t0", State: provider.HostLeaving}}})
 		So(tr.Get(target("t0")).State, ShouldEqual, Leaving)
 		So(tr.Get(target("t1")).State, ShouldEqual, Fit)
 		So(tr.Gone(20*ms, "h1"), ShouldBeFalse)
 		tr.Step(30*ms, SaysLeaving{target("t1")})
-		tr.Step(31*ms, Answered{Node: target("t1"), Incarnation: "a", State: platform.TargetServing})
+		tr.Step(31*ms, Answered{Node: target("t1"), Incarnation: "a", State: provider.TargetServing})
 		So(tr.Get(target("t1")).State, ShouldEqual, Leaving)
-		tr.Step(40*ms, Answered{Node: target("t1"), Incarnation: "b", State: platform.TargetCold})
+		tr.Step(40*ms, Answered{Node: target("t1"), Incarnation: "b", State: provider.TargetCold})
 		So(tr.Get(target("t1")).State, ShouldEqual, Fit)
 	})
 }
--- /dev/null
+++ b/ownership/rangeplan.go
@@ -0,0 +1,298 @@
+package ownership
+
+import (
+	"slices"
+	"sort"
+)
+
+// RangeTarget is a target that may own keys of a range-partitioned workload.
+type RangeTarget struct {
+	ID string
+	// Capacity is the work that it bears, in busy slots.
+	Capacity float64
+	// Service is the mean time of one request on it, in seconds.
+	Service float64
+	// Receives says that keys may be moved to it. Targets that leave or whose
+	// domain is evacuated keep no keys and are not listed.
+	Receives bool
+}
+
+// RangePlanConfig holds the settings of PlanRanges. A zero field takes its
+// default.
+type RangePlanConfig struct {
+	// Hot is the part of its capacity from which a target gives keys away,
+	// without unit. Default: 0.75.
+	Hot float64
+	// Spread is the ratio of a target's load to the mean from which it gives
+	// keys away, without unit. Default: 1.4.
+	Spread float64
+	// Join is the part of the mean load that a target without keys is given.
+	// Default: 0.7.
+	Join float64
+	// MaxMoves limits the moves of one plan. Default: 8.
+	MaxMoves int
+}
+
+func (c RangePlanConfig) withDefaults() RangePlanConfig {
+	set := func(p *float64, v float64) {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	set(&c.Hot, 0.75)
+	set(&c.Spread, 1.4)
+	set(&c.Join, 0.7)
+	if c.MaxMoves == 0 {
+		c.MaxMoves = 8
+	}
+	return c
+}
+
+// RangeInput is what a plan of one workload is made from.
+type RangeInput struct {
+	Table *RangeTable
+	// Targets are the usable targets.
+	Targets []RangeTarget
+	// Rates are the requests per second of each key.
+	Rates []float32
+	// Settled reports whether the keys of a segment may be moved: a segment that
+	// was moved shortly before stays.
+	Settled func(Segment) bool
+}
+
+// restRate is the rate in requests per second that all keys together are taken
+// to have besides the observed one, so that keys without requests are spread.
+const restRate = 2.0
+
+// rangePlan is the state of one call of PlanRanges.
+type rangePlan struct {
+	cfg   RangePlanConfig
+	in    RangeInput
+	table *RangeTable
+	// prefix[k] is the rate of the keys below k.
+	prefix []float64
+	load   map[string]float64 // busy slots
+	byID   map[string]*RangeTarget
+	moves  []RangeMove
+}
+
+// PlanRanges returns the moves that bring keys away from targets that are gone,
+// give keys to targets without any, and cut hot runs of keys over several
+// targets, with few keys moved.
+//
+// Load pattern: 200 neighbouring keys out of 65,536 draw a third or more of a
+// workload's requests for seconds, several times what one target bears. The
+// shortest run with enough requests is moved, so that some dozens of keys carry
+// the load away and the rest stays.
+func PlanRanges(cfg RangePlanConfig, in RangeInput) []RangeMove {
+	p := &rangePlan{cfg: cfg.withDefaults(), in: in, table: in.Table, byID: map[string]*RangeTarget{}, load: map[string]float64{}}
+	for i := range in.Targets {
+		p.byID[in.Targets[i].ID] = &in.Targets[i]
+	}
+	if len(p.byID) == 0 {
+		return nil
+	}
+	p.prefix = make([]float64, RangeKeys+1)
+	for k := range RangeKeys {
+		p.prefix[k+1] = p.prefix[k] + float64(in.Rates[k]) + restRate/RangeKeys
+	}
+	for _, s := range in.Table.Segments {
+		if t := p.byID[s.Owner]; t != nil {
+			p.load[s.Owner] += p.rate(s.From, s.To) * t.Service
+		}
+	}
+	p.orphans()
+	p.joiners()
+	p.relieve()
+	return p.moves
+}
+
+func (p *rangePlan) rate(from, to int) float64 { return p.prefix[to+1] - p.prefix[from] }
+
+// used returns the part of its capacity that a target uses.
+func (p *rangePlan) used(t *RangeTarget) float64 { return p.load[t.ID] / t.Capacity }
+
+// mean returns the part of all capacity that is used.
+func (p *rangePlan) mean() float64 {
+	load, capacity := 0.0, 0.0
+	for i := range p.in.Targets {
+		load += p.load[p.in.Targets[i].ID]
+		capacity += p.in.Targets[i].Capacity
+	}
+	return load / capacity
+}
+
+// coolest returns the receiving target that uses the least part of its capacity.
+func (p *rangePlan) coolest() *RangeTarget {
+	var best *RangeTarget
+	for i := range p.in.Targets {
+		t := &p.in.Targets[i]
+		if t.Receives && (best == nil || p.used(t) < p.used(best)) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (p *rangePlan) move(from, to int, owner *RangeTarget) {
+	for _, s := range p.table.Segments {
+		lo, hi := max(s.From, from), min(s.To, to)
+		if lo > hi {
+			continue
+		}
+		if t := p.byID[s.Owner]; t != nil {
+			p.load[s.Owner] -= p.rate(lo, hi) * t.Service
+		}
+	}
+	p.load[owner.ID] += p.rate(from, to) * owner.Service
+	m := RangeMove{From: from, To: to, Owner: owner.ID}
+	p.moves = append(p.moves, m)
+	p.table = p.table.Move(m)
+}
+
+// orphans gives the keys of targets that are gone to the others, in pieces of
+// about what one of them has room for.
+func (p *rangePlan) orphans() {
+	for _, s := range p.table.Segments {
+		if p.byID[s.Owner] != nil {
+			continue
+		}
+		for from := s.From; from <= s.To; {
+			t := p.coolest()
+			if t == nil {
+				return
+			}
+			room := max(p.mean()*t.Capacity-p.load[t.ID], 0.25*t.Capacity) / t.Service
+			to := p.reach(from, s.To, room)
+			p.move(from, to, t)
+			from = to + 1
+		}
+	}
+}
+
+// reach returns the last key up to limit for which the keys from on have at
+// most the given rate; it is from at least.
+func (p *rangePlan) reach(from, limit int, rate float64) int {
+	n := sort.Search(limit-from, func(i int) bool { return p.rate(from, from+1+i) > rate })
+	return from + n
+}
+
+// joiners gives keys to targets that have none.
+func (p *rangePlan) joiners() {
+	owned := p.table.Owned()
+	for i := range p.in.Targets {
+		t := &p.in.Targets[i]
+		if !t.Receives || owned[t.ID] > 0 {
+			continue
+		}
+		p.take(p.fullest(t), t, p.cfg.Join*p.mean()*t.Capacity)
+	}
+}
+
+// fullest returns the target other than t that uses the most of its capacity.
+func (p *rangePlan) fullest(t *RangeTarget) *RangeTarget {
+	var best *RangeTarget
+	for i := range p.in.Targets {
+		x := &p.in.Targets[i]
+		if x != t && (best == nil || p.used(x) > p.used(best)) {
+			best = x
+		}
+	}
+	return best
+}
+
+// relieve moves hot runs from the fullest targets to the coolest.
+func (p *rangePlan) relieve() {
+	stuck := map[string]bool{}
+	for len(p.moves) < p.cfg.MaxMoves {
+		var hot *RangeTarget
+		for i := range p.in.Targets {
+			t := &p.in.Targets[i]
+			if !stuck[t.ID] && (hot == nil || p.used(t) > p.used(hot)) {
+				hot = t
+			}
+		}
+		cool := p.coolest()
+		mean := p.mean()
+		if hot == nil || cool == nil || hot == cool || p.used(hot) < max(p.cfg.Hot, p.cfg.Spread*mean) {
+			return
+		}
+		level := max(mean, p.cfg.Hot*0.6)
+		excess := p.load[hot.ID] - level*hot.Capacity
+		room := (level - p.used(cool)) * cool.Capacity
+		if !p.take(hot, cool, min(excess, max(room, 0))) {
+			stuck[hot.ID] = true
+		}
+	}
+}
+
+// take moves the shortest run of keys that carries about the given load, in
+// busy slots on the giver, and reports whether it found one that helps.
+func (p *rangePlan) take(from, to *RangeTarget, load float64) bool {
+	if from == nil || load <= 0 {
+		return false
+	}
+	want := load / from.Service
+	best := RangeMove{From: -1}
+	for _, s := range p.table.Segments {
+		if s.Owner != from.ID || len(s.Former) > 0 || (p.in.Settled != nil && !p.in.Settled(s)) {
+			continue
+		}
+		if lo, hi, ok := p.shortest(s, want); ok && (best.From < 0 || hi-lo < best.To-best.From) {
+			best = RangeMove{From: lo, To: hi}
+		}
+	}
+	if best.From < 0 {
+		return false
+	}
+	// A run that is heavier than the difference would only exchange the roles.
+	r := p.rate(best.From, best.To)
+	if (p.load[to.ID]+r*to.Service)/to.Capacity >= p.used(from) {
+		return false
+	}
+	p.move(best.From, best.To, to)
+	return true
+}
+
+// shortest returns the shortest run of a segment's keys with at least the given
+// rate, or the whole segment but for one key when it has less.
+func (p *rangePlan) shortest(s Segment, rate float64) (lo, hi int, ok bool) {
+	if s.Len() < 2 {
+		return 0, 0, false
+	}
+	best := RangeMove{From: -1}
+	lo = s.From
+	for hi = s.From; hi <= s.To; hi++ {
+		for lo < hi && p.rate(lo+1, hi) >= rate {
+			lo++
+		}
+		if p.rate(lo, hi) >= rate && (best.From < 0 || hi-lo < best.To-best.From) {
+			best = RangeMove{From: lo, To: hi}
+		}
+	}
+	if best.From < 0 || best.To-best.From+1 == s.Len() {
+		// The hot run is the segment: half of its requests go.
+		total := p.rate(s.From, s.To)
+		if total < rate/4 {
+			return 0, 0, false
+		}
+		cut := p.reach(s.From, s.To-1, total/2)
+		return s.From, cut, true
+	}
+	return best.From, best.To, true
+}
+
+// SortedTargets returns the targets in the order of their IDs, so that the same
+// input gives the same plan on each host.
+func SortedTargets(ts []RangeTarget) []RangeTarget {
+	slices.SortFunc(ts, func(a, b RangeTarget) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return ts
+}
--- /dev/null
+++ b/ownership/ranges.go
@@ -0,0 +1,171 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+)
+
+// RangeKeys is the number of keys of a range-partitioned workload; they are
+// numbered from 0.
+const RangeKeys = 65536
+
+// Segment is a run of neighbouring keys with one owner.
+type Segment struct {
+	// From and To are the first and the last key.
+	From int `json:"f"`
+	To   int `json:"t"`
+	// Owner is the target that holds the keys or is to get them.
+	Owner string `json:"o"`
+	// Former lists targets that may still hold the keys. The owner is granted
+	// them only after each of these has released them or its hold has ended.
+	Former []string `json:"w,omitempty"`
+}
+
+// Len returns the number of keys.
+func (s Segment) Len() int { return s.To - s.From + 1 }
+
+// RangeTable says who owns the keys of one range-partitioned workload. Its
+// segments are in order and cover all keys. A table is immutable.
+type RangeTable struct {
+	Segments []Segment `json:"s"`
+}
+
+// RangeTableError says why a stored table cannot be used.
+type RangeTableError struct{ Reason string }
+
+// Error implements error.
+func (e *RangeTableError) Error() string { return "range table: " + e.Reason }
+
+// DecodeRangeTable decodes and checks a stored table. It fails with
+// *RangeTableError.
+func DecodeRangeTable(b []byte) (*RangeTable, error) {
+	t := &RangeTable{}
+	if err := json.Unmarshal(b, t); err != nil {
+		return nil, &RangeTableError{Reason: err.Error()}
+	}
+	next := 0
+	for _, s := range t.Segments {
+		if s.From != next || s.To < s.From || s.To >= RangeKeys {
+			return nil, &RangeTableError{Reason: fmt.Sprintf("segment %d-%d follows key %d", s.From, s.To, next-1)}
+		}
+		next = s.To + 1
+	}
+	if next != RangeKeys {
+		return nil, &RangeTableError{Reason: fmt.Sprintf("keys from %d on have no owner", next)}
+	}
+	return t, nil
+}
+
+// Encode returns the stored form of the table.
+func (t *RangeTable) Encode() []byte {
+	b, err := json.Marshal(t)
+	if err != nil {
+		panic("range table: " + err.Error()) // plain integers and strings
+	}
+	return b
+}
+
+// Find returns the segment of a key.
+func (t *RangeTable) Find(key int) Segment {
+	i := sort.Search(len(t.Segments), func(i int) bool { return t.Segments[i].To >= key })
+	return t.Segments[i]
+}
+
+// NewRangeTable divides all keys between owners by their weights, first
+// assignment: nobody has held a key before.
+func NewRangeTable(owners []string, weights []float64) *RangeTable {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	t := &RangeTable{}
+	from, sum := 0, 0.0
+	for i, o := range owners {
+		sum += weights[i]
+		to := int(sum/total*RangeKeys) - 1
+		if i == len(owners)-1 {
+			to = RangeKeys - 1
+		}
+		if to >= from {
+			t.Segments = append(t.Segments, Segment{From: from, To: to, Owner: o})
+			from = to + 1
+		}
+	}
+	return t
+}
+
+// RangeMove gives the keys From to To to an owner.
+type RangeMove struct {
+	From, To int
+	Owner    string
+}
+
+// Move returns a table with the moves applied. A former owner whose own wait
+// had not ended stays listed together with those before it, since it may have
+// been granted the keys.
+func (t *RangeTable) Move(moves ...RangeMove) *RangeTable {
+	segments := slices.Clone(t.Segments)
+	for _, m := range moves {
+		var out []Segment
+		for _, s := range segments {
+			if s.To < m.From || s.From > m.To || s.Owner == m.Owner {
+				out = append(out, s)
+				continue
+			}
+			if s.From < m.From {
+				left := s
+				left.To = m.From - 1
+				out = append(out, left)
+			}
+			former := append(slices.Clone(s.Former), s.Owner)
+			former = slices.DeleteFunc(former, func(x string) bool { return x == m.Owner })
+			slices.Sort(former)
+			out = append(out, Segment{
+				From: max(s.From, m.From), To: min(s.To, m.To), Owner: m.Owner, Former: slices.Compact(former),
+			})
+			if s.To > m.To {
+				right := s
+				right.From = m.To + 1
+				out = append(out, right)
+			}
+		}
+		segments = out
+	}
+	return (&RangeTable{Segments: segments}).merged()
+}
+
+// Cleared returns a table in which the former owners of the keys From to To are
+// no longer waited for.
+func (t *RangeTable) Cleared(from, to int) *RangeTable {
+	segments := slices.Clone(t.Segments)
+	for i := range segments {
+		if segments[i].From >= from && segments[i].To <= to {
+			segments[i].Former = nil
+		}
+	}
+	return (&RangeTable{Segments: segments}).merged()
+}
+
+// merged joins neighbours with the same owner that wait for nobody.
+func (t *RangeTable) merged() *RangeTable {
+	var out []Segment
+	for _, s := range t.Segments {
+		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && len(out[n-1].Former) == 0 && len(s.Former) == 0 {
+			out[n-1].To = s.To
+			continue
+		}
+		out = append(out, s)
+	}
+	return &RangeTable{Segments: out}
+}
+
+// Owned returns the number of keys of each owner.
+func (t *RangeTable) Owned() map[string]int {
+	n := map[string]int{}
+	for _, s := range t.Segments {
+		n[s.Owner] += s.Len()
+	}
+	return n
+}
--- /dev/null
+++ b/placement/board.go
@@ -0,0 +1,302 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Config holds the settings of a Board. A zero field takes its default.
+type Config struct {
+	// Domain is the host's failure domain.
+	Domain string
+	// CrossDomain is what a request to another domain is taken to cost, as time.
+	// Default: 4 ms, the round trip and the price of its bytes.
+	CrossDomain time.Duration
+	// CrossDomainLarge is the same for routes with large answers. Default: 60 ms.
+	CrossDomainLarge time.Duration
+	// Depth is the number of requests for each slot that may be in a target,
+	// running and waiting. Default: 3.
+	Depth float64
+	// ReportAge is the time constant with which a target's report of foreign
+	// load ages. Default: 400 ms.
+	ReportAge time.Duration
+	// InitialService is the service time of a route without a sample.
+	// Default: 100 ms.
+	InitialService time.Duration
+	// ShedPause is how long a target that shed a request is taken to be full.
+	// Default: 60 ms, about half of a service time.
+	ShedPause time.Duration
+	// MaxWaiting bounds the waiting requests. Default: 512.
+	MaxWaiting int
+	// ColdShare is the part of a target's cold rate that this host may use.
+	// Default: 1.
+	ColdShare float64
+}
+
+func (c Config) withDefaults() Config {
+	set := func(p *time.Duration, v time.Duration) {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	set(&c.CrossDomain, 4*time.Millisecond)
+	set(&c.CrossDomainLarge, 60*time.Millisecond)
+	set(&c.ReportAge, 400*time.Millisecond)
+	set(&c.InitialService, 100*time.Millisecond)
+	set(&c.ShedPause, 60*time.Millisecond)
+	if c.Depth == 0 {
+		c.Depth = 3
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = 512
+	}
+	if c.ColdShare == 0 {
+		c.ColdShare = 1
+	}
+	return c
+}
+
+// Target describes a target to the board.
+type Target struct {
+	ID       string
+	Workload string
+	Domain   string
+	Slots    int
+	// Usable targets may get new requests.
+	Usable    bool
+	ColdUntil time.Duration
+	// ColdRate is the number of requests a second that it bears while cold.
+	ColdRate float64
+}
+
+// Load is what a target reported of itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes there now in relation to its usual time.
+	Pace float64
+}
+
+// target is a Target with what is known of it.
+type target struct {
+	Target
+	// own counts requests that this board sent and that have not ended.
+	own int
+	// foreign is the load of others in the last report.
+	foreign  float64
+	reported time.Duration
+	pace     float64
+	// factor is the target's service time in relation to that of its routes.
+	factor  float64
+	samples int
+	// failing is the recent share of requests that failed, as of failedAt.
+	failing  float64
+	failedAt time.Duration
+	// fullUntil is set when the target shed a request.
+	fullUntil time.Duration
+	// coldTokens are the requests that it may get while cold.
+	coldTokens float64
+	coldAt     time.Duration
+}
+
+// Board places the requests of one host.
+type Board struct {
+	cfg     Config
+	targets map[string]*target
+	// byWorkload lists targets in the order of their IDs.
+	byWorkload map[string][]*target
+	routes     map[string]*estimate
+	waiting    []*waiter
+	sequence   uint64
+}
+
+// NewBoard returns a board without targets.
+func NewBoard(cfg Config) *Board {
+	return &Board{cfg: cfg.withDefaults(), targets: map[string]*target{}, routes: map[string]*estimate{}}
+}
+
+// SetColdShare sets the part of a cold target's rate that this host may use.
+func (b *Board) SetColdShare(share float64) { b.cfg.ColdShare = share }
+
+// SetTargets replaces the list of targets; what is known of those that remain
+// is kept.
+func (b *Board) SetTargets(list []Target) {
+	old := b.targets
+	b.targets = make(map[string]*target, len(list))
+	b.byWorkload = map[string][]*target{}
+	for _, x := range list {
+		t := old[x.ID]
+		if t == nil {
+			t = &target{pace: 1, factor: 1}
+		}
+		t.Target = x
+		b.targets[x.ID] = t
+		b.byWorkload[x.Workload] = append(b.byWorkload[x.Workload], t)
+	}
+	for _, l := range b.byWorkload {
+		sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	}
+}
+
+// estimate is the learned service time of a route in seconds, on a target with
+// factor 1.
+type estimate struct {
+	mean    float64
+	samples int
+}
+
+func (e *estimate) add(x float64) {
+	e.samples++
+	e.mean += max(0.05, 1/float64(e.samples)) * (x - e.mean)
+}
+
+func (b *Board) service(route string) float64 {
+	if e := b.routes[route]; e != nil && e.samples > 0 {
+		return e.mean
+	}
+	return b.cfg.InitialService.Seconds()
+}
+
+// Service returns the mean time of a request of a route on a target, without
+// waiting there.
+func (b *Board) Service(now time.Duration, route, id string) time.Duration {
+	s := b.service(route)
+	if t := b.targets[id]; t != nil {
+		s *= t.factor * t.paceAt(now)
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// Factors returns the targets' service times in seconds for a route, of those
+// with samples.
+func (b *Board) Factors(workload, route string) map[string]float64 {
+	out := map[string]float64{}
+	for _, t := range b.byWorkload[workload] {
+		if t.samples > 0 {
+			out[t.ID] = b.service(route) * t.factor
+		}
+	}
+	return out
+}
+
+// paceAge is how long a reported pace counts: it changes many times a second.
+const paceAge = 250 * time.Millisecond
+
+func (t *target) paceAt(now time.Duration) float64 {
+	if now-t.reported > paceAge {
+		return 1
+	}
+	return t.pace
+}
+
+// busy returns the requests that run or wait at a target by the present
+// estimate.
+func (b *Board) busy(now time.Duration, t *target) float64 {
+	age := float64(now-t.reported) / float64(b.cfg.ReportAge)
+	return float64(t.own) + t.foreign*math.Exp(-age)
+}
+
+// failingAge is the time constant with which a failure rate is forgotten.
+const failingAge = 3 * time.Second
+
+func (t *target) failingAt(now time.Duration) float64 {
+	return t.failing * math.Exp(-float64(now-t.failedAt)/float64(failingAge))
+}
+
+// wait returns the time in seconds until a new request would begin to run at a
+// target, for requests with the given service time.
+func (b *Board) wait(now time.Duration, t *target, service float64) float64 {
+	slots := float64(max(t.Slots, 1))
+	ahead := max(0, b.busy(now, t)+1-slots)
+	w := ahead / slots * service * t.factor * t.paceAt(now)
+	if now < t.fullUntil {
+		w = max(w, (t.fullUntil - now).Seconds())
+	}
+	return w
+}
+
+// Sample is the end of a request at a target.
+type Sample struct {
+	Route string
+	// Took is the time from the sending to the answer, 0 when there was none.
+	Took time.Duration
+	// Load is what the target reported, or nil.
+	Load *Load
+	// Shed says that the target refused the request without running it.
+	Shed bool
+	// Failed says that there was no proper answer, or one that says failure.
+	Failed bool
+	// Cold is how much longer the target says that it is cold, or -1.
+	Cold time.Duration
+}
+
+// Ended takes the end of a request into account. The request was counted by
+// Submit or Dispatch, or by Sent.
+func (b *Board) Ended(now time.Duration, id string, s Sample) {
+	t := b.targets[id]
+	if t == nil {
+		return
+	}
+	t.own = max(0, t.own-1)
+	if s.Load != nil {
+		t.report(now, *s.Load)
+	}
+	if s.Cold >= 0 {
+		t.ColdUntil = now + s.Cold
+	}
+	if s.Shed {
+		t.fullUntil = now + b.cfg.ShedPause
+		return
+	}
+	const weight = 0.2
+	x := 0.0
+	if s.Failed {
+		x = 1
+	}
+	t.failing = (1-weight)*t.failingAt(now) + weight*x
+	t.failedAt = now
+	if s.Took > 0 && !s.Failed {
+		b.learn(now, t, s)
+	}
+}
+
+// report takes the load that a target states, which includes the request that
+// has just ended.
+func (t *target) report(now time.Duration, l Load) {
+	t.foreign = max(0, float64(l.Running+l.Waiting-1-t.own))
+	t.reported, t.pace = now, l.Pace
+	if l.Slots > 0 {
+		t.Slots = l.Slots
+	}
+}
+
+// learn updates service times from an answer that was not waiting for a slot.
+func (b *Board) learn(now time.Duration, t *target, s Sample) {
+	if s.Load != nil && s.Load.Waiting > 0 || t.own >= max(t.Slots, 1) {
+		return
+	}
+	x := s.Took.Seconds() / t.paceAt(now)
+	e := b.routes[s.Route]
+	if e == nil {
+		e = &estimate{}
+		b.routes[s.Route] = e
+	}
+	e.add(x / t.factor)
+	t.samples++
+	t.factor += max(0.1, 1/float64(t.samples+1)) * (x/max(e.mean, 1e-3) - t.factor)
+	t.factor = min(max(t.factor, 0.2), 20)
+}
+
+// Sent counts a request that was sent to a target without Submit.
+func (b *Board) Sent(id string) {
+	if t := b.targets[id]; t != nil {
+		t.own++
+	}
+}
+
+// Withdrawn ends a request that did not reach its target.
+func (b *Board) Withdrawn(id string) {
+	if t := b.targets[id]; t != nil {
+		t.own = max(0, t.own-1)
+	}
+}
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,19 @@
+// Package placement decides where a request runs, whether it waits, and when it
+// is refused.
+//
+// # Contract
+//
+//   - Submit answers at once with one of three decisions: send to a target, wait,
+//     or refuse with the time after which there will be room.
+//   - A request waits only while it can still end before its deadline by the
+//     present estimate; Dispatch refuses it as soon as it cannot.
+//   - Waiting requests are served by priority and then by deadline.
+//   - A target that is cold gets at most its cold rate.
+//
+// The load of a target is what this board sent and what the target last
+// reported; reports age out. Service times are learned for each route, and for
+// each target as a factor of its route's.
+//
+// The package performs no I/O. Times are durations on the boot-time clock of
+// the host. A Board is not safe for concurrent use.
+package placement
