--- /dev/null
+++ b/placement/place.go
@@ -0,0 +1,280 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Request is a request to be placed.
+type Request struct {
+	Workload string
+	Route    string
+	// Target is the owner of the request's key; empty when any target will do.
+	Target string
+	// Priority orders waiting requests; 0 is the most urgent.
+	Priority int
+	// Deadline is when the answer must be there.
+	Deadline time.Duration
+	// Objective is the latency aimed at; a likely failure is weighed with it.
+	Objective time.Duration
+	// Large answers are kept within the failure domain.
+	Large bool
+	// Tried lists targets that must not be chosen again.
+	Tried []string
+	// Random is a number from 0 to 1 that spreads equal choices.
+	Random float64
+}
+
+// Verdict is the kind of a decision.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Send Verdict = iota
+	Wait
+	Refuse
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	// ReasonNoTarget means that no target may get the request.
+	ReasonNoTarget Reason = "no_target"
+	// ReasonDeadline means that the request cannot end before its deadline.
+	ReasonDeadline Reason = "deadline"
+	// ReasonFull means that too many requests wait.
+	ReasonFull Reason = "queue_full"
+)
+
+// Decision answers a Request.
+type Decision struct {
+	Verdict Verdict
+	// Target is the one to send to.
+	Target string
+	// Ticket names a waiting request.
+	Ticket uint64
+	Reason Reason
+	// RetryAfter is when there will be room, for a refusal.
+	RetryAfter time.Duration
+	// Expected is the estimated time to the answer.
+	Expected time.Duration
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	Request
+	ticket uint64
+}
+
+// Submit decides about a new request.
+func (b *Board) Submit(now time.Duration, r Request) Decision {
+	if !b.mustQueue(r) {
+		if d := b.try(now, r); d.Verdict != Wait {
+			return d
+		}
+	}
+	if len(b.waiting) >= b.cfg.MaxWaiting {
+		return Decision{Verdict: Refuse, Reason: ReasonFull, RetryAfter: b.drainTime(now, r)}
+	}
+	b.sequence++
+	w := &waiter{Request: r, ticket: b.sequence}
+	i, _ := slices.BinarySearchFunc(b.waiting, w, compareWaiters)
+	b.waiting = slices.Insert(b.waiting, i, w)
+	return Decision{Verdict: Wait, Ticket: w.ticket}
+}
+
+// mustQueue reports whether a request of the same target, or of the same
+// workload without keys, waits that comes first.
+func (b *Board) mustQueue(r Request) bool {
+	for _, w := range b.waiting {
+		if w.Workload == r.Workload && w.Target == r.Target && w.Priority <= r.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+func compareWaiters(a, b *waiter) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	if a.Deadline != b.Deadline {
+		if a.Deadline < b.Deadline {
+			return -1
+		}
+		return 1
+	}
+	return int(int64(a.ticket) - int64(b.ticket))
+}
+
+// Placed is the decision about a request that waited.
+type Placed struct {
+	Ticket uint64
+	Decision
+}
+
+// Dispatch decides about waiting requests for which there is room, or which can
+// no longer end in time.
+func (b *Board) Dispatch(now time.Duration) []Placed {
+	var placed []Placed
+	kept := b.waiting[:0]
+	blocked := map[[2]string]bool{}
+	for _, w := range b.waiting {
+		key := [2]string{w.Workload, w.Target}
+		if blocked[key] && now+b.least(w) <= w.Deadline {
+			kept = append(kept, w)
+			continue
+		}
+		d := b.try(now, w.Request)
+		if d.Verdict == Wait {
+			blocked[key] = true
+			kept = append(kept, w)
+			continue
+		}
+		placed = append(placed, Placed{Ticket: w.ticket, Decision: d})
+	}
+	clear(b.waiting[len(kept):])
+	b.waiting = kept
+	return placed
+}
+
+// Waiting returns the number of waiting requests.
+func (b *Board) Waiting() int { return len(b.waiting) }
+
+// Cancel removes a waiting request; it reports whether it still waited.
+func (b *Board) Cancel(ticket uint64) bool {
+	i := slices.IndexFunc(b.waiting, func(w *waiter) bool { return w.ticket == ticket })
+	if i < 0 {
+		return false
+	}
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+	return true
+}
+
+// least returns the shortest time in which a waiting request could end.
+func (b *Board) least(w *waiter) time.Duration {
+	return time.Duration(leastPart * b.service(w.Route) * float64(time.Second))
+}
+
+// leastPart is the part of the mean service time that a request is taken to
+// need at least; work times spread around their mean.
+const leastPart = 0.6
+
+// try decides about a request by the present load, and counts it as sent when
+// there is room.
+func (b *Board) try(now time.Duration, r Request) Decision {
+	service := b.service(r.Route)
+	var best *target
+	bestCost := 0.0
+	full := false
+	soonest := -1.0
+	for _, t := range b.candidates(r) {
+		if !t.Usable || slices.Contains(r.Tried, t.ID) {
+			continue
+		}
+		if !b.coldRoom(now, t) {
+			full = full || r.Target != ""
+			continue
+		}
+		wait := b.wait(now, t, service)
+		if soonest < 0 || wait < soonest {
+			soonest = wait
+		}
+		if b.busy(now, t) >= b.cfg.Depth*float64(max(t.Slots, 1)) || now < t.fullUntil {
+			full = true
+			continue
+		}
+		cost := b.cost(now, t, r, service, wait)
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	left := (r.Deadline - now).Seconds()
+	switch {
+	case best != nil && b.wait(now, best, service)+leastPart*service > left:
+		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: seconds(soonest)}
+	case best != nil:
+		best.own++
+		best.coldTokens--
+		return Decision{Verdict: Send, Target: best.ID, Expected: seconds(bestCost)}
+	case full && leastPart*service <= left && max(soonest, 0) < left:
+		return Decision{Verdict: Wait}
+	case full:
+		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: seconds(max(soonest, service))}
+	}
+	return Decision{Verdict: Refuse, Reason: ReasonNoTarget, RetryAfter: seconds(service)}
+}
+
+func (b *Board) candidates(r Request) []*target {
+	if r.Target == "" {
+		return b.byWorkload[r.Workload]
+	}
+	if t := b.targets[r.Target]; t != nil {
+		return []*target{t}
+	}
+	return nil
+}
+
+// spread is the part of the service time by which equal choices differ by
+// chance, so that hosts with the same reports do not all choose the same target.
+const spread = 0.15
+
+// cost is the estimated time to an answer in seconds, with what a likely
+// failure and another domain cost.
+func (b *Board) cost(now time.Duration, t *target, r Request, service, wait float64) float64 {
+	cost := wait + service*t.factor*t.paceAt(now)
+	cost += t.failingAt(now) * 2 * max(r.Objective.Seconds(), service)
+	if t.Domain != b.cfg.Domain {
+		if r.Large {
+			cost += b.cfg.CrossDomainLarge.Seconds()
+		} else {
+			cost += b.cfg.CrossDomain.Seconds()
+		}
+	}
+	return cost + spread*service*scatter(r.Random, t.ID)
+}
+
+// scatter returns a number from 0 to 1 that differs between targets.
+func scatter(random float64, id string) float64 {
+	h := uint64(random * (1 << 52))
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 0x100000001b3
+	}
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	return float64(h>>11) / (1 << 53)
+}
+
+// coldRoom reports whether a target may get a request as far as its cold rate
+// goes.
+func (b *Board) coldRoom(now time.Duration, t *target) bool {
+	if now >= t.ColdUntil || t.ColdRate <= 0 {
+		t.coldTokens, t.coldAt = 1, now
+		return true
+	}
+	rate := t.ColdRate * b.cfg.ColdShare
+	t.coldTokens = min(1, t.coldTokens+rate*(now-t.coldAt).Seconds())
+	t.coldAt = now
+	return t.coldTokens >= 1
+}
+
+// drainTime returns the time after which the queue of a workload is worked off.
+func (b *Board) drainTime(now time.Duration, r Request) time.Duration {
+	slots, ahead := 0.0, 0.0
+	for _, t := range b.candidates(r) {
+		if t.Usable {
+			slots += float64(max(t.Slots, 1))
+			ahead += b.busy(now, t)
+		}
+	}
+	for _, w := range b.waiting {
+		if w.Workload == r.Workload && w.Target == r.Target {
+			ahead++
+		}
+	}
+	return seconds(ahead / max(slots, 1) * b.service(r.Route))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
