Replace a leader that is cut off from the store; count the grace of lapsed targets from the store's return

Cause of unavailable keys: a leader without the store kept its term for 10.5 s because its peers still heard it. Also: relayed records that overlap are taken, a refused fence ends a term, and a stopping host refuses requests that could outlast it. Ruled out: late relays; the host read the topic within 250 ms of its return.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -29,6 +29,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/fleetsettings"
 	"github.com/boragelock/boragelock/internal/gateway"
@@ -173,7 +174,7 @@
 func (d *daemon) stop() {
 	begun := time.Now()
 	d.log.Info("stopping", "in_flight", d.gw.InFlight())
-	d.gw.Drain()
+	d.gw.Drain(boottime.Now() + d.s.StopLimit() - stopMargin)
 	d.coord.Retire()
 	for limit := d.s.StopLimit() - stopMargin; time.Since(begun) < limit; time.Sleep(drainPoll) {
 		if time.Since(begun) >= balancerDelay && d.gw.InFlight() == 0 && d.gw.Open() == 0 {
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -116,7 +116,7 @@
 	}
 	if d.storeAway || now < d.returned+Grace {
 		if _, ok := d.lapsed[id]; !ok {
-			d.lapsed[id] = max(now, d.returned) + Grace
+			d.lapsed[id] = d.returned + Grace
 		}
 		return false
 	}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,19 +111,21 @@
 	return nil
 }
 
-// take applies records that follow offset from, unless others were applied
-// since, and relays them.
+// take applies records that were read from offset from on, unless they leave a
+// gap, and relays them. Records that were applied before are left out.
 func (f *follower) take(from int64, b platform.Batch, full bool, fresh time.Duration) bool {
 	f.mu.Lock()
-	if f.next != from {
+	if f.next != from && (full || f.next == unknownOffset || f.next < from || f.next >= b.Next) {
 		f.mu.Unlock()
 		return false
 	}
+	applied := f.next
 	f.next, f.fresh = b.Next, max(f.fresh, fresh)
 	f.mu.Unlock()
-	relevant := b.Records
-	if len(b.Records) > 0 || full {
-		relevant = f.apply(b.Records, full)
+	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
+	relevant := records
+	if len(records) > 0 || full {
+		relevant = f.apply(records, full)
 	}
 	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
 		f.c.peers.relay(relayMessage{Topic: f.topic, From: from, Next: b.Next, Records: relevant})
@@ -130,11 +133,11 @@
 	return true
 }
 
-// confirm notes that another host read the topic to the same offset.
+// confirm notes that another host knew, an age ago, that the topic ended at next.
 func (f *follower) confirm(next int64, age, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next == next {
+	if f.next >= next {
 		f.fresh = max(f.fresh, now-age)
 	}
 }
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -59,10 +59,9 @@
 	// seen is when the record last changed, as this host read it.
 	seen   time.Duration
 	tables map[string]*ownership.RangeTable
-	// linked says that a connection to the leader is open; lostAt is when it
-	// ended, and absent counts the proofs since that no such leader runs there.
+	// linked says that a connection to the leader is open; absent counts the
+	// proofs since it ended that no such leader runs there.
 	linked bool
-	lostAt time.Duration
 	absent int
 	// notBefore is when the host may stand for the lead.
 	notBefore time.Duration
@@ -86,8 +85,6 @@
 	l.linked = open
 	if open {
 		l.absent = 0
-	} else {
-		l.lostAt = boottime.Now()
 	}
 }
 
@@ -134,7 +131,7 @@
 func (l *leadership) vacant(now time.Duration, self string, incarnation string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.linked || now < l.notBefore {
+	if now < l.notBefore {
 		return false
 	}
 	r := l.record
@@ -144,10 +141,12 @@
 	case r.Address == self:
 		// An earlier process of this host, or a term of this one that ended.
 		return r.Incarnation != incarnation || now-l.seen > leaderSilent
-	case l.absent >= absentProofs:
+	case l.absent >= absentProofs && !l.linked:
 		return true
 	}
-	return now-l.seen > leaderSilent && now-l.lostAt > leaderSilent/2
+	// A leader that is cut off from the store is replaced although its peers
+	// still hear it.
+	return now-l.seen > leaderSilent
 }
 
 // applyControl takes records of the control topic.
@@ -227,7 +226,9 @@
 	sent := boottime.Now()
 	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, at, []platform.Record{r.record()})
 	if err == nil {
-		c.control.take(at, platform.Batch{Records: []platform.Record{r.record()}, Next: end}, false, sent)
+		record := r.record()
+		record.Offset = at
+		c.control.take(at, platform.Batch{Records: []platform.Record{record}, Next: end}, false, sent)
 	} else {
 		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
 		var e *platform.Error
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"syscall"
@@ -87,6 +89,10 @@
 	outboxSize = 256
 )
 
+// quiet keeps the library from logging each end of a connection; this package
+// logs those that matter.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // peerConn is the leader's side of a connection.
 type peerConn struct {
 	host   string
@@ -192,7 +198,7 @@
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
-	pc.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler)
+	pc.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler, quiet)
 	defer c.peers.remove(pc)
 	for {
 		select {
@@ -254,6 +260,8 @@
 
 // servePeerClient keeps a connection to the leader.
 func (c *Coordinator) servePeerClient(ctx context.Context) error {
+	var lostTerm uint64
+	var lostReason lossReason
 	for ctx.Err() == nil {
 		l := c.lead.current()
 		if c.Leading() || l.Address == "" || l.Address == c.cfg.Peer {
@@ -261,7 +269,10 @@
 			continue
 		}
 		reason := c.followLeader(ctx, l)
-		c.cfg.Log.Info("leader_lost", "leader", l.Host, "term", l.Term, "reason", reason)
+		if l.Term != lostTerm || reason != lostReason {
+			c.cfg.Log.Info("leader_lost", "leader", l.Host, "term", l.Term, "reason", reason)
+		}
+		lostTerm, lostReason = l.Term, reason
 		c.lead.lost(l.Term, reason)
 		sleep(ctx, 50*time.Millisecond+jitter(100*time.Millisecond))
 	}
@@ -299,7 +310,7 @@
 		}
 		return nil, c.fromLeader(r)
 	})
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler)
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler, quiet)
 	defer func() { _ = conn.Close() }() // given up in any case
 	var reply helloReply
 	callCtx, cancelCall := context.WithTimeout(ctx, silentAfter)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -94,6 +94,7 @@
 const (
 	endStopped   = "host stops"
 	endConflict  = "another term began"
+	endFenced    = "a target refused the fence"
 	endAuthority = "store did not confirm the term in time"
 	endIsolated  = "most targets cannot be reached"
 )
@@ -312,6 +313,10 @@
 		if err == nil {
 			return
 		}
+		var e *platform.Error
+		if errors.As(err, &e) && e.Outcome == platform.Conflict {
+			t.over = endFenced
+		}
 		t.c.cfg.Log.Info("grant_failed", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
 	})
 }
@@ -352,6 +357,9 @@
 		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
 	}
 	at := t.c.control.position()
+	for i := range records {
+		records[i].Offset = at + int64(i)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
 		defer cancel()
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -12,6 +12,7 @@
 // Codes of the gateway's own answers.
 const (
 	CodeNotReady   Code = "not_ready"    // no desired state is known yet
+	CodeStopping   Code = "stopping"     // the host stops before the request's deadline
 	CodeNoRoute    Code = "no_route"     // no route matches
 	CodeMalformed  Code = "malformed"    // the request breaks the protocol
 	CodeTooLarge   Code = "too_large"    // headers or body are over the limit
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -65,6 +65,9 @@
 		left = c.req.Deadline
 	}
 	c.deadline = arrived + left
+	if g.stopping(c.deadline) {
+		return nil, refuse(CodeStopping, minRetryAfter)
+	}
 	c.keyed = c.req.Key >= 0 && snap.Desired.Workloads[c.workload] != nil && snap.Desired.Workloads[c.workload].Keyed
 	c.out = outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body, id: c.req.ID}
 	g.earn(c.workload)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	splits   map[string]float64 // position in each route's split
 
 	draining atomic.Bool
+	// stopAt is when the process ends, on the boot-time clock.
+	stopAt   atomic.Int64
 	inFlight atomic.Int64
 	open     atomic.Int64
 	m        *metrics
@@ -249,8 +251,16 @@
 }
 
 // Drain makes the host report that it is not ready and end connections after
-// their next answer.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// their next answer. Requests that could still run at stopAt are refused.
+func (g *Gateway) Drain(stopAt time.Duration) {
+	g.stopAt.Store(int64(stopAt))
+	g.draining.Store(true)
+}
+
+// stopping reports whether a request with a deadline could outlast the process.
+func (g *Gateway) stopping(deadline time.Duration) bool {
+	return g.draining.Load() && deadline > time.Duration(g.stopAt.Load())
+}
 
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
