--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -102,7 +102,7 @@
 	d := &daemon{s: s, file: file, log: log}
 	d.coord = coordinator.New(coordinator.Config{
 		Host: s.Host, Domain: s.Domain, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
-		Store: platform.NewStore(s.Store), Grants: platform.NewGrants(grantConns), Log: log,
+		Store: platform.NewStore(s.Store), Grants: platform.NewGrants(), Log: log,
 		Ranges: lease.RangeConfig{Holds: holds},
 	})
 	d.gw = gateway.New(gateway.Config{
@@ -113,9 +113,6 @@
 	return d
 }
 
-// grantConns is the number of idle connections for grants to one target.
-const grantConns = 1
-
 // run serves until a signal ends the process.
 func (d *daemon) run(signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -96,8 +96,7 @@
 	}
 }
 
-// PutTarget takes the announcement of a target and reports whether anything
-// but its remaining cold time changed.
+// PutTarget takes the announcement of a target and reports whether it changed.
 func (d *Directory) PutTarget(t *Target) bool {
 	delete(d.lapsed, t.ID)
 	old := d.targets[t.ID]
@@ -105,7 +104,7 @@
 		return false
 	}
 	d.targets[t.ID], d.changed = t, true
-	return old == nil || !old.Same(t) || old.Leaving != t.Leaving || old.Slots != t.Slots
+	return true
 }
 
 // RemoveTarget takes the removal of an announcement and reports whether the
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -65,12 +65,11 @@
 	absent int
 	// notBefore is when the host may stand for the lead.
 	notBefore time.Duration
-	pending   map[string][]KeyCount
+	pending   []countsMessage
 }
 
 func (l *leadership) init() {
 	l.tables = map[string]*ownership.RangeTable{}
-	l.pending = map[string][]KeyCount{}
 }
 
 func (l *leadership) current() leaderRecord {
@@ -103,17 +102,17 @@
 	}
 }
 
-func (l *leadership) addCounts(workload string, keys []KeyCount) {
+func (l *leadership) addCounts(m countsMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending[workload] = append(l.pending[workload], keys...)
+	l.pending = append(l.pending, m)
 }
 
-func (l *leadership) takeCounts() map[string][]KeyCount {
+func (l *leadership) takeCounts() []countsMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.pending
-	l.pending = map[string][]KeyCount{}
+	l.pending = nil
 	return p
 }
 
--- a/internal/coordinator/loads.go
+++ b/internal/coordinator/loads.go
@@ -23,14 +23,15 @@
 type keyLoads struct {
 	fast, slow []float32
 	at         time.Duration
-	services   map[string]float64 // seconds
-	sum        []float32          // result of rates
+	targets    map[string]*targetLoad
+	mean       movingMean // service time of all targets in seconds
+	sum        []float32  // result of rates
 }
 
 func newKeyLoads() *keyLoads {
 	return &keyLoads{
 		fast: make([]float32, ownership.RangeKeys), slow: make([]float32, ownership.RangeKeys),
-		services: map[string]float64{}, sum: make([]float32, ownership.RangeKeys),
+		targets: map[string]*targetLoad{}, sum: make([]float32, ownership.RangeKeys),
 	}
 }
 
@@ -80,10 +81,62 @@
 	return math.Round(sum*10) / 10
 }
 
-// service returns the mean time of a request on a target in seconds.
+// serviceSample is the weight of one answer in a target's mean service time.
+const serviceSample = 0.1
+
+// failurePenalty multiplies the service time of a target by 1 + penalty x the
+// share of its requests that fail: a request that fails was work for nothing.
+const failurePenalty = 3
+
+// targetLoad is what all hosts saw of one target.
+type targetLoad struct {
+	service float64 // seconds
+	failing float64 // share
+}
+
+// addServices takes what a host saw of targets.
+func (l *keyLoads) addServices(targets []TargetCount) {
+	for _, t := range targets {
+		x := l.targets[t.ID]
+		if x == nil {
+			x = &targetLoad{}
+			l.targets[t.ID] = x
+		}
+		if t.Answers > 0 {
+			mean := float64(t.TookMS) / 1000 / float64(t.Answers)
+			l.mean.add(mean, t.Answers)
+			if x.service == 0 {
+				x.service = l.mean.value
+			}
+			x.service += (1 - math.Pow(1-serviceSample, float64(t.Answers))) * (mean - x.service)
+		}
+		if n := t.Answers + t.Failed; n > 0 {
+			share := float64(t.Failed) / float64(n)
+			x.failing += (1 - math.Pow(1-serviceSample, float64(n))) * (share - x.failing)
+		}
+	}
+}
+
+// movingMean is an exponential mean over answers.
+type movingMean struct{ value float64 }
+
+func (m *movingMean) add(x float64, n int) {
+	if m.value == 0 {
+		m.value = x
+	}
+	const weight = 0.02
+	m.value += (1 - math.Pow(1-weight, float64(n))) * (x - m.value)
+}
+
+// service returns the mean time of a request on a target in seconds, longer for
+// one that fails.
 func (l *keyLoads) service(id string) float64 {
-	if s := l.services[id]; s > 0 {
-		return s
+	x := l.targets[id]
+	switch {
+	case x != nil && x.service > 0:
+		return x.service * (1 + failurePenalty*x.failing)
+	case l.mean.value > 0:
+		return l.mean.value
 	}
 	return defaultService
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -70,8 +70,9 @@
 
 // countsMessage reports the keyed requests of one host since its last report.
 type countsMessage struct {
-	Workload string     `json:"workload"`
-	Keys     []KeyCount `json:"keys"`
+	Workload string        `json:"workload"`
+	Keys     []KeyCount    `json:"keys"`
+	Targets  []TargetCount `json:"targets,omitempty"`
 }
 
 // Times of the connections between hosts.
@@ -193,7 +194,7 @@
 			if err := unmarshalParams(r, &m); err != nil {
 				return nil, err
 			}
-			c.lead.addCounts(m.Workload, m.Keys)
+			c.lead.addCounts(m)
 			return nil, nil
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
@@ -343,14 +344,11 @@
 				return lossTerm
 			}
 		case <-counts.C:
-			for w, keys := range c.counts.take() {
-				if len(keys) == 0 {
-					continue
-				}
+			for _, m := range c.counts.take() {
 				if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
 					return lossClosed
 				}
-				if err := conn.Notify(ctx, methodCounts, countsMessage{Workload: w, Keys: keys}); err != nil {
+				if err := conn.Notify(ctx, methodCounts, m); err != nil {
 					return lossClosed
 				}
 			}
@@ -388,9 +386,9 @@
 		}
 		old := c.Ranges(m.Workload)
 		if m.Full || old == nil {
-			c.setRanges(m.Workload, &Ranges{runs: m.Runs})
+			c.setRanges(m.Workload, &Ranges{runs: m.Runs, at: boottime.Now()})
 		} else {
-			c.setRanges(m.Workload, old.overlay(m.Runs))
+			c.setRanges(m.Workload, old.overlay(boottime.Now(), m.Runs))
 		}
 	}
 	return nil
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/ownership"
@@ -12,23 +13,33 @@
 // Ranges says who holds the keys of one workload. It is immutable.
 type Ranges struct {
 	runs []lease.RangeView
+	// at is when the runs were told, on this host's clock.
+	at time.Duration
 }
 
-// Owner returns the target that holds a key, and whether it was granted.
-func (r *Ranges) Owner(key int) (id string, ready bool) {
+// Owner returns the target that holds a key, and whether it was granted. When it
+// was not, back is when the key can be granted at the latest.
+func (r *Ranges) Owner(key int) (id string, ready bool, back time.Duration) {
 	i := sort.Search(len(r.runs), func(i int) bool { return r.runs[i].To >= key })
 	if i == len(r.runs) || r.runs[i].From > key {
-		return "", false
+		return "", false, r.at
 	}
-	return r.runs[i].Owner, r.runs[i].Ready
+	x := r.runs[i]
+	return x.Owner, x.Ready, r.at + time.Duration(x.BackMS)*time.Millisecond
 }
 
 // Runs returns the runs of keys in order; the slice must not be changed.
 func (r *Ranges) Runs() []lease.RangeView { return r.runs }
 
 // overlay returns ranges in which the given runs replace what they cover.
-func (r *Ranges) overlay(changed []lease.RangeView) *Ranges {
-	out := r.runs
+func (r *Ranges) overlay(now time.Duration, changed []lease.RangeView) *Ranges {
+	// The times of runs that stay are restated for now.
+	out := slices.Clone(r.runs)
+	for i := range out {
+		if out[i].BackMS > 0 {
+			out[i].BackMS = max(0, out[i].BackMS-(now-r.at).Milliseconds())
+		}
+	}
 	for _, c := range changed {
 		var next []lease.RangeView
 		for _, x := range out {
@@ -51,7 +62,7 @@
 		slices.SortFunc(next, func(a, b lease.RangeView) int { return a.From - b.From })
 		out = next
 	}
-	return &Ranges{runs: out}
+	return &Ranges{runs: out, at: now}
 }
 
 // changes returns the runs that are not in the earlier ranges.
@@ -61,11 +72,14 @@
 	}
 	known := make(map[lease.RangeView]bool, len(earlier.runs))
 	for _, x := range earlier.runs {
+		x.BackMS = 0
 		known[x] = true
 	}
 	var out []lease.RangeView
 	for _, x := range r.runs {
-		if !known[x] {
+		same := x
+		same.BackMS = 0
+		if !known[same] {
 			out = append(out, x)
 		}
 	}
@@ -95,13 +109,27 @@
 	Count int `json:"n"`
 }
 
+// TargetCount is what a host saw of a target since its last report.
+type TargetCount struct {
+	ID string `json:"id"`
+	// Answers is the number of answers that did not wait at the target, and TookMS
+	// the sum of their times in milliseconds.
+	Answers int   `json:"n"`
+	TookMS  int64 `json:"ms"`
+	// Failed counts requests that failed or were refused.
+	Failed int `json:"f,omitempty"`
+}
+
 // keyCounts counts the keyed requests that this host took, by workload.
 type keyCounts struct {
-	mu    sync.Mutex
-	count map[string]map[int]int
+	mu      sync.Mutex
+	count   map[string]map[int]int
+	targets map[string]map[string]TargetCount
 }
 
-func (k *keyCounts) init() { k.count = map[string]map[int]int{} }
+func (k *keyCounts) init() {
+	k.count, k.targets = map[string]map[int]int{}, map[string]map[string]TargetCount{}
+}
 
 func (k *keyCounts) add(workload string, key int) {
 	k.mu.Lock()
@@ -114,20 +142,43 @@
 	m[key]++
 }
 
+func (k *keyCounts) addTarget(workload string, t TargetCount) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m := k.targets[workload]
+	if m == nil {
+		m = map[string]TargetCount{}
+		k.targets[workload] = m
+	}
+	old := m[t.ID]
+	m[t.ID] = TargetCount{ID: t.ID, Answers: old.Answers + t.Answers, TookMS: old.TookMS + t.TookMS, Failed: old.Failed + t.Failed}
+}
+
 // take returns the counts and starts anew.
-func (k *keyCounts) take() map[string][]KeyCount {
+func (k *keyCounts) take() []countsMessage {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := make(map[string][]KeyCount, len(k.count))
+	var out []countsMessage
 	for w, m := range k.count {
+		c := countsMessage{Workload: w}
 		for key, n := range m {
-			out[w] = append(out[w], KeyCount{Key: key, Count: n})
+			c.Keys = append(c.Keys, KeyCount{Key: key, Count: n})
+		}
+		for _, t := range k.targets[w] {
+			c.Targets = append(c.Targets, t)
 		}
 		clear(m)
+		clear(k.targets[w])
+		if len(c.Keys)+len(c.Targets) > 0 {
+			out = append(out, c)
+		}
 	}
 	return out
 }
 
+// CountTarget notes what a keyed request saw of a target.
+func (c *Coordinator) CountTarget(workload string, t TargetCount) { c.counts.addTarget(workload, t) }
+
 // CountKey notes a request for a key; the leader balances keys by these counts.
 func (c *Coordinator) CountKey(workload string, key int) { c.counts.add(workload, key) }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -202,11 +202,10 @@
 	for _, l := range t.loads {
 		l.decay(now)
 	}
-	for _, counts := range []map[string][]KeyCount{t.c.counts.take(), t.c.lead.takeCounts()} {
-		for w, keys := range counts {
-			if l := t.loads[w]; l != nil {
-				l.add(keys)
-			}
+	for _, m := range append(t.c.counts.take(), t.c.lead.takeCounts()...) {
+		if l := t.loads[m.Workload]; l != nil {
+			l.add(m.Keys)
+			l.addServices(m.Targets)
 		}
 	}
 }
@@ -227,8 +226,12 @@
 			failing[id] = true
 		}
 		targets := t.planTargets(now, snap, w, failing)
-		if len(targets) == 0 || 2*len(failing) > len(table.Owned())+1 {
-			if len(failing) > 0 && t.c.peers.size() > 0 {
+		if len(targets) == 0 {
+			continue
+		}
+		if 2*len(failing) > len(table.Owned())+1 {
+			// When most targets fail, this host is more likely cut off than they are.
+			if g.Served() && t.c.peers.size() > 0 {
 				t.over = endIsolated
 			}
 			continue
@@ -328,11 +331,11 @@
 		t.nextFull = now + fullRangesEvery
 	}
 	for name, g := range t.granters {
-		runs, changed := g.View()
+		runs, changed := g.View(now)
 		if !changed && !full {
 			continue
 		}
-		r := &Ranges{runs: runs}
+		r := &Ranges{runs: runs, at: now}
 		if changed {
 			t.c.setRanges(name, r)
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -34,9 +35,11 @@
 
 // Times of the request path.
 const (
-	// ownerWait is the longest wait for the owner of a key, long enough for the
-	// work on keys in a hand-over to end.
-	ownerWait = 700 * time.Millisecond
+	// ownerWait is the longest wait for the owner of a key.
+	ownerWait = 2 * time.Second
+	// handOver is the expected rest of a hand-over of keys between two targets
+	// that both answer: the work in progress on the keys ends first.
+	handOver = 150 * time.Millisecond
 	// notReadyAfter is the time after which a host that starts is likely ready.
 	notReadyAfter = 500 * time.Millisecond
 	// shedRetry is the pause before a request goes again to the owner of its key
@@ -104,7 +107,7 @@
 func (c *call) place(ctx context.Context) (placement.Decision, *Failure) {
 	r := placement.Request{
 		Workload: c.workload, Route: c.route.Name, Priority: c.route.Priority, Deadline: c.deadline,
-		Objective: c.route.Objective, Large: c.route.Kind == fleet.Download, Tried: c.tried,
+		Objective: c.route.Objective, Tried: c.tried, Connected: c.g.pools.connected,
 	}
 	if c.keyed {
 		owner, failure := c.owner(ctx)
@@ -132,25 +135,28 @@
 }
 
 // owner returns the target that holds the request's key. It waits while the key
-// is handed over.
+// is handed over, if that can end before the deadline.
 func (c *call) owner(ctx context.Context) (string, *Failure) {
-	until := min(boottime.Now()+ownerWait, c.deadline)
-	for {
+	for start := boottime.Now(); ; {
 		changed := c.g.cfg.Source.Changed()
 		snap := c.g.sync()
+		now := boottime.Now()
+		back := now + handOver
 		if r := c.g.cfg.Source.Ranges(c.workload); r != nil {
-			id, ready := r.Owner(c.req.Key)
+			id, ready, at := r.Owner(c.req.Key)
 			if t := snap.Targets[id]; ready && t != nil && snap.Usable(t) {
 				return id, nil
 			}
+			if !ready {
+				back = max(at, back)
+			}
 		}
-		now := boottime.Now()
-		if now >= until {
+		if now-start >= ownerWait || back+c.g.service(now, c.route.Name)/2 > c.deadline {
 			c.g.cfg.Log.Info("no_owner", "request", c.req.ID, "workload", c.workload, "key", c.req.Key,
-				"waited_ms", ownerWait.Milliseconds())
-			return "", refuse(CodeNoOwner, ownerWait)
+				"waited_ms", (now - start).Milliseconds(), "back_ms", (back - now).Milliseconds())
+			return "", refuse(CodeNoOwner, back-now)
 		}
-		timer := time.NewTimer(until - now)
+		timer := time.NewTimer(min(ownerWait, c.deadline-now))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -162,6 +168,12 @@
 	}
 }
 
+func (g *Gateway) service(now time.Duration, route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.board.Service(now, route, "")
+}
+
 // send sends the request to a target. again says that it may go to another.
 func (c *call) send(ctx context.Context, id string) (a *answer, f *Failure, again bool) {
 	snap := c.g.sync()
@@ -171,7 +183,7 @@
 		c.tried = append(c.tried, id)
 		return nil, nil, true
 	}
-	if c.sends > 0 && !c.g.repeat(c.workload) {
+	if c.sends+c.refused > 0 && !c.g.repeat(c.workload) {
 		c.g.withdrawn(id)
 		return nil, c.final(refuse(CodeShed, shedRetry)), false
 	}
@@ -185,7 +197,7 @@
 	if failure != nil {
 		return c.sendFailed(ctx, id, failure, took)
 	}
-	return c.answered(id, a, took)
+	return c.answered(ctx, id, a, took)
 }
 
 func (g *Gateway) withdrawn(id string) {
@@ -198,7 +210,11 @@
 func (c *call) sendFailed(ctx context.Context, id string, e *sendError, took time.Duration) (*answer, *Failure, bool) {
 	c.g.m.sends.Add(e.reason, 1)
 	gone := ctx.Err() != nil
-	c.g.ended(id, placement.Sample{Route: c.route.Name, Failed: !gone, Cold: -1})
+	s := placement.Sample{Route: c.route.Name, Failed: !gone, Unreachable: !e.sent && !gone, Cold: -1}
+	c.g.ended(id, s)
+	if !gone {
+		c.count(id, s)
+	}
 	c.tried = append(c.tried, id)
 	c.g.cfg.Log.Info("send_failed", "request", c.req.ID, "target", id, "reason", e.reason, "sent", e.sent,
 		"took_ms", took.Milliseconds(), "err", e.err)
@@ -224,6 +240,23 @@
 	return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: e}, false
 }
 
+// count tells the leader what a keyed request saw of its target.
+func (c *call) count(id string, s placement.Sample) {
+	if !c.keyed {
+		return
+	}
+	t := coordinator.TargetCount{ID: id}
+	switch {
+	case s.Failed || s.Shed && s.Load != nil && s.Load.Waiting == 0:
+		t.Failed = 1
+	case s.Took > 0 && !s.Shed && s.Load != nil && s.Load.Waiting == 0:
+		t.Answers, t.TookMS = 1, s.Took.Milliseconds()
+	default:
+		return
+	}
+	c.g.cfg.Source.CountTarget(c.workload, t)
+}
+
 // timeLeft reports whether another send could still end in time.
 func (c *call) timeLeft() bool {
 	c.g.mu.Lock()
@@ -248,8 +281,8 @@
 }
 
 // answered decides what follows an answer.
-func (c *call) answered(id string, a *answer, took time.Duration) (*answer, *Failure, bool) {
-	s := placement.Sample{Route: c.route.Name, Took: took, Cold: a.said.Cold}
+func (c *call) answered(ctx context.Context, id string, a *answer, took time.Duration) (*answer, *Failure, bool) {
+	s := placement.Sample{Route: c.route.Name, Took: took, Cold: a.said.Cold, Size: len(a.body)}
 	if l := a.said.Load; l != nil {
 		s.Load = &placement.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace}
 	}
@@ -260,10 +293,11 @@
 		s.Took = 0
 	}
 	c.g.ended(id, s)
+	c.count(id, s)
 	c.g.m.target.add(took)
 	switch {
 	case a.said.NotRun:
-		return c.notRun(id, a)
+		return c.notRun(ctx, id, a)
 	case s.Failed && c.route.Kind.Idempotent() && c.sends+1 < c.route.MaxAttempts && !c.keyed && c.timeLeft():
 		c.sends++
 		c.tried = append(c.tried, id)
@@ -282,16 +316,18 @@
 }
 
 // notRun decides what follows a refusal by a target.
-func (c *call) notRun(id string, a *answer) (*answer, *Failure, bool) {
-	c.sends++
+func (c *call) notRun(ctx context.Context, id string, a *answer) (*answer, *Failure, bool) {
 	c.refused++
+	if !c.keyed {
+		c.sends++
+	}
 	c.g.m.sends.Add("not_run", 1)
 	c.g.cfg.Log.Info("not_run", "request", c.req.ID, "target", id, "status", a.status, "wrong_target", a.said.WrongTarget,
 		"key", c.req.Key, "sends", c.sends)
 	if !c.keyed {
 		c.tried = append(c.tried, id)
 	}
-	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || c.keyed && !c.pause(context.Background(), shedRetry) {
+	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || c.keyed && !c.pause(ctx, shedRetry) {
 		return nil, c.final(refuse(CodeShed, shedRetry)), false
 	}
 	return nil, nil, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	Ranges(workload string) *coordinator.Ranges
 	Changed() <-chan struct{}
 	CountKey(workload string, key int)
+	CountTarget(workload string, t coordinator.TargetCount)
 	Ready() bool
 	// Hosts returns the number of hosts that share budgets, at least 1.
 	Hosts() int
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -69,19 +69,29 @@
 	return err == nil && open
 }
 
+// poolKey names one run of a target at an address.
+type poolKey struct{ id, address string }
+
 // pools keeps idle connections to targets.
 type pools struct {
 	mu   sync.Mutex
-	idle map[string][]*upstream // by target ID and address
-	// opened counts connections.
-	opened int64
+	idle map[poolKey][]*upstream
+	// open counts the idle connections of each target.
+	open map[string]int
 }
 
-func newPools() *pools { return &pools{idle: map[string][]*upstream{}} }
+func newPools() *pools { return &pools{idle: map[poolKey][]*upstream{}, open: map[string]int{}} }
+
+// connected reports whether a connection to a target is open and idle.
+func (p *pools) connected(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[id] > 0
+}
 
 // take returns an idle connection or opens one.
 func (p *pools) take(ctx context.Context, id, address string) (*upstream, error) {
-	key := id + "@" + address
+	key := poolKey{id, address}
 	now := boottime.Now()
 	for {
 		p.mu.Lock()
@@ -92,6 +102,7 @@
 		}
 		u := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
+		p.count(id, -1)
 		p.mu.Unlock()
 		if u.usable(now) {
 			u.reused = true
@@ -103,28 +114,34 @@
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &upstream{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), keepAlive: assumedKeepAlive}, nil
 }
 
+// count changes the number of idle connections of a target; p.mu is held.
+func (p *pools) count(id string, n int) {
+	if p.open[id] += n; p.open[id] <= 0 {
+		delete(p.open, id)
+	}
+}
+
 // put returns a connection after a complete answer.
 func (p *pools) put(u *upstream, id, address string) {
 	u.idleSince = boottime.Now()
-	key := id + "@" + address
+	key := poolKey{id, address}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[key] = append(p.idle[key], u)
+	p.count(id, 1)
 }
 
 // drop closes the idle connections of a target, for example because one of
 // them went silent.
 func (p *pools) drop(id, address string) {
-	key := id + "@" + address
+	key := poolKey{id, address}
 	p.mu.Lock()
 	list := p.idle[key]
 	delete(p.idle, key)
+	p.count(id, -len(list))
 	p.mu.Unlock()
 	for _, u := range list {
 		_ = u.nc.Close() // given up
@@ -144,6 +161,7 @@
 			}
 			kept = append(kept, u)
 		}
+		p.count(key.id, len(kept)-len(list))
 		clear(list[len(kept):])
 		if len(kept) == 0 {
 			delete(p.idle, key)
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -12,13 +12,13 @@
 // default.
 type RangeConfig struct {
 	Holds HoldConfig
-	// Renew is the time between two grants of a run of keys. Default: a quarter
-	// of the hold, so that three may be lost.
+	// Renew is the time between two grants of a run of keys. Default: a third
+	// of the hold, so that two may be lost.
 	Renew time.Duration
 	// Retry is the time before a call that failed is repeated. Default: 300 ms.
 	Retry time.Duration
 	// Failing is the time without an accepted grant after which a target counts
-	// as failing. Default: 1.3 s, a renewal and one repeat.
+	// as failing. Default: 1.6 s, a renewal and one repeat.
 	Failing time.Duration
 }
 
@@ -29,9 +29,9 @@
 			*p = v
 		}
 	}
-	set(&c.Renew, c.Holds.Hold/4)
+	set(&c.Renew, c.Holds.Hold/3)
 	set(&c.Retry, 300*time.Millisecond)
-	set(&c.Failing, 1300*time.Millisecond)
+	set(&c.Failing, 1600*time.Millisecond)
 	return c
 }
 
@@ -71,6 +71,8 @@
 	moved time.Duration
 	// since is the time of the last accepted grant, or the first attempt.
 	since time.Duration
+	// failing is whether the owner was failing at the last View.
+	failing bool
 }
 
 // RangeGranter grants the keys of one range-partitioned workload in one term.
@@ -270,7 +272,7 @@
 func (g *RangeGranter) Failing(now time.Duration) []string {
 	var ids []string
 	for _, r := range g.runs {
-		if len(r.formers) == 0 && now-max(r.since, g.lastOK[r.Owner]) > g.cfg.Failing {
+		if g.failing(now, r) {
 			ids = append(ids, r.Owner)
 		}
 	}
@@ -278,11 +280,30 @@
 	return slices.Compact(ids)
 }
 
-// Settled reports whether a run may be moved for the sake of load: nothing is
-// under way for it and its last move is a while ago.
+func (g *RangeGranter) failing(now time.Duration, r *run) bool {
+	return len(r.formers) == 0 && now-max(r.since, g.lastOK[r.Owner]) > g.cfg.Failing
+}
+
+// Served reports whether at least half of the runs were granted in this term.
+func (g *RangeGranter) Served() bool {
+	n := 0
+	for _, r := range g.runs {
+		if r.granted {
+			n++
+		}
+	}
+	return 2*n >= len(g.runs)
+}
+
+// Settled reports whether keys within one run may be moved for the sake of load:
+// nothing is under way for the run and its last move is a while ago.
 func (g *RangeGranter) Settled(now time.Duration, s ownership.Segment, quiet time.Duration) bool {
-	r := g.find(Order{From: s.From, To: s.To})
-	return r != nil && r.granted && !r.busy && now-r.moved >= quiet && !r.holding.Inherited()
+	i := sort.Search(len(g.runs), func(i int) bool { return g.runs[i].To >= s.From })
+	if i == len(g.runs) || g.runs[i].From > s.From || g.runs[i].To < s.To {
+		return false
+	}
+	r := g.runs[i]
+	return r.granted && !r.busy && now-r.moved >= quiet && !r.holding.Inherited()
 }
 
 // Done lists segments whose former owners are no longer waited for, though the
@@ -302,17 +323,42 @@
 	From  int    `json:"f"`
 	To    int    `json:"t"`
 	Owner string `json:"o"`
-	// Ready says that the owner accepted a grant of the keys.
+	// Ready says that the owner accepted a grant of the keys and renewed it lately.
 	Ready bool `json:"r"`
+	// BackMS is the time in milliseconds, as of the view, until the keys of a run
+	// that is not ready can be granted at the latest.
+	BackMS int64 `json:"b,omitempty"`
 }
 
-// View returns the runs, and whether they differ from the last call's.
-func (g *RangeGranter) View() ([]RangeView, bool) {
+// View returns the runs, and whether their owners or readiness differ from the
+// last call's.
+func (g *RangeGranter) View(now time.Duration) ([]RangeView, bool) {
+	for _, r := range g.runs {
+		if failing := g.failing(now, r); failing != r.failing {
+			r.failing, g.changed = failing, true
+		}
+	}
 	changed := g.changed
 	g.changed = false
 	view := make([]RangeView, len(g.runs))
 	for i, r := range g.runs {
-		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: r.granted}
+		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: r.granted && !r.failing}
+		if !view[i].Ready {
+			view[i].BackMS = r.back(now).Milliseconds()
+		}
 	}
 	return view, changed
 }
+
+// back returns the time until a run can be granted to its owner, or for an owner
+// that fails, to another one.
+func (r *run) back(now time.Duration) time.Duration {
+	until := now
+	if r.failing {
+		until = r.holding.until
+	}
+	for i := range r.formers {
+		until = max(until, r.formers[i].holding.until)
+	}
+	return until - now
+}
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -31,6 +31,13 @@
 	Join float64
 	// MaxMoves limits the moves of one plan. Default: 8.
 	MaxMoves int
+	// MaxRuns is the number of runs for each target from which quiet ones are
+	// joined with their neighbours: each run is granted by a call of its own.
+	// Default: 1.5.
+	MaxRuns float64
+	// Quiet is the rate in requests per second below which a run is quiet.
+	// Default: 1.
+	Quiet float64
 }
 
 func (c RangePlanConfig) withDefaults() RangePlanConfig {
@@ -42,6 +49,8 @@
 	set(&c.Hot, 0.75)
 	set(&c.Spread, 1.4)
 	set(&c.Join, 0.7)
+	set(&c.MaxRuns, 1.5)
+	set(&c.Quiet, 1)
 	if c.MaxMoves == 0 {
 		c.MaxMoves = 8
 	}
@@ -104,6 +113,7 @@
 	p.orphans()
 	p.joiners()
 	p.relieve()
+	p.tidy()
 	return p.moves
 }
 
@@ -226,6 +236,44 @@
 	}
 }
 
+// tidy gives quiet runs to the owner of a neighbouring run that has room.
+func (p *rangePlan) tidy() {
+	for i := 0; len(p.moves) < p.cfg.MaxMoves && i < len(p.table.Segments); i++ {
+		if float64(len(p.table.Segments)) <= p.cfg.MaxRuns*float64(len(p.in.Targets)) {
+			return
+		}
+		s := p.table.Segments[i]
+		if p.rate(s.From, s.To) > p.cfg.Quiet || !p.movable(s) {
+			continue
+		}
+		if to := p.neighbour(i); to != nil {
+			p.move(s.From, s.To, to)
+		}
+	}
+}
+
+// neighbour returns the less loaded owner of the two runs beside one, if that
+// owner may receive keys and is below the hot level.
+func (p *rangePlan) neighbour(i int) *RangeTarget {
+	var best *RangeTarget
+	for _, j := range []int{i - 1, i + 1} {
+		if j < 0 || j >= len(p.table.Segments) || !p.movable(p.table.Segments[j]) {
+			continue
+		}
+		t := p.byID[p.table.Segments[j].Owner]
+		if t.Receives && p.used(t) < p.cfg.Hot && (best == nil || p.used(t) < p.used(best)) {
+			best = t
+		}
+	}
+	return best
+}
+
+// movable reports whether the keys of a segment may be moved for the sake of
+// load.
+func (p *rangePlan) movable(s Segment) bool {
+	return p.byID[s.Owner] != nil && len(s.Former) == 0 && (p.in.Settled == nil || p.in.Settled(s))
+}
+
 // take moves the shortest run of keys that carries about the given load, in
 // busy slots on the giver, and reports whether it found one that helps.
 func (p *rangePlan) take(from, to *RangeTarget, load float64) bool {
@@ -235,7 +283,7 @@
 	want := load / from.Service
 	best := RangeMove{From: -1}
 	for _, s := range p.table.Segments {
-		if s.Owner != from.ID || len(s.Former) > 0 || (p.in.Settled != nil && !p.in.Settled(s)) {
+		if s.Owner != from.ID || !p.movable(s) {
 			continue
 		}
 		if lo, hi, ok := p.shortest(s, want); ok && (best.From < 0 || hi-lo < best.To-best.From) {
--- a/placement/board.go
+++ b/placement/board.go
@@ -13,8 +13,12 @@
 	// CrossDomain is what a request to another domain is taken to cost, as time.
 	// Default: 4 ms, the round trip and the price of its bytes.
 	CrossDomain time.Duration
-	// CrossDomainLarge is the same for routes with large answers. Default: 60 ms.
-	CrossDomainLarge time.Duration
+	// CrossDomainKB is what each kilobyte of the answer adds, since bytes between
+	// domains are dear. Default: 3 ms.
+	CrossDomainKB time.Duration
+	// NewConnection is what opening a connection is taken to cost, as time.
+	// Default: 40 ms.
+	NewConnection time.Duration
 	// Depth is the number of requests for each slot that may be in a target,
 	// running and waiting. Default: 3.
 	Depth float64
@@ -41,7 +45,8 @@
 		}
 	}
 	set(&c.CrossDomain, 4*time.Millisecond)
-	set(&c.CrossDomainLarge, 60*time.Millisecond)
+	set(&c.CrossDomainKB, 3*time.Millisecond)
+	set(&c.NewConnection, 40*time.Millisecond)
 	set(&c.ReportAge, 400*time.Millisecond)
 	set(&c.InitialService, 100*time.Millisecond)
 	set(&c.ShedPause, 60*time.Millisecond)
@@ -143,6 +148,7 @@
 type estimate struct {
 	mean    float64
 	samples int
+	size    float64 // mean size of an answer in kilobytes
 }
 
 func (e *estimate) add(x float64) {
@@ -220,12 +226,16 @@
 	Route string
 	// Took is the time from the sending to the answer, 0 when there was none.
 	Took time.Duration
+	// Size is the size of the answer in bytes.
+	Size int
 	// Load is what the target reported, or nil.
 	Load *Load
 	// Shed says that the target refused the request without running it.
 	Shed bool
 	// Failed says that there was no proper answer, or one that says failure.
 	Failed bool
+	// Unreachable says that no connection could be opened.
+	Unreachable bool
 	// Cold is how much longer the target says that it is cold, or -1.
 	Cold time.Duration
 }
@@ -248,16 +258,21 @@
 		t.fullUntil = now + b.cfg.ShedPause
 		return
 	}
-	const weight = 0.2
-	x := 0.0
+	weight, x := 0.2, 0.0
 	if s.Failed {
 		x = 1
 	}
+	if s.Unreachable {
+		weight = 1
+	}
 	t.failing = (1-weight)*t.failingAt(now) + weight*x
 	t.failedAt = now
 	if s.Took > 0 && !s.Failed {
 		b.learn(now, t, s)
 	}
+	if e := b.routes[s.Route]; e != nil && !s.Failed {
+		e.size += 0.05 * (float64(s.Size)/1024 - e.size)
+	}
 }
 
 // report takes the load that a target states, which includes the request that
--- a/placement/place.go
+++ b/placement/place.go
@@ -17,8 +17,8 @@
 	Deadline time.Duration
 	// Objective is the latency aimed at; a likely failure is weighed with it.
 	Objective time.Duration
-	// Large answers are kept within the failure domain.
-	Large bool
+	// Connected reports whether a connection to a target is open and idle.
+	Connected func(id string) bool
 	// Tried lists targets that must not be chosen again.
 	Tried []string
 	// Random is a number from 0 to 1 that spreads equal choices.
@@ -227,12 +227,14 @@
 	cost := wait + service*t.factor*t.paceAt(now)
 	cost += t.failingAt(now) * 2 * max(r.Objective.Seconds(), service)
 	if t.Domain != b.cfg.Domain {
-		if r.Large {
-			cost += b.cfg.CrossDomainLarge.Seconds()
-		} else {
-			cost += b.cfg.CrossDomain.Seconds()
+		cost += b.cfg.CrossDomain.Seconds()
+		if e := b.routes[r.Route]; e != nil {
+			cost += b.cfg.CrossDomainKB.Seconds() * e.size
 		}
 	}
+	if r.Connected != nil && !r.Connected(t.ID) {
+		cost += b.cfg.NewConnection.Seconds()
+	}
 	return cost + spread*service*scatter(r.Random, t.ID)
 }
 
