--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -35,6 +35,9 @@
 	// joined with their neighbours: each run is granted by a call of its own.
 	// Default: 1.5.
 	MaxRuns float64
+	// Worthwhile is the part of a target's capacity below which load is not moved
+	// for the sake of balance: a move makes requests wait. Default: 0.1.
+	Worthwhile float64
 	// Quiet is the rate in requests per second below which a run is quiet.
 	// Default: 1.
 	Quiet float64
@@ -51,6 +54,7 @@
 	set(&c.Join, 0.7)
 	set(&c.MaxRuns, 1.5)
 	set(&c.Quiet, 1)
+	set(&c.Worthwhile, 0.1)
 	if c.MaxMoves == 0 {
 		c.MaxMoves = 8
 	}
@@ -230,7 +234,8 @@
 		level := max(mean, p.cfg.Hot*0.6)
 		excess := p.load[hot.ID] - level*hot.Capacity
 		room := (level - p.used(cool)) * cool.Capacity
-		if !p.take(hot, cool, min(excess, max(room, 0))) {
+		load := min(excess, room)
+		if load < p.cfg.Worthwhile*hot.Capacity || !p.take(hot, cool, load) {
 			stuck[hot.ID] = true
 		}
 	}
@@ -238,7 +243,7 @@
 
 // tidy gives quiet runs to the owner of a neighbouring run that has room.
 func (p *rangePlan) tidy() {
-	for i := 0; len(p.moves) < p.cfg.MaxMoves && i < len(p.table.Segments); i++ {
+	for i, n := 0, 0; n < maxTidied && len(p.moves) < p.cfg.MaxMoves && i < len(p.table.Segments); i++ {
 		if float64(len(p.table.Segments)) <= p.cfg.MaxRuns*float64(len(p.in.Targets)) {
 			return
 		}
@@ -248,10 +253,14 @@
 		}
 		if to := p.neighbour(i); to != nil {
 			p.move(s.From, s.To, to)
+			n++
 		}
 	}
 }
 
+// maxTidied is the number of quiet runs that one plan joins.
+const maxTidied = 2
+
 // neighbour returns the less loaded owner of the two runs beside one, if that
 // owner may receive keys and is below the hot level.
 func (p *rangePlan) neighbour(i int) *RangeTarget {
@@ -303,11 +312,35 @@
 }
 
 // shortest returns the shortest run of a segment's keys with at least the given
-// rate, or the whole segment but for one key when it has less.
+// rate. Keys that have more than that alone stay where they are: the keys beside
+// them are moved away instead.
 func (p *rangePlan) shortest(s Segment, rate float64) (lo, hi int, ok bool) {
-	if s.Len() < 2 {
-		return 0, 0, false
+	best := RangeMove{From: -1}
+	from := s.From
+	for k := s.From; k <= s.To+1; k++ {
+		if k <= s.To && p.rate(k, k) <= tooHot*rate {
+			continue
+		}
+		if from < k {
+			piece := Segment{From: from, To: k - 1}
+			whole := from == s.From && k == s.To+1
+			if lo, hi, ok := p.window(piece, rate, whole); ok && (best.From < 0 || hi-lo < best.To-best.From) {
+				best = RangeMove{From: lo, To: hi}
+			}
+		}
+		from = k + 1
 	}
+	return best.From, best.To, best.From >= 0
+}
+
+// tooHot is the ratio to the rate that is to be moved from which a single key
+// stays where it is.
+const tooHot = 1.5
+
+// window returns the shortest run of a piece with at least the given rate. A
+// piece with less goes as a whole when it has half of that, but for a half of it
+// when it is all that its owner has there.
+func (p *rangePlan) window(s Segment, rate float64, whole bool) (lo, hi int, ok bool) {
 	best := RangeMove{From: -1}
 	lo = s.From
 	for hi = s.From; hi <= s.To; hi++ {
@@ -318,16 +351,15 @@
 			best = RangeMove{From: lo, To: hi}
 		}
 	}
-	if best.From < 0 || best.To-best.From+1 == s.Len() {
-		// The hot run is the segment: half of its requests go.
-		total := p.rate(s.From, s.To)
-		if total < rate/4 {
-			return 0, 0, false
-		}
-		cut := p.reach(s.From, s.To-1, total/2)
-		return s.From, cut, true
+	switch total := p.rate(s.From, s.To); {
+	case best.From >= 0 && (!whole || best.To-best.From+1 < s.Len()):
+		return best.From, best.To, true
+	case total < rate/2:
+		return 0, 0, false
+	case whole && s.Len() > 1:
+		return s.From, p.reach(s.From, s.To-1, total/2), true
 	}
-	return best.From, best.To, true
+	return s.From, s.To, !whole
 }
 
 // SortedTargets returns the targets in the order of their IDs, so that the same
