Count holds from the latest moment a grant can leave the host; let well equipped hosts lead

OWNER: a grant that waited up to 0.8 s for a connection outlived the bound that was counted from the decision to send it. Hosts with less than 0.5 cores or 150 Mbit/s now stand up to 0.6 s later, the bound includes the limit of the call, and a call that never left is not counted. Holds are 2.8 s, confirmations every 0.7 s, so that a silent leader is replaced before the holds end. Ruled out: processor time; the leader used 0.01 cores.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -103,7 +103,7 @@
 	d.coord = coordinator.New(coordinator.Config{
 		Host: s.Host, Domain: s.Domain, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		Store: platform.NewStore(s.Store), Grants: platform.NewGrants(), Log: log,
-		Ranges: lease.RangeConfig{Holds: holds},
+		Ranges: lease.RangeConfig{Holds: holds}, Cores: s.CPUShare, LinkMbps: s.LinkMbps,
 	})
 	d.gw = gateway.New(gateway.Config{
 		Domain: s.Domain, Source: d.coord, Log: log,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -26,7 +26,10 @@
 	Store *platform.Store
 	// Grants calls targets.
 	Grants *platform.Grants
-	Log    hclog.Logger
+	// Cores and LinkMbps are what the host has; hosts with more stand for the lead
+	// sooner.
+	Cores, LinkMbps float64
+	Log             hclog.Logger
 	// Ranges are the times of grants; zero fields take their defaults.
 	Ranges lease.RangeConfig
 }
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -41,10 +41,10 @@
 // Times of elections.
 const (
 	// confirmEvery is the period in which the leader confirms its term.
-	confirmEvery = 1 * time.Second
+	confirmEvery = 700 * time.Millisecond
 	// leaderSilent is the age of the leader's last record from which hosts
 	// without a connection to it elect another: two confirmations.
-	leaderSilent = 2200 * time.Millisecond
+	leaderSilent = 1600 * time.Millisecond
 	// contendWithin spreads the candidates, so that most see the winner's record
 	// before they append their own.
 	contendWithin = 300 * time.Millisecond
@@ -198,7 +198,7 @@
 		if !c.mayStand() {
 			continue
 		}
-		if !sleep(ctx, jitter(contendWithin)) || !c.mayStand() {
+		if !sleep(ctx, c.reluctance()+jitter(contendWithin)) || !c.mayStand() {
 			continue
 		}
 		if t := c.stand(ctx); t != nil {
@@ -208,6 +208,22 @@
 	return ctx.Err()
 }
 
+// Resources with which a host leads some hundred others without delay: their
+// messages, the grants of some hundred targets, and all ranges to each host that
+// connects.
+const (
+	leaderCores = 0.5
+	leaderMbps  = 150
+	// maxReluctance is how much later a host without such resources stands.
+	maxReluctance = 600 * time.Millisecond
+)
+
+// reluctance returns how long the host leaves the lead to better equipped ones.
+func (c *Coordinator) reluctance() time.Duration {
+	fit := min(1, c.cfg.Cores/leaderCores, c.cfg.LinkMbps/leaderMbps)
+	return time.Duration((1 - fit) * float64(maxReluctance))
+}
+
 func (c *Coordinator) mayStand() bool {
 	now := boottime.Now()
 	return !c.retired.Load() && c.control.position() != unknownOffset && c.control.age(now) < staleAfter+followWait &&
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -24,8 +24,6 @@
 	// gatherFor is how long a new workload's targets are gathered before its keys
 	// are first assigned.
 	gatherFor = 700 * time.Millisecond
-	// grantTimeout bounds a grant; it is below the renewal period.
-	grantTimeout = 800 * time.Millisecond
 	// releaseTimeout bounds a release, which waits for work in progress.
 	releaseTimeout = 4 * time.Second
 	// resultQueue bounds the results of calls that wait for the loop.
@@ -306,19 +304,24 @@
 		})
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, grantTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, t.c.cfg.Ranges.Holds.Call)
 	defer cancel()
 	err := t.c.cfg.Grants.Grant(ctx, address, o.Target, platform.Grant{
 		From: o.From, To: o.To, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover,
 	})
 	t.post(func(now time.Duration) {
-		g.Granted(now, o, err == nil)
-		if err == nil {
-			return
-		}
 		var e *platform.Error
-		if errors.As(err, &e) && e.Outcome == platform.Conflict {
-			t.over = endFenced
+		switch {
+		case err == nil:
+			g.Granted(now, o, lease.GrantAccepted)
+			return
+		case errors.As(err, &e) && e.Outcome == platform.NotDone && e.Status == 0:
+			g.Granted(now, o, lease.GrantNotSent)
+		default:
+			g.Granted(now, o, lease.GrantUnknown)
+			if e != nil && e.Outcome == platform.Conflict {
+				t.over = endFenced
+			}
 		}
 		t.c.cfg.Log.Info("grant_failed", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
 	})
--- a/internal/fleetsettings/settings.go
+++ b/internal/fleetsettings/settings.go
@@ -25,6 +25,10 @@
 	MetricsPort int `json:"metrics_port"`
 	// Store is the address of the platform's store.
 	Store string `json:"store"`
+	// CPUShare is the part of a core, and LinkMbps the bandwidth in megabits per
+	// second, that the host has.
+	CPUShare float64 `json:"cpu_share"`
+	LinkMbps float64 `json:"link_mbps"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `json:"memory_mb"`
 	// StopLimitSeconds is the time from SIGTERM to the end of the process.
@@ -87,6 +91,7 @@
 		min, max float64
 	}{
 		{"peer_port", float64(s.PeerPort), 1, 65535}, {"metrics_port", float64(s.MetricsPort), 1, 65535},
+		{"cpu_share", s.CPUShare, 0.001, 1024}, {"link_mbps", s.LinkMbps, 0.001, 1e7},
 		{"memory_mb", float64(s.MemoryMB), 32, 1 << 20}, {"stop_limit_s", s.StopLimitSeconds, 1, 600},
 		{"retry_ratio", s.RetryRatio, 0, 1}, {"retry_extra", s.RetryExtra, 0, 1e6},
 		{"retry_window_s", s.RetryWindowSeconds, 1, 600}, {"max_hold_s", s.MaxHoldSeconds, 0.5, 600},
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -5,9 +5,12 @@
 // HoldConfig holds the times of grants whose targets count the hold from the
 // arrival of the call. A zero field takes its default.
 type HoldConfig struct {
-	// Hold is the length of a grant. Default: 3.5 s: keys of a lost target are
-	// back after that time, and a granter that is killed is replaced before it.
+	// Hold is the length of a grant. Default: 2.8 s: a granter that falls silent is
+	// replaced within about 2.2 s, and keys of a lost target are back soon after.
 	Hold time.Duration
+	// Call is the longest time from the decision to send a grant until its last
+	// byte may leave this host. Default: 600 ms.
+	Call time.Duration
 	// Drift is the part by which a target's clock may run slow, without unit.
 	// Default: 0.02.
 	Drift float64
@@ -26,7 +29,8 @@
 			*p = v
 		}
 	}
-	set(&c.Hold, 3500*time.Millisecond)
+	set(&c.Hold, 2800*time.Millisecond)
+	set(&c.Call, 600*time.Millisecond)
 	set(&c.Transit, 300*time.Millisecond)
 	set(&c.Authority, 10500*time.Millisecond)
 	if c.Drift == 0 {
@@ -35,7 +39,7 @@
 	return c
 }
 
-// Span is the longest time from the sending of a grant to the end of its hold.
+// Span is the longest time from the leaving of a grant to the end of its hold.
 func (c HoldConfig) Span() time.Duration {
 	return time.Duration(float64(c.Hold)*(1+c.Drift)) + c.Transit
 }
@@ -91,12 +95,14 @@
 // Inherited is when each hold has ended that an earlier granter may have given
 // to an owner without this one knowing: the earlier one's last confirmation came
 // before the append that began this term.
-func (t *Term) Inherited() time.Duration { return t.began + t.cfg.Authority + t.cfg.Span() }
+func (t *Term) Inherited() time.Duration {
+	return t.began + t.cfg.Authority + t.cfg.Call + t.cfg.Span()
+}
 
 // Superseded is when each hold has ended that an earlier granter gave to a
 // target which the stored table lists as a former owner: a granter sends no
 // grant to a former owner after it stored the move.
-func (t *Term) Superseded() time.Duration { return t.began + t.cfg.Span() }
+func (t *Term) Superseded() time.Duration { return t.began + t.cfg.Call + t.cfg.Span() }
 
 // Resigned notes that the previous granter stopped before this term began.
 func (t *Term) Resigned() { t.resigned = true }
@@ -128,10 +134,11 @@
 	return Holding{until: t.Superseded(), unanswered: t.Superseded()}
 }
 
-// Sent notes that a grant is about to be sent.
+// Sent notes that a grant is about to be sent. It may leave this host as late as
+// the limit of the call.
 func (h *Holding) Sent(cfg HoldConfig, now time.Duration) {
-	h.until = max(h.until, now+cfg.Span())
-	h.unanswered = max(h.unanswered, now+cfg.Span())
+	h.until = max(h.until, now+cfg.Call+cfg.Span())
+	h.unanswered = max(h.unanswered, now+cfg.Call+cfg.Span())
 }
 
 // Answered notes that the grant sent last was accepted. The target now refuses
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -18,7 +18,7 @@
 	// Retry is the time before a call that failed is repeated. Default: 300 ms.
 	Retry time.Duration
 	// Failing is the time without an accepted grant after which a target counts
-	// as failing. Default: 1.6 s, a renewal and one repeat.
+	// as failing. Default: the renewal period and the limit of a call.
 	Failing time.Duration
 }
 
@@ -31,7 +31,7 @@
 	}
 	set(&c.Renew, c.Holds.Hold/3)
 	set(&c.Retry, 300*time.Millisecond)
-	set(&c.Failing, 1600*time.Millisecond)
+	set(&c.Failing, c.Renew+c.Holds.Call+50*time.Millisecond)
 	return c
 }
 
@@ -61,6 +61,8 @@
 type run struct {
 	ownership.Segment
 	holding Holding
+	// before is the holding before the grant that is under way.
+	before  Holding
 	formers []former
 	// granted says that the owner accepted a grant of this granter.
 	granted  bool
@@ -175,6 +177,7 @@
 			continue
 		}
 		r.busy = true
+		r.before = r.holding
 		r.holding.Sent(g.cfg.Holds, now)
 		orders = append(orders, Order{
 			Target: r.Owner, From: r.From, To: r.To, Fence: g.term.Fence(), Hold: g.cfg.Holds.Hold, Handover: r.handover,
@@ -213,8 +216,23 @@
 	return g.runs[i]
 }
 
+// GrantResult is the result of a grant.
+type GrantResult uint8
+
+// Results of grants.
+const (
+	// GrantAccepted means that the target answered and holds the keys.
+	GrantAccepted GrantResult = iota
+	// GrantUnknown means that there was no answer: the target may have taken the
+	// grant, or may take it later.
+	GrantUnknown
+	// GrantNotSent means that no byte of the call left this host.
+	GrantNotSent
+)
+
 // Granted takes the result of a grant.
-func (g *RangeGranter) Granted(now time.Duration, o Order, ok bool) {
+func (g *RangeGranter) Granted(now time.Duration, o Order, result GrantResult) {
+	ok := result == GrantAccepted
 	if ok {
 		g.lastOK[o.Target] = now
 	}
@@ -223,6 +241,9 @@
 		return
 	}
 	r.busy = false
+	if result == GrantNotSent {
+		r.holding = r.before
+	}
 	if !ok {
 		r.next = now + g.cfg.Retry
 		return
