--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func target(id string) *Target { return &Target{ID: id, Workload: "w", Address: id + ":1", Slots: 2} }
+
+func TestDirectory(t *testing.T) {
+	Convey("Given a directory with a target", t, func() {
+		d := NewDirectory()
+		d.PutTarget(target("a"))
+		So(len(d.Snapshot().Of("w")), ShouldEqual, 1)
+
+		Convey("a removal counts at once while the store answers", func() {
+			So(d.RemoveTarget(time.Minute, "a"), ShouldBeTrue)
+			So(d.Snapshot().Targets["a"], ShouldBeNil)
+		})
+		Convey("a target that lapses while the store is away is kept until it had time to come back", func() {
+			d.StoreAway()
+			So(d.RemoveTarget(time.Minute, "a"), ShouldBeFalse)
+			So(d.Expire(2*time.Minute), ShouldBeEmpty)
+			d.StoreBack(3 * time.Minute)
+			So(d.Expire(3*time.Minute+2*time.Second), ShouldBeEmpty)
+			So(d.Snapshot().Targets["a"], ShouldNotBeNil)
+			So(d.Expire(3*time.Minute+Grace), ShouldResemble, []string{"a"})
+		})
+		Convey("a target that announces itself again is kept", func() {
+			d.StoreAway()
+			d.RemoveTarget(time.Minute, "a")
+			d.StoreBack(2 * time.Minute)
+			d.PutTarget(target("a"))
+			So(d.Expire(3*time.Minute), ShouldBeEmpty)
+		})
+		// The grace once counted from the removal, so that a host that had been cut
+		// off alone sent requests to a leaving target for more than 2 s.
+		Convey("a removal after the store's return is kept no longer than the grace of the return", func() {
+			d.StoreAway()
+			d.StoreBack(time.Minute)
+			d.RemoveTarget(time.Minute+2*time.Second, "a")
+			So(d.Expire(time.Minute+Grace), ShouldResemble, []string{"a"})
+		})
+		Convey("a change of the cold time alone is a change", func() {
+			x := target("a")
+			x.ColdUntil = time.Second
+			So(d.PutTarget(x), ShouldBeTrue)
+			So(d.PutTarget(x), ShouldBeFalse)
+		})
+		Convey("a complete list removes what is not on it", func() {
+			d.PutTarget(target("b"))
+			So(d.Reset(time.Minute, map[string]bool{"b": true}), ShouldResemble, []string{"a"})
+		})
+	})
+}
+
+func TestDesiredNeverGoesBack(t *testing.T) {
+	Convey("A lower or equal version is ignored", t, func() {
+		d := NewDirectory()
+		So(d.PutDesired(&Desired{Version: 7}), ShouldBeTrue)
+		So(d.PutDesired(&Desired{Version: 5}), ShouldBeFalse)
+		So(d.PutDesired(&Desired{Version: 7}), ShouldBeFalse)
+		So(d.PutDesired(&Desired{Version: 9}), ShouldBeTrue)
+		So(d.Snapshot().Desired.Version, ShouldEqual, 9)
+	})
+}
+
+func TestEvacuation(t *testing.T) {
+	Convey("Targets of an evacuated domain and leaving ones get nothing new", t, func() {
+		d := NewDirectory()
+		x := target("a")
+		x.Domain = "z"
+		d.PutTarget(x)
+		d.SetEvacuated("z", true)
+		So(d.Snapshot().Usable(x), ShouldBeFalse)
+		d.SetEvacuated("z", false)
+		So(d.Snapshot().Usable(x), ShouldBeTrue)
+		x.Leaving = true
+		So(d.Snapshot().Usable(x), ShouldBeFalse)
+	})
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	Convey("A split gives each part its share", t, func() {
+		r := &Route{Parts: []Part{{"a", 90}, {"b", 10}}}
+		n := map[string]int{}
+		for i := range 1000 {
+			n[r.Choose(float64(i)/1000)]++
+		}
+		So(n["a"], ShouldEqual, 900)
+		So(r.Choose(1), ShouldEqual, "b")
+	})
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	counts  keyCounts
 	peers   peerSet
 	leading atomic.Bool
+	// endedTerm is the last term that this process led and has stopped leading.
+	endedTerm atomic.Uint64
 	// hosts is the number of hosts as the leader last told.
 	hosts atomic.Int64
 	// retired hosts do not stand for the lead.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/ownership"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -28,6 +29,9 @@
 	Incarnation string `json:"incarnation,omitempty"`
 	Address     string `json:"address,omitempty"`
 	Beat        uint64 `json:"beat"`
+	// ClearMS is how long granters of earlier terms may still have holds in
+	// force, in milliseconds as of the record.
+	ClearMS int64 `json:"clear_ms,omitempty"`
 }
 
 func (l leaderRecord) record() platform.Record {
@@ -59,10 +63,14 @@
 	// seen is when the record last changed, as this host read it.
 	seen   time.Duration
 	tables map[string]*ownership.RangeTable
-	// linked says that a connection to the leader is open; absent counts the
-	// proofs since it ended that no such leader runs there.
-	linked bool
-	absent int
+	// linked says that a connection to the leader is open; refused counts the
+	// connections that were refused since it ended.
+	linked  bool
+	refused int
+	// ended is the highest term whose leader is known to have stopped; former is
+	// the record of the leader before the present one.
+	ended  uint64
+	former leaderRecord
 	// notBefore is when the host may stand for the lead.
 	notBefore time.Duration
 	pending   []countsMessage
@@ -83,7 +91,7 @@
 	defer l.mu.Unlock()
 	l.linked = open
 	if open {
-		l.absent = 0
+		l.refused = 0
 	}
 }
 
@@ -97,8 +105,11 @@
 func (l *leadership) lost(term uint64, reason lossReason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.record.Term == term && (reason == lossRefused || reason == lossDenied) {
-		l.absent++
+	switch {
+	case reason == lossEnded:
+		l.ended = max(l.ended, term)
+	case reason == lossRefused && l.record.Term == term:
+		l.refused++
 	}
 }
 
@@ -116,15 +127,33 @@
 	return p
 }
 
+// heard takes what a host says of a term that it led: that it stopped, or that
+// another process runs there now.
+func (l *leadership) heard(m helloMessage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = max(l.ended, m.Ended)
+	if l.former.Host == m.Host && l.former.Incarnation != m.Incarnation {
+		l.ended = max(l.ended, l.former.Term)
+	}
+}
+
+// hasEnded reports whether the leader of a term is known to have stopped.
+func (l *leadership) hasEnded(term uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended >= term
+}
+
 func (l *leadership) table(workload string) *ownership.RangeTable {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.tables[workload]
 }
 
-// absentProofs is the number of refused or denied connections after which the
-// leader is taken to be gone.
-const absentProofs = 2
+// refusals is the number of refused connections after which another leader is
+// elected. They are no proof that it stopped: a partition may refuse as well.
+const refusals = 2
 
 // vacant reports whether the host should stand for the lead.
 func (l *leadership) vacant(now time.Duration, self string, incarnation string) bool {
@@ -140,7 +169,7 @@
 	case r.Address == self:
 		// An earlier process of this host, or a term of this one that ended.
 		return r.Incarnation != incarnation || now-l.seen > leaderSilent
-	case l.absent >= absentProofs && !l.linked:
+	case l.ended >= r.Term, l.refused >= refusals && !l.linked:
 		return true
 	}
 	// A leader that is cut off from the store is replaced although its peers
@@ -172,9 +201,12 @@
 		return
 	}
 	if l.Term != c.lead.record.Term || l.Host != c.lead.record.Host {
-		c.lead.absent = 0
+		c.lead.refused = 0
 		c.cfg.Log.Info("leader", "leader", l.Host, "term", l.Term, "offset", r.Offset)
 	}
+	if l.Term != c.lead.record.Term {
+		c.lead.former = c.lead.record
+	}
 	c.lead.record, c.lead.seen = l, boottime.Now()
 }
 
@@ -234,7 +266,16 @@
 // returns nil when another host was first or the store did not answer.
 func (c *Coordinator) stand(ctx context.Context) *wonTerm {
 	previous := c.lead.current()
-	r := leaderRecord{Term: previous.Term + 1, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer}
+	prior := lease.Prior{
+		Ended: previous.Host == "" || c.lead.hasEnded(previous.Term),
+		Clear: time.Duration(previous.ClearMS) * time.Millisecond,
+	}
+	start := boottime.Now()
+	clear := lease.BeginTerm(c.cfg.Ranges.Holds, previous.Term+1, start, start, prior).Clear(start)
+	r := leaderRecord{
+		Term: previous.Term + 1, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
+		ClearMS: clear.Milliseconds(),
+	}
 	at := c.control.position()
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -260,13 +301,13 @@
 	if now := c.lead.current(); now.Term != r.Term || now.Incarnation != c.incarnation {
 		return nil
 	}
-	return &wonTerm{record: r, resigned: previous.Host == "" && previous.Term > 0, sent: sent, answered: boottime.Now()}
+	return &wonTerm{record: r, prior: prior, sent: sent, answered: boottime.Now()}
 }
 
 // wonTerm is a term that this host has begun.
 type wonTerm struct {
 	record leaderRecord
-	// resigned says that the previous leader had stopped granting.
-	resigned       bool
+	// prior is what is known of earlier leaders.
+	prior          lease.Prior
 	sent, answered time.Duration
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -27,16 +27,21 @@
 	methodCounts = "counts"
 )
 
-// helloMessage asks a host whether it leads the given term.
+// helloMessage asks a host whether it leads the given term. Ended is the last
+// term in which the asking process led and has stopped.
 type helloMessage struct {
-	Host string `json:"host"`
-	Term uint64 `json:"term"`
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Term        uint64 `json:"term"`
+	Ended       uint64 `json:"ended,omitempty"`
 }
 
-// helloReply says whether the host leads, and the process that answered.
+// helloReply says whether the host leads, and which process answered. Ended is
+// the last term in which this process led and has stopped.
 type helloReply struct {
 	Leads       bool   `json:"leads"`
 	Incarnation string `json:"incarnation"`
+	Ended       uint64 `json:"ended,omitempty"`
 }
 
 // relayMessage passes on records of a topic between two offsets.
@@ -237,9 +242,10 @@
 		return nil, err
 	}
 	if !c.Leading() {
-		return helloReply{Incarnation: c.incarnation}, nil
+		return helloReply{Incarnation: c.incarnation, Ended: c.endedTerm.Load()}, nil
 	}
 	pc.host = m.Host
+	c.lead.heard(m)
 	for w, r := range *c.ranges.Load() {
 		pc.post(methodRanges, rangesMessage{Workload: w, Full: true, Runs: r.runs})
 	}
@@ -286,7 +292,8 @@
 const (
 	lossRefused lossReason = "refused"     // nothing listens on its address
 	lossDial    lossReason = "unreachable" // no connection in time
-	lossDenied  lossReason = "not leading" // the process there does not lead
+	lossDenied  lossReason = "not leading" // the process there does not lead yet
+	lossEnded   lossReason = "ended"       // the leader's process is replaced or has stopped leading
 	lossSilent  lossReason = "silent"
 	lossClosed  lossReason = "closed"
 	lossTerm    lossReason = "new term"
@@ -315,11 +322,15 @@
 	defer func() { _ = conn.Close() }() // given up in any case
 	var reply helloReply
 	callCtx, cancelCall := context.WithTimeout(ctx, silentAfter)
-	err = conn.Call(callCtx, methodHello, helloMessage{Host: c.cfg.Host, Term: l.Term}, &reply)
+	err = conn.Call(callCtx, methodHello, helloMessage{
+		Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load(),
+	}, &reply)
 	cancelCall()
 	switch {
 	case err != nil:
 		return lossSilent
+	case !reply.Leads && (reply.Incarnation != l.Incarnation || reply.Ended >= l.Term):
+		return lossEnded
 	case !reply.Leads:
 		return lossDenied
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -50,6 +50,10 @@
 	// addresses remembers where targets were that are no longer announced.
 	addresses map[string]string
 
+	began time.Duration
+	// formerEnded says that the leader of the term before is known to have stopped.
+	formerEnded bool
+
 	appending           bool
 	dirty               map[string]*ownership.RangeTable
 	nextConfirm         time.Duration
@@ -64,20 +68,19 @@
 	defer cancel()
 	c.stopLeading.Store(&cancel)
 	t := &term{
-		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered),
+		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered, w.prior),
 		results: make(chan result, resultQueue), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentView: map[string]*Ranges{},
 		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{},
-		dirty: map[string]*ownership.RangeTable{}, nextConfirm: w.answered + confirmEvery,
-	}
-	if w.resigned {
-		t.lease.Resigned()
+		dirty: map[string]*ownership.RangeTable{}, began: w.answered, nextConfirm: w.answered + confirmEvery,
 	}
 	c.leading.Store(true)
-	c.cfg.Log.Info("lead_began", "term", w.record.Term, "after_resignation", w.resigned)
+	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.prior.Ended, "clear_ms", w.prior.Clear.Milliseconds())
 	t.loop()
 	t.lease.End()
+	cancel() // ends the calls in progress before the end of the term is told
 	c.leading.Store(false)
+	c.endedTerm.Store(w.record.Term)
 	c.cfg.Log.Info("lead_ended", "term", w.record.Term, "reason", t.over)
 	c.peers.closeAll()
 	c.lead.mu.Lock()
@@ -125,6 +128,14 @@
 		t.over = endAuthority
 		return
 	}
+	if !t.formerEnded && t.c.lead.hasEnded(t.record.Term-1) {
+		t.formerEnded = true
+		t.c.cfg.Log.Info("former_leader_ended", "term", t.record.Term-1, "after_ms", (now - t.began).Milliseconds())
+		for _, g := range t.granters {
+			g.PredecessorEnded(now)
+		}
+		t.lease.PredecessorEnded(now)
+	}
 	snap := t.c.Snapshot()
 	t.follow(now, snap)
 	if now >= t.nextPlan {
@@ -306,6 +317,9 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.c.cfg.Ranges.Holds.Call)
 	defer cancel()
+	if o.OpenOnly {
+		ctx = platform.OpenOnly(ctx)
+	}
 	err := t.c.cfg.Grants.Grant(ctx, address, o.Target, platform.Grant{
 		From: o.From, To: o.To, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover,
 	})
@@ -356,6 +370,7 @@
 	t.nextConfirm = now + confirmEvery
 	t.appending = true
 	t.record.Beat++
+	t.record.ClearMS = t.lease.Clear(now).Milliseconds()
 	records := []platform.Record{t.record.record()}
 	tables := t.dirty
 	t.dirty = map[string]*ownership.RangeTable{}
@@ -435,7 +450,7 @@
 func (t *term) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	r := leaderRecord{Term: t.record.Term, Beat: t.record.Beat + 1}
+	r := leaderRecord{Term: t.record.Term, Beat: t.record.Beat + 1, ClearMS: t.lease.Clear(boottime.Now()).Milliseconds()}
 	_, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.record()})
 	if err != nil {
 		t.c.cfg.Log.Info("resignation_failed", "term", r.Term, "err", err)
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -20,6 +20,11 @@
 	// Authority is how long a granter may renew without an answer of the store.
 	// Default: 10.5 s: an outage of 9 s and one missed confirmation before it.
 	Authority time.Duration
+	// Dial is how long a granter may open connections to targets without an answer
+	// of the store; after that it renews over open connections only. A target that
+	// starts anew forgets which fences it has seen, and its connections end.
+	// Default: 1.5 s, two confirmations.
+	Dial time.Duration
 }
 
 // WithDefaults returns the config with defaults for zero fields.
@@ -33,6 +38,7 @@
 	set(&c.Call, 600*time.Millisecond)
 	set(&c.Transit, 300*time.Millisecond)
 	set(&c.Authority, 10500*time.Millisecond)
+	set(&c.Dial, 1500*time.Millisecond)
 	if c.Drift == 0 {
 		c.Drift = 0.02
 	}
@@ -59,17 +65,29 @@
 	confirmed time.Duration
 	count     uint64
 	ended     bool
-	// resigned says that the previous granter gave the right back.
-	resigned bool
+	// prior is what is known of earlier granters; endedAt is when the previous one
+	// was known to have stopped.
+	prior   Prior
+	endedAt time.Duration
 }
 
 // fenceBits leaves room for four million grants a term in a number that a
 // float of 53 bits holds.
 const fenceBits = 28
 
+// Prior is what the store and other hosts say of earlier granters.
+type Prior struct {
+	// Ended says that the previous granter stopped before this term began: it
+	// resigned, or its process was seen to be replaced or to have stopped.
+	Ended bool
+	// Clear is how long granters before the previous one may go on, as the
+	// previous one last stated it.
+	Clear time.Duration
+}
+
 // BeginTerm starts a term whose append was sent and answered at these times.
-func BeginTerm(cfg HoldConfig, number uint64, sent, answered time.Duration) *Term {
-	return &Term{cfg: cfg.WithDefaults(), Number: number, began: answered, confirmed: sent}
+func BeginTerm(cfg HoldConfig, number uint64, sent, answered time.Duration, prior Prior) *Term {
+	return &Term{cfg: cfg.WithDefaults(), Number: number, began: answered, endedAt: answered, confirmed: sent, prior: prior}
 }
 
 // Confirm notes that a call sent at a time was answered by the store and showed
@@ -86,77 +104,114 @@
 	return !t.ended && now < t.confirmed+t.cfg.Authority
 }
 
+// MayDial reports whether grants may be sent over new connections.
+func (t *Term) MayDial(now time.Duration) bool {
+	return t.MayGrant(now) && now < t.confirmed+t.cfg.Dial
+}
+
+// PredecessorEnded notes that the granter of the term before is known, at a time,
+// to have stopped.
+func (t *Term) PredecessorEnded(now time.Duration) {
+	if !t.prior.Ended {
+		t.prior.Ended, t.endedAt = true, now
+	}
+}
+
+// Exclusive is when earlier granters can no longer reach a target that started
+// anew, and so has forgotten the fences of this term. Until then keys are not
+// taken from a target that answers.
+func (t *Term) Exclusive() time.Duration {
+	if t.Number == 1 {
+		return t.began
+	}
+	at := t.began + t.cfg.Dial + t.cfg.Call
+	if t.prior.Ended && t.prior.Clear == 0 {
+		at = min(at, t.endedAt+t.cfg.Call)
+	}
+	return at
+}
+
 // Fence returns a new fence, above all fences of this and earlier terms.
 func (t *Term) Fence() uint64 {
 	t.count++
 	return t.Number<<fenceBits | t.count
 }
 
-// Inherited is when each hold has ended that an earlier granter may have given
-// to an owner without this one knowing: the earlier one's last confirmation came
-// before the append that began this term.
+// Inherited is when each hold has ended that earlier granters may have given
+// without this one knowing. A granter that is not known to have stopped goes on
+// for its authority, and its last confirmation came before the append that began
+// this term.
 func (t *Term) Inherited() time.Duration {
+	if t.prior.Ended {
+		return max(t.began+t.prior.Clear, t.endedAt+t.cfg.Call+t.cfg.Span())
+	}
 	return t.began + t.cfg.Authority + t.cfg.Call + t.cfg.Span()
 }
 
-// Superseded is when each hold has ended that an earlier granter gave to a
-// target which the stored table lists as a former owner: a granter sends no
-// grant to a former owner after it stored the move.
-func (t *Term) Superseded() time.Duration { return t.began + t.cfg.Call + t.cfg.Span() }
-
-// Resigned notes that the previous granter stopped before this term began.
-func (t *Term) Resigned() { t.resigned = true }
+// Clear is how long earlier granters may still have holds in force.
+func (t *Term) Clear(now time.Duration) time.Duration { return max(0, t.Inherited()-now) }
 
 // Holding tracks what one target may hold on one run of keys. Grants to a
 // target for a run are sent one after the other, each with a higher fence.
 type Holding struct {
-	// until is the end of the latest hold that the target may have.
-	until time.Duration
-	// unanswered is the end of the holds of grants that had no answer and are
+	// own is the end of the latest hold that this granter may have given.
+	own time.Duration
+	// unanswered is the end of the holds of own grants that had no answer and are
 	// newer than the last one answered: they may be applied late, also after a
 	// release.
 	unanswered time.Duration
+	// prior is the end of the latest hold that earlier granters may have given.
+	prior time.Duration
 	// inherited says that an earlier granter may still renew the hold.
 	inherited bool
+	// exclusive is when earlier granters can no longer reach a target that started
+	// anew; an answer to a grant sent before does not show that they are refused.
+	exclusive time.Duration
 }
 
-// Inherit returns the holding of an owner that an earlier granter may renew
-// until the end of its authority.
+// Inherit returns the holding of a target that earlier granters may have granted
+// the keys, as an owner or as a former owner. One that has not stopped may go on
+// renewing it, and does not know of moves by later ones.
 func Inherit(t *Term) Holding {
-	if t.resigned {
-		return Holding{until: t.Superseded(), unanswered: t.Superseded()}
-	}
-	return Holding{until: t.Inherited(), inherited: true}
+	return Holding{prior: t.Inherited(), inherited: !t.prior.Ended || t.prior.Clear > 0, exclusive: t.Exclusive()}
 }
 
-// Former returns the holding of a former owner in the stored table.
-func Former(t *Term) Holding {
-	return Holding{until: t.Superseded(), unanswered: t.Superseded()}
+// narrow applies what has become known of earlier granters.
+func (h *Holding) narrow(t *Term) {
+	if h.prior == 0 {
+		return
+	}
+	now := Inherit(t)
+	h.prior, h.exclusive = min(h.prior, now.prior), min(h.exclusive, now.exclusive)
+	h.inherited = h.inherited && now.inherited
 }
 
 // Sent notes that a grant is about to be sent. It may leave this host as late as
 // the limit of the call.
 func (h *Holding) Sent(cfg HoldConfig, now time.Duration) {
-	h.until = max(h.until, now+cfg.Call+cfg.Span())
-	h.unanswered = max(h.unanswered, now+cfg.Call+cfg.Span())
+	end := now + cfg.Call + cfg.Span()
+	h.own, h.unanswered = max(h.own, end), max(h.unanswered, end)
 }
 
-// Answered notes that the grant sent last was accepted. The target now refuses
-// all earlier ones that are still on their way, those of earlier granters too.
-func (h *Holding) Answered(cfg HoldConfig, now time.Duration) {
-	*h = Holding{until: now + cfg.Span()}
+// Answered notes that the grant sent last, at a time, was accepted. The target now
+// refuses all earlier ones that are still on their way, those of earlier granters
+// too.
+func (h *Holding) Answered(cfg HoldConfig, sent, now time.Duration) {
+	h.own, h.unanswered = now+cfg.Span(), 0
+	if sent >= h.exclusive {
+		h.prior, h.inherited = 0, false
+	}
 }
 
 // Released notes that the target answered a release. A grant without an answer
 // may still be applied after it.
-func (h *Holding) Released() {
-	if !h.inherited {
-		h.until = h.unanswered
-	}
-}
+func (h *Holding) Released() { h.own = h.unanswered }
 
 // Free reports whether every hold has ended.
-func (h *Holding) Free(now time.Duration) bool { return now >= h.until }
+func (h *Holding) Free(now time.Duration) bool { return now >= h.end() }
+
+// end is when the last hold ends.
+func (h *Holding) end() time.Duration { return max(h.own, h.prior) }
 
 // Inherited reports whether an earlier granter may still renew the hold.
 func (h *Holding) Inherited() bool { return h.inherited }
@@ -164,7 +219,7 @@
 // join returns the holding of two neighbouring runs taken as one.
 func (h Holding) join(o Holding) Holding {
 	return Holding{
-		until: max(h.until, o.until), unanswered: max(h.unanswered, o.unanswered),
-		inherited: h.inherited || o.inherited,
+		own: max(h.own, o.own), unanswered: max(h.unanswered, o.unanswered), prior: max(h.prior, o.prior),
+		inherited: h.inherited || o.inherited, exclusive: max(h.exclusive, o.exclusive),
 	}
 }
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -46,6 +46,8 @@
 	// Hold and Handover belong to grants.
 	Hold     time.Duration
 	Handover string
+	// OpenOnly says that the call may only use a connection that is open already.
+	OpenOnly bool
 }
 
 // former is a target from which a run of keys is taken.
@@ -54,15 +56,20 @@
 	holding  Holding
 	released bool
 	busy     bool
-	next     time.Duration
+	// fence is that of the release under way.
+	fence uint64
+	next  time.Duration
 }
 
 // run is one segment of the table with the state of its grants.
 type run struct {
 	ownership.Segment
 	holding Holding
-	// before is the holding before the grant that is under way.
+	// before is the holding before the grant that is under way; fence and sent are
+	// those of the grant.
 	before  Holding
+	fence   uint64
+	sent    time.Duration
 	formers []former
 	// granted says that the owner accepted a grant of this granter.
 	granted  bool
@@ -107,7 +114,7 @@
 			r.holding = Inherit(term)
 		}
 		for _, id := range s.Former {
-			r.formers = append(r.formers, former{id: id, holding: Former(term)})
+			r.formers = append(r.formers, former{id: id, holding: Inherit(term)})
 		}
 		g.runs = append(g.runs, r)
 	}
@@ -176,11 +183,11 @@
 		if r.busy || now < r.next || !reachable(r.Owner) {
 			continue
 		}
-		r.busy = true
-		r.before = r.holding
+		r.busy, r.sent, r.before, r.fence = true, now, r.holding, g.term.Fence()
 		r.holding.Sent(g.cfg.Holds, now)
 		orders = append(orders, Order{
-			Target: r.Owner, From: r.From, To: r.To, Fence: g.term.Fence(), Hold: g.cfg.Holds.Hold, Handover: r.handover,
+			Target: r.Owner, From: r.From, To: r.To, Fence: r.fence, Hold: g.cfg.Holds.Hold, Handover: r.handover,
+			OpenOnly: !g.term.MayDial(now),
 		})
 	}
 	return orders
@@ -202,8 +209,8 @@
 		if f.released || f.busy || now < f.next || !reachable(f.id) {
 			continue
 		}
-		f.busy = true
-		orders = append(orders, Order{Release: true, Target: f.id, From: r.From, To: r.To, Fence: g.term.Fence()})
+		f.busy, f.fence = true, g.term.Fence()
+		orders = append(orders, Order{Release: true, Target: f.id, From: r.From, To: r.To, Fence: f.fence})
 	}
 	return orders
 }
@@ -237,8 +244,8 @@
 		g.lastOK[o.Target] = now
 	}
 	r := g.find(o)
-	if r == nil || r.Owner != o.Target {
-		return
+	if r == nil || !r.busy || r.fence != o.Fence {
+		return // the run was cut or moved meanwhile; newer grants may be under way
 	}
 	r.busy = false
 	if result == GrantNotSent {
@@ -249,7 +256,7 @@
 		return
 	}
 	r.next, r.since, r.handover = now+g.cfg.Renew, now, ""
-	r.holding.Answered(g.cfg.Holds, now)
+	r.holding.Answered(g.cfg.Holds, r.sent, now)
 	if !r.granted {
 		r.granted, g.changed = true, true
 		r.formers = nil
@@ -264,7 +271,7 @@
 	}
 	for i := range r.formers {
 		f := &r.formers[i]
-		if f.id != o.Target {
+		if f.id != o.Target || !f.busy || f.fence != o.Fence {
 			continue
 		}
 		f.busy = false
@@ -280,6 +287,18 @@
 	}
 }
 
+// PredecessorEnded notes that the granter of the term before has stopped.
+func (g *RangeGranter) PredecessorEnded(now time.Duration) {
+	g.term.PredecessorEnded(now)
+	for _, r := range g.runs {
+		r.holding.narrow(g.term)
+		r.before.narrow(g.term)
+		for i := range r.formers {
+			r.formers[i].holding.narrow(g.term)
+		}
+	}
+}
+
 // Restarted notes that a target started anew under its ID: it holds nothing.
 func (g *RangeGranter) Restarted(id string) {
 	for _, r := range g.runs {
@@ -324,7 +343,7 @@
 		return false
 	}
 	r := g.runs[i]
-	return r.granted && !r.busy && now-r.moved >= quiet && !r.holding.Inherited()
+	return now >= g.term.Exclusive() && r.granted && !r.busy && now-r.moved >= quiet && !r.holding.Inherited()
 }
 
 // Done lists segments whose former owners are no longer waited for, though the
@@ -376,10 +395,10 @@
 func (r *run) back(now time.Duration) time.Duration {
 	until := now
 	if r.failing {
-		until = r.holding.until
+		until = r.holding.end()
 	}
 	for i := range r.formers {
-		until = max(until, r.formers[i].holding.until)
+		until = max(until, r.formers[i].holding.end())
 	}
 	return until - now
 }
