Tests of the request path against stand-in targets; two faults they found

- A request with Connection: close was cancelled after header-timeout: the read deadline of its header stayed set while the caller's end was watched.
- An answer given before a body was read (413, 400, 431) was lost to a reset; what the caller still sends is now read and dropped for half a second.
Tests: internal/gateway, with a fuzz target for the answer reader.

--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,317 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+// fakeSource is a deployment that a test sets up by hand.
+type fakeSource struct {
+	mu      sync.Mutex
+	dir     *fleet.Directory
+	changed chan struct{}
+	stale   bool
+}
+
+func (s *fakeSource) Snapshot() *fleet.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dir.Snapshot()
+}
+
+func (s *fakeSource) Changed() <-chan struct{}                    { return s.changed }
+func (s *fakeSource) Ranges(string) *coordinator.Ranges           { return nil }
+func (s *fakeSource) CountKey(string, int)                        {}
+func (s *fakeSource) CountTarget(string, coordinator.TargetCount) {}
+func (s *fakeSource) Ready() bool                                 { return true }
+func (s *fakeSource) Hosts() int                                  { return 1 }
+func (s *fakeSource) Fresh() bool                                 { return !s.stale }
+
+// rig is a gateway in front of stand-in targets.
+type rig struct {
+	source  *fakeSource
+	gw      *Gateway
+	address string
+	targets []*standin.Target
+	servers []*httptest.Server
+}
+
+func newRig(t *testing.T, targets int) *rig {
+	t.Helper()
+	r := &rig{source: &fakeSource{dir: fleet.NewDirectory(), changed: make(chan struct{})}}
+	d := &fleet.Desired{
+		Version:   1,
+		Workloads: map[string]*fleet.Workload{"w": {Name: "w", MaxConns: 100}},
+		Limits:    fleet.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 10000, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second},
+		Routes: []fleet.Route{
+			{Name: "safe", Host: "h", Prefix: "/s/", Kind: fleet.Safe, Parts: []fleet.Part{{Workload: "w", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3},
+			{Name: "short", Host: "h", Prefix: "/s/short/", Kind: fleet.Safe, Parts: []fleet.Part{{Workload: "w", Weight: 1}}, Timeout: 200 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 1},
+			{Name: "order", Host: "h", Prefix: "/o/", Kind: fleet.Unsafe, Parts: []fleet.Part{{Workload: "w", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 3},
+		},
+	}
+	d.Index()
+	r.source.dir.PutDesired(d)
+	for i := range targets {
+		x := standin.NewTarget(fmt.Sprintf("t%d", i), 2, false)
+		srv := httptest.NewServer(x)
+		t.Cleanup(srv.Close)
+		r.targets, r.servers = append(r.targets, x), append(r.servers, srv)
+		r.source.dir.PutTarget(&fleet.Target{
+			ID: x.ID, Workload: "w", Address: strings.TrimPrefix(srv.URL, "http://"), Domain: "d", Slots: 2,
+		})
+	}
+	r.gw = New(Config{
+		Domain: "d", Source: r.source, Log: hclog.NewNullLogger(), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = r.gw.Listen(ctx, l) }() // ends with the context
+	go func() { _ = r.gw.Serve(ctx) }()     // ends with the context
+	r.address = l.Addr().String()
+	return r
+}
+
+func (r *rig) set(b standin.Behaviour) {
+	for _, t := range r.targets {
+		t.Set(b)
+	}
+}
+
+func (r *rig) ran(id string) int {
+	n := 0
+	for _, t := range r.targets {
+		n += t.Ran(id)
+	}
+	return n
+}
+
+// do sends one request on a connection of its own.
+func (r *rig) do(method, path, id, body string, deadlineMS int) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "h"
+	req.Header.Set(standin.HeaderID, id)
+	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(deadlineMS))
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func TestForward(t *testing.T) {
+	Convey("Given a gateway with two targets", t, func() {
+		r := newRig(t, 2)
+
+		Convey("method, path, query, body and identifier reach the target unchanged, the answer the caller", func() {
+			resp, body, err := r.do("POST", "/o/x?a=1&b=%20", "id1", "the body", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+			So(body, ShouldStartWith, "answer of t")
+			So(resp.Header.Get(standin.HeaderSignature), ShouldNotBeEmpty)
+			So(r.targets[0].Body("id1")+r.targets[1].Body("id1"), ShouldEqual, "POST /o/x?a=1&b=%20 the body")
+		})
+		Convey("a request without a route is 404, unless newer routes may exist", func() {
+			resp, _, err := r.do("GET", "/none", "id", "", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 404)
+			r.source.stale = true
+			resp, _, err = r.do("GET", "/none", "id", "", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 503)
+		})
+		Convey("an order whose answer is lost is not sent again and is not refused", func() {
+			r.set(standin.Behaviour{Cut: true})
+			resp, _, err := r.do("POST", "/o/x", "id2", "b", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 502)
+			So(r.ran("id2"), ShouldEqual, 1)
+		})
+		Convey("an order that a target did not run goes to another one", func() {
+			r.targets[0].Set(standin.Behaviour{Shed: true})
+			for i := range 6 {
+				resp, _, err := r.do("POST", "/o/x", fmt.Sprint("o", i), "b", 1000)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 200)
+			}
+		})
+		Convey("a request that all targets shed is refused with a time to come back, and has not run", func() {
+			r.set(standin.Behaviour{Shed: true})
+			resp, _, err := r.do("POST", "/o/x", "id3", "b", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 503)
+			So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(r.ran("id3"), ShouldEqual, 0)
+		})
+		for name, b := range map[string]standin.Behaviour{
+			"broken off": {Cut: true}, "unsigned": {Unsigned: true}, "of another request": {WrongID: true},
+		} {
+			Convey("a success that is "+name+" does not reach the caller; a safe request goes to another target", func() {
+				r.targets[0].Set(b)
+				for i := range 6 {
+					resp, body, err := r.do("GET", "/s/x", fmt.Sprint("s", i), "", 1500)
+					So(err, ShouldBeNil)
+					So(resp.StatusCode, ShouldEqual, 200)
+					So(body, ShouldEqual, "answer of t1")
+				}
+			})
+		}
+		Convey("a target that refuses connections is passed over", func() {
+			r.servers[0].Close()
+			for i := range 4 {
+				resp, _, err := r.do("POST", "/o/x", fmt.Sprint("c", i), "b", 1000)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 200)
+			}
+		})
+		Convey("the route's timeout ends a request with an answer", func() {
+			r.set(standin.Behaviour{Mute: true})
+			start := time.Now()
+			resp, _, err := r.do("GET", "/s/short/x", "id4", "", 5000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 504)
+			So(time.Since(start), ShouldBeLessThan, 700*time.Millisecond)
+		})
+		Convey("a body over the limit is 413, and nothing runs", func() {
+			resp, _, err := r.do("POST", "/o/x", "id5", strings.Repeat("x", 20000), 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 413)
+			So(r.ran("id5"), ShouldEqual, 0)
+		})
+		Convey("a stopping host refuses what could outlast it and says that it is not ready", func() {
+			r.gw.Drain(boottime.Now() + 500*time.Millisecond)
+			So(r.gw.Ready(), ShouldBeFalse)
+			resp, _, err := r.do("GET", "/s/x", "id6", "", 3000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 503)
+			So(r.ran("id6"), ShouldEqual, 0)
+			resp, _, err = r.do("GET", "/s/x", "id7", "", 300)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+			So(resp.Close, ShouldBeTrue)
+		})
+	})
+}
+
+func raw(id, path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.HeaderID + ": " + id + "\r\n" + standin.HeaderDeadline + ": 1500\r\n\r\n"
+}
+
+func TestConnection(t *testing.T) {
+	Convey("Given a caller's connection", t, func() {
+		r := newRig(t, 2)
+		nc, err := net.Dial("tcp", r.address)
+		So(err, ShouldBeNil)
+		defer func() { _ = nc.Close() }()
+		So(nc.SetDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+		br := bufio.NewReader(nc)
+
+		Convey("requests sent behind each other run together and are answered in order", func() {
+			r.set(standin.Behaviour{Work: 200 * time.Millisecond})
+			start := time.Now()
+			_, err := io.WriteString(nc, raw("a", "/s/1")+raw("b", "/s/2")+raw("c", "/s/3"))
+			So(err, ShouldBeNil)
+			for _, id := range []string{"a", "b", "c"} {
+				resp, err := http.ReadResponse(br, nil)
+				So(err, ShouldBeNil)
+				So(resp.Header.Get(standin.HeaderID), ShouldEqual, id)
+				_, err = io.Copy(io.Discard, resp.Body)
+				So(err, ShouldBeNil)
+			}
+			So(time.Since(start), ShouldBeLessThan, 500*time.Millisecond)
+		})
+		Convey("when the caller leaves, the work at the target ends within half a second", func() {
+			r.set(standin.Behaviour{Mute: true})
+			_, err := io.WriteString(nc, raw("a", "/s/1"))
+			So(err, ShouldBeNil)
+			time.Sleep(100 * time.Millisecond)
+			So(nc.Close(), ShouldBeNil)
+			time.Sleep(400 * time.Millisecond)
+			So(r.targets[0].Cancelled()+r.targets[1].Cancelled(), ShouldEqual, 1)
+		})
+		Convey("a request that breaks the protocol is 400 and ends the connection", func() {
+			_, err := io.WriteString(nc, "GET /s/1 HTTP/1.1\r\nno header\r\n\r\n")
+			So(err, ShouldBeNil)
+			resp, err := http.ReadResponse(br, nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 400)
+			So(resp.Close, ShouldBeTrue)
+		})
+		Convey("headers over the limit are 431", func() {
+			_, err := io.WriteString(nc, "GET /s/1 HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 20000))
+			So(err, ShouldBeNil)
+			resp, err := http.ReadResponse(br, nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 431)
+		})
+		Convey("an idle connection is kept for the idle time and then closed", func() {
+			_, err := io.WriteString(nc, raw("a", "/s/1"))
+			So(err, ShouldBeNil)
+			resp, err := http.ReadResponse(br, nil)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			So(err, ShouldBeNil)
+			time.Sleep(1600 * time.Millisecond) // four fifths of the idle time
+			_, err = io.WriteString(nc, raw("b", "/s/1"))
+			So(err, ShouldBeNil)
+			resp, err = http.ReadResponse(br, nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+		})
+	})
+}
+
+// FuzzAnswers feeds arbitrary bytes as a target's answers: none may be taken for
+// a complete answer of another request.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + standin.HeaderID + ": id\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + standin.HeaderID + ": old\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + standin.HeaderID + ": id\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		go func() {
+			defer func() { _ = far.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+				_, _ = far.Write(b) // the reader may have given up
+			}
+		}()
+		u := &upstream{nc: near, br: bufio.NewReader(near)}
+		a, err := u.exchange(&outgoing{method: "GET", uri: "/", host: "h", header: http.Header{}, id: "id", left: time.Second}, "t")
+		if err != nil {
+			return
+		}
+		if a.said.ID != "" && a.said.ID != "id" {
+			t.Fatalf("answer of %q taken", a.said.ID)
+		}
+		if a.length >= 0 && a.rest == nil && a.framed && a.status != 204 && a.status != 304 && int64(len(a.body)) != a.length && !bytes.Contains(b, []byte("chunked")) {
+			t.Fatalf("body of %d bytes taken for %d", len(a.body), a.length)
+		}
+	})
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -100,7 +100,8 @@
 	pending int
 	// broken says that no further answer can be written.
 	broken bool
-	closed bool
+	// unread says that the last request was answered before it was read.
+	unread bool
 }
 
 // serveConn reads requests and starts each as soon as it was read.
@@ -118,9 +119,32 @@
 	c.read()
 	c.wg.Wait()
 	cancel()
+	if c.unread {
+		c.discard()
+	}
 	_ = nc.Close() // all answers were written
 }
 
+// discardFor and discardBytes bound what is read and dropped after an answer that
+// came before the request was read: closing at once would reset the connection
+// and the answer with it.
+const (
+	discardFor   = 500 * time.Millisecond
+	discardBytes = 1 << 20
+)
+
+// discard ends the connection's own direction and reads what the caller still
+// sends.
+func (c *callerConn) discard() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.nc.SetReadDeadline(time.Now().Add(discardFor)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.nc, discardBytes) // the connection is given up in any case
+}
+
 // read reads requests until the connection ends.
 func (c *callerConn) read() {
 	for {
@@ -151,7 +175,11 @@
 			c.handle(r, body, failure, arrived, turn)
 			<-c.slots
 		}()
-		if failure != nil || r.Close {
+		if failure != nil {
+			c.unread = true
+			return
+		}
+		if r.Close {
 			c.watch()
 			return
 		}
@@ -161,6 +189,10 @@
 // watch waits for the caller's end after the last request, and cancels what is
 // in progress when it leaves.
 func (c *callerConn) watch() {
+	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+		c.cancel()
+		return
+	}
 	go func() {
 		var one [1]byte
 		if _, err := c.nc.Read(one[:]); err != nil {
@@ -253,7 +285,8 @@
 // handle answers one request when its turn has come.
 func (c *callerConn) handle(r *http.Request, body []byte, failure *Failure, arrived time.Duration, turn chan struct{}) {
 	var a *answer
-	if failure == nil {
+	early := failure != nil
+	if !early {
 		removeHopHeaders(r.Header)
 		a, failure = c.g.serve(c.ctx, r, body, arrived)
 	}
@@ -271,8 +304,8 @@
 	c.pending--
 	c.broken = broken
 	c.mu.Unlock()
-	if broken {
-		_ = c.nc.Close() // the reader ends
+	if broken && !early {
+		_ = c.nc.Close() // the reader ends; after an early answer it closes by itself
 	}
 }
 
