Tests of the coordinator, the range plan and placement

Three coordinators over loopback with stand-ins for store and targets: take-over after a resignation and a cut from the store, an outage for all, changes, deleted records.

--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,266 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+// door lets one host reach the store, or not.
+type door struct {
+	store  http.Handler
+	closed atomic.Bool
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.closed.Load() {
+		// The end of the caller is seen only after its request was read.
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
+		return
+	}
+	d.store.ServeHTTP(w, r)
+}
+
+type testHost struct {
+	c    *Coordinator
+	door *door
+	stop context.CancelFunc
+}
+
+// cluster is some coordinators with a stand-in store and targets.
+type cluster struct {
+	t       *testing.T
+	store   *standin.Store
+	hosts   []*testHost
+	targets map[string]*standin.Target
+}
+
+const desiredJSON = `{"version":"%08x","routes":[{"name":"r","host":"h","path-prefix":"/","kind":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2}],
+"services":[{"name":"w","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":true,"warmup-s":3}],"limits":{}}`
+
+func newCluster(t *testing.T, hosts, targets int) *cluster {
+	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}}
+	k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 1)))
+	for i := range targets {
+		k.addTarget(fmt.Sprint("t", i))
+	}
+	for i := range hosts {
+		k.addHost(i)
+	}
+	return k
+}
+
+func (k *cluster) addTarget(id string) {
+	x := standin.NewTarget(id, 2, true)
+	srv := httptest.NewServer(x)
+	k.t.Cleanup(srv.Close)
+	k.targets[id] = x
+	k.store.Put(platform.TopicTargets, id, map[string]any{
+		"service": "w", "address": strings.TrimPrefix(srv.URL, "http://"), "zone": "z", "slots": 2, "state": "ready",
+		"cold-left-s": 0, "seq": 1, "born": 1,
+	})
+}
+
+func (k *cluster) addHost(i int) {
+	d := &door{store: k.store}
+	srv := httptest.NewServer(d)
+	k.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	peer := l.Addr().String()
+	if err := l.Close(); err != nil {
+		k.t.Fatal(err)
+	}
+	c := New(Config{
+		Host: fmt.Sprint("host", i), Domain: "z", Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
+		Grants: platform.NewGrants(), Log: hclog.NewNullLogger(), Cores: 1, LinkMbps: 1000,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	sup := suture.New("test", suture.Spec{EventHook: func(suture.Event) {}})
+	c.AddTo(sup)
+	done := sup.ServeBackground(ctx)
+	k.t.Cleanup(func() { cancel(); <-done })
+	k.hosts = append(k.hosts, &testHost{c: c, door: d, stop: cancel})
+}
+
+// eventually waits for a condition.
+func eventually(limit time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *cluster) leader() *testHost {
+	var found *testHost
+	for _, h := range k.hosts {
+		if h.c.Leading() {
+			if found != nil {
+				return nil
+			}
+			found = h
+		}
+	}
+	return found
+}
+
+// held reports whether each of some keys is held by exactly one target.
+func (k *cluster) held() bool {
+	for key := 0; key < 65536; key += 997 {
+		n := 0
+		for _, t := range k.targets {
+			if t.Holds(key) {
+				n++
+			}
+		}
+		if n != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// doubled reports whether a key is held by two targets.
+func (k *cluster) doubled() bool {
+	for key := 0; key < 65536; key += 997 {
+		n := 0
+		for _, t := range k.targets {
+			if t.Holds(key) {
+				n++
+			}
+		}
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *testHost) knows(version uint64) bool {
+	d := h.c.Snapshot().Desired
+	return d != nil && d.Version == version
+}
+
+func TestCluster(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given three hosts and four targets", t, func() {
+		k := newCluster(t, 3, 4)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		for _, h := range k.hosts {
+			So(eventually(3*time.Second, h.c.Ready), ShouldBeTrue)
+		}
+		first := k.leader()
+
+		Convey("a change is in force on all hosts within 2 s, and an older version changes nothing", func() {
+			k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 9)))
+			for _, h := range k.hosts {
+				So(eventually(2*time.Second, func() bool { return h.knows(9) }), ShouldBeTrue)
+			}
+			k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 5)))
+			time.Sleep(500 * time.Millisecond)
+			for _, h := range k.hosts {
+				So(h.knows(9), ShouldBeTrue)
+			}
+		})
+		Convey("when the leader resigns, another one takes over before the holds end", func() {
+			first.c.Retire()
+			So(eventually(2*time.Second, func() bool { x := k.leader(); return x != nil && x != first }), ShouldBeTrue)
+			for range 40 {
+				So(k.held(), ShouldBeTrue)
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		Convey("a leader that is cut off from the store is replaced, and no key is held twice", func() {
+			first.door.closed.Store(true)
+			So(eventually(6*time.Second, func() bool { x := k.leader(); return x != nil && x != first }), ShouldBeTrue)
+			So(k.doubled(), ShouldBeFalse)
+			So(eventually(5*time.Second, k.held), ShouldBeTrue)
+		})
+		Convey("while the store is down for all, the leader keeps the holds up", func() {
+			for _, h := range k.hosts {
+				h.door.closed.Store(true)
+			}
+			for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				So(k.held(), ShouldBeTrue)
+			}
+		})
+		Convey("a new target gets keys, and one that leaves loses them", func() {
+			k.addTarget("new")
+			So(eventually(5*time.Second, func() bool {
+				for key := 0; key < 65536; key += 97 {
+					if k.targets["new"].Holds(key) {
+						return true
+					}
+				}
+				return false
+			}), ShouldBeTrue)
+			k.store.Put(platform.TopicTargets, "t0", nil)
+			So(eventually(5*time.Second, func() bool {
+				for key := 0; key < 65536; key += 97 {
+					if k.targets["t0"].Holds(key) {
+						return false
+					}
+				}
+				return k.held()
+			}), ShouldBeTrue)
+		})
+		Convey("records that were deleted are read from the newest of each key", func() {
+			k.store.Put(platform.TopicOperator, "evacuate/z2", map[string]any{})
+			k.store.Compact(platform.TopicOperator)
+			k.store.Compact(platform.TopicTargets)
+			k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 12)))
+			for _, h := range k.hosts {
+				So(eventually(2*time.Second, func() bool { return h.knows(12) && h.c.Snapshot().Evacuated["z2"] }), ShouldBeTrue)
+			}
+		})
+	})
+}
+
+func TestOverlay(t *testing.T) {
+	Convey("Changed runs replace what they cover", t, func() {
+		r := (&Ranges{runs: segmentsOf("0-99:a 100-65535:b")}).overlay(0, segmentsOf("50-149:c"))
+		id, _, _ := r.Owner(49)
+		So(id, ShouldEqual, "a")
+		id, _, _ = r.Owner(149)
+		So(id, ShouldEqual, "c")
+		id, _, _ = r.Owner(150)
+		So(id, ShouldEqual, "b")
+	})
+}
+
+// segmentsOf parses runs in the form "FROM-TO:OWNER ...".
+func segmentsOf(s string) []lease.RangeView {
+	var out []lease.RangeView
+	for _, f := range strings.Fields(s) {
+		var x lease.RangeView
+		if _, err := fmt.Sscanf(strings.Replace(f, ":", " ", 1), "%d-%d %s", &x.From, &x.To, &x.Owner); err != nil {
+			panic(err)
+		}
+		x.Ready = true
+		out = append(out, x)
+	}
+	return out
+}
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -295,7 +295,7 @@
 		if s.Owner != from.ID || !p.movable(s) {
 			continue
 		}
-		if lo, hi, ok := p.shortest(s, want); ok && (best.From < 0 || hi-lo < best.To-best.From) {
+		if lo, hi, ok := p.shortest(s, want, p.cfg.Worthwhile*from.Capacity/from.Service); ok && (best.From < 0 || hi-lo < best.To-best.From) {
 			best = RangeMove{From: lo, To: hi}
 		}
 	}
@@ -313,8 +313,8 @@
 
 // shortest returns the shortest run of a segment's keys with at least the given
 // rate. Keys that have more than that alone stay where they are: the keys beside
-// them are moved away instead.
-func (p *rangePlan) shortest(s Segment, rate float64) (lo, hi int, ok bool) {
+// them are moved away instead, if they have at least the rate least.
+func (p *rangePlan) shortest(s Segment, rate, least float64) (lo, hi int, ok bool) {
 	best := RangeMove{From: -1}
 	from := s.From
 	for k := s.From; k <= s.To+1; k++ {
@@ -324,7 +324,7 @@
 		if from < k {
 			piece := Segment{From: from, To: k - 1}
 			whole := from == s.From && k == s.To+1
-			if lo, hi, ok := p.window(piece, rate, whole); ok && (best.From < 0 || hi-lo < best.To-best.From) {
+			if lo, hi, ok := p.window(piece, rate, least, whole); ok && (best.From < 0 || hi-lo < best.To-best.From) {
 				best = RangeMove{From: lo, To: hi}
 			}
 		}
@@ -338,9 +338,9 @@
 const tooHot = 1.5
 
 // window returns the shortest run of a piece with at least the given rate. A
-// piece with less goes as a whole when it has half of that, but for a half of it
-// when it is all that its owner has there.
-func (p *rangePlan) window(s Segment, rate float64, whole bool) (lo, hi int, ok bool) {
+// piece with less goes as a whole when it has the rate least; when it is a whole
+// segment, half of it goes if it has half of the rate.
+func (p *rangePlan) window(s Segment, rate, least float64, whole bool) (lo, hi int, ok bool) {
 	best := RangeMove{From: -1}
 	lo = s.From
 	for hi = s.From; hi <= s.To; hi++ {
@@ -354,7 +354,7 @@
 	switch total := p.rate(s.From, s.To); {
 	case best.From >= 0 && (!whole || best.To-best.From+1 < s.Len()):
 		return best.From, best.To, true
-	case total < rate/2:
+	case total < least || whole && total < rate/2:
 		return 0, 0, false
 	case whole && s.Len() > 1:
 		return s.From, p.reach(s.From, s.To-1, total/2), true
--- /dev/null
+++ b/ownership/ranges_test.go
@@ -0,0 +1,199 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func rangeTargets(n int, service float64) []RangeTarget {
+	var out []RangeTarget
+	for i := range n {
+		out = append(out, RangeTarget{ID: fmt.Sprintf("t%02d", i), Capacity: 2, Service: service, Receives: true})
+	}
+	return out
+}
+
+func evenTable(ts []RangeTarget) *RangeTable {
+	var ids []string
+	var weights []float64
+	for _, t := range ts {
+		ids, weights = append(ids, t.ID), append(weights, 1)
+	}
+	return NewRangeTable(ids, weights)
+}
+
+// used returns the part of its capacity that each target uses.
+func used(t *RangeTable, ts []RangeTarget, rates []float32) map[string]float64 {
+	out := map[string]float64{}
+	for _, s := range t.Segments {
+		for k := s.From; k <= s.To; k++ {
+			out[s.Owner] += float64(rates[k])
+		}
+	}
+	for _, x := range ts {
+		out[x.ID] *= x.Service / x.Capacity
+	}
+	return out
+}
+
+func TestRangeTable(t *testing.T) {
+	Convey("Moves keep all keys covered and remember who may still hold them", t, func() {
+		x := evenTable(rangeTargets(3, 0.1)).Move(RangeMove{From: 100, To: 200, Owner: "t02"})
+		So(x.Find(150), ShouldResemble, Segment{From: 100, To: 200, Owner: "t02", Former: []string{"t00"}})
+		So(x.Find(99).Owner, ShouldEqual, "t00")
+		// Moved again before the wait has ended: both earlier owners count.
+		x = x.Move(RangeMove{From: 150, To: 160, Owner: "t01"})
+		So(x.Find(155).Former, ShouldResemble, []string{"t00", "t02"})
+		// Back to the first owner: it is not waited for.
+		x = x.Move(RangeMove{From: 150, To: 160, Owner: "t00"})
+		So(x.Find(155).Former, ShouldResemble, []string{"t01", "t02"})
+		back, err := DecodeRangeTable(x.Encode())
+		So(err, ShouldBeNil)
+		So(back, ShouldResemble, x)
+	})
+	Convey("Neighbours of one owner are joined once nobody is waited for", t, func() {
+		x := evenTable(rangeTargets(2, 0.1)).Move(RangeMove{From: 100, To: 200, Owner: "t01"})
+		x = x.Cleared(100, 200).Move(RangeMove{From: 100, To: 200, Owner: "t00"}).Cleared(100, 200)
+		So(len(x.Segments), ShouldEqual, 2)
+	})
+	Convey("A stored table with a gap is refused", t, func() {
+		for _, s := range []string{`{"s":[]}`, `{"s":[{"f":0,"t":10,"o":"a"}]}`, `{"s":[{"f":1,"t":65535,"o":"a"}]}`, `x`} {
+			_, err := DecodeRangeTable([]byte(s))
+			So(err, ShouldHaveSameTypeAs, &RangeTableError{})
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		x := evenTable(rangeTargets(4, 0.1))
+		for range rapid.IntRange(1, 30).Draw(t, "moves") {
+			from := rapid.IntRange(0, RangeKeys-1).Draw(t, "from")
+			to := rapid.IntRange(from, RangeKeys-1).Draw(t, "to")
+			x = x.Move(RangeMove{From: from, To: to, Owner: fmt.Sprintf("t%02d", rapid.IntRange(0, 3).Draw(t, "owner"))})
+		}
+		if _, err := DecodeRangeTable(x.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// hotRange has a base load on all keys and one run of neighbours that draws a
+// third of all requests.
+func hotRange(total float64, from, n int) []float32 {
+	r := make([]float32, RangeKeys)
+	for k := range r {
+		r[k] = float32(total * 2 / 3 / RangeKeys)
+	}
+	for k := from; k < from+n; k++ {
+		r[k] += float32(total / 3 / float64(n))
+	}
+	return r
+}
+
+// Load pattern: 200 neighbouring keys draw a third of 110 requests a second, each
+// 160 ms long, in front of 21 targets with 2 slots.
+func TestHotRangeIsCut(t *testing.T) {
+	Convey("A hot run is cut over several targets with few keys moved", t, func() {
+		ts := rangeTargets(21, 0.16)
+		rates := hotRange(110, 30000, 200)
+		table := evenTable(ts)
+		moved := 0
+		for range 4 {
+			for _, m := range PlanRanges(RangePlanConfig{}, RangeInput{Table: table, Targets: ts, Rates: rates}) {
+				table = table.Move(m)
+				moved += m.To - m.From + 1
+			}
+			for _, s := range table.Segments {
+				table = table.Cleared(s.From, s.To)
+			}
+		}
+		for id, u := range used(table, ts, rates) {
+			So(fmt.Sprint(id, u <= 1), ShouldEqual, fmt.Sprint(id, true))
+		}
+		So(moved, ShouldBeLessThan, RangeKeys/50)
+	})
+	Convey("A key that no target bears stays, and its neighbours are moved away", t, func() {
+		ts := rangeTargets(10, 0.16)
+		rates := hotRange(40, 30000, 2)
+		rates[30000] += 30
+		table := evenTable(ts)
+		owner := table.Find(30000).Owner
+		for range 6 {
+			for _, m := range PlanRanges(RangePlanConfig{}, RangeInput{Table: table, Targets: ts, Rates: rates}) {
+				So(m.From <= 30000 && m.To >= 30000, ShouldBeFalse)
+				table = table.Move(m)
+			}
+			for _, s := range table.Segments {
+				table = table.Cleared(s.From, s.To)
+			}
+		}
+		So(table.Find(30000).Owner, ShouldEqual, owner)
+		So(table.Owned()[owner], ShouldBeLessThan, RangeKeys/10)
+	})
+}
+
+func TestRangePlanOfChanges(t *testing.T) {
+	ts := rangeTargets(8, 0.1)
+	rates := hotRange(60, 1000, 5000)
+	Convey("An even load moves nothing", t, func() {
+		even := make([]float32, RangeKeys)
+		for k := range even {
+			even[k] = 60.0 / RangeKeys
+		}
+		So(PlanRanges(RangePlanConfig{}, RangeInput{Table: evenTable(ts), Targets: ts, Rates: even}), ShouldBeEmpty)
+	})
+	Convey("All keys of a target that is gone go to others, spread by load", t, func() {
+		table := evenTable(ts)
+		for _, m := range PlanRanges(RangePlanConfig{}, RangeInput{Table: table, Targets: ts[1:], Rates: rates}) {
+			table = table.Move(m)
+		}
+		So(table.Owned()["t00"], ShouldEqual, 0)
+	})
+	Convey("A target without keys is given some", t, func() {
+		more := append(rangeTargets(8, 0.1), RangeTarget{ID: "new", Capacity: 2, Service: 0.1, Receives: true})
+		table := evenTable(ts)
+		for _, m := range PlanRanges(RangePlanConfig{}, RangeInput{Table: table, Targets: more, Rates: rates}) {
+			table = table.Move(m)
+		}
+		So(table.Owned()["new"], ShouldBeGreaterThan, 0)
+	})
+	Convey("No keys are moved to targets that receive none, and settled keys stay", t, func() {
+		closed := rangeTargets(8, 0.1)
+		for i := range closed {
+			closed[i].Receives = false
+		}
+		So(PlanRanges(RangePlanConfig{}, RangeInput{Table: evenTable(ts), Targets: closed, Rates: rates}), ShouldBeEmpty)
+		So(PlanRanges(RangePlanConfig{}, RangeInput{
+			Table: evenTable(ts), Targets: ts, Rates: rates, Settled: func(Segment) bool { return false },
+		}), ShouldBeEmpty)
+	})
+}
+
+// TestRangePlanSettles guards against keys that are moved to and fro under the
+// noise of a steady load.
+func TestRangePlanSettles(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	ts := rangeTargets(16, 0.12)
+	table := evenTable(ts)
+	late := 0
+	for round := range 40 {
+		rates := make([]float32, RangeKeys)
+		for range 150 { // requests seen in about two seconds
+			rates[int(rnd.ExpFloat64()*9000)%RangeKeys] += 0.5
+		}
+		for _, m := range PlanRanges(RangePlanConfig{}, RangeInput{Table: table, Targets: ts, Rates: rates}) {
+			table = table.Move(m)
+			if round >= 20 {
+				late += m.To - m.From + 1
+			}
+		}
+		for _, s := range table.Segments {
+			table = table.Cleared(s.From, s.To)
+		}
+	}
+	if late > RangeKeys {
+		t.Fatalf("%d keys moved in 20 plans of a steady load", late)
+	}
+}
