Log decisions of requests through a bounded ring, thinned by request

Each request ends with one line (served, refused, no_owner, failed), each send without an answer and each refusal by a target with its own.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -31,6 +31,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/internal/fleetsettings"
 	"github.com/boragelock/boragelock/internal/gateway"
 	"github.com/boragelock/boragelock/lease"
@@ -81,7 +82,11 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
-	log := hclog.New(&hclog.LoggerOptions{Output: stdout, Level: hclog.LevelFromString(s.LogLevel), DisableTime: true})
+	log := eventlog.New(stdout, s.LogLevel)
+	defer log.Close()
+	stopReports := make(chan struct{})
+	defer close(stopReports)
+	go log.Serve(stopReports)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return newDaemon(s, *file, log).run(signals)
@@ -91,12 +96,12 @@
 type daemon struct {
 	s     *fleetsettings.Settings
 	file  string
-	log   hclog.Logger
+	log   *eventlog.Log
 	coord *coordinator.Coordinator
 	gw    *gateway.Gateway
 }
 
-func newDaemon(s *fleetsettings.Settings, file string, log hclog.Logger) *daemon {
+func newDaemon(s *fleetsettings.Settings, file string, log *eventlog.Log) *daemon {
 	holds := lease.HoldConfig{}.WithDefaults()
 	holds.Hold = min(holds.Hold, s.MaxHold())
 	d := &daemon{s: s, file: file, log: log}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -127,7 +127,7 @@
 		if d.Reason == placement.ReasonNoTarget {
 			code = CodeNoTarget
 		}
-		c.g.cfg.Log.Info("refused", "request", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
+		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
 			"reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(), "left_ms", (c.deadline - boottime.Now()).Milliseconds())
 		return d, refuse(code, d.RetryAfter)
 	}
@@ -152,7 +152,7 @@
 			}
 		}
 		if now-start >= ownerWait || back+c.g.service(now, c.route.Name)/2 > c.deadline {
-			c.g.cfg.Log.Info("no_owner", "request", c.req.ID, "workload", c.workload, "key", c.req.Key,
+			c.g.cfg.Log.Request("no_owner", c.req.ID, "workload", c.workload, "key", c.req.Key,
 				"waited_ms", (now - start).Milliseconds(), "back_ms", (back - now).Milliseconds())
 			return "", refuse(CodeNoOwner, back-now)
 		}
@@ -216,7 +216,7 @@
 		c.count(id, s)
 	}
 	c.tried = append(c.tried, id)
-	c.g.cfg.Log.Info("send_failed", "request", c.req.ID, "target", id, "reason", e.reason, "sent", e.sent,
+	c.g.cfg.Log.Request("send_failed", c.req.ID, "target", id, "reason", e.reason, "sent", e.sent,
 		"took_ms", took.Milliseconds(), "err", e.err)
 	if gone {
 		return nil, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: e}, false
@@ -312,6 +312,9 @@
 		return nil, &Failure{Code: CodeBadAnswer, Status: http.StatusBadGateway}, false
 	}
 	c.g.m.sends.Add("answered", 1)
+	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", id,
+		"status", a.status, "sends", c.sends+1, "refusals", c.refused, "target_ms", took.Milliseconds(),
+		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "load", a.said.Load)
 	return a, nil, false
 }
 
@@ -322,7 +325,7 @@
 		c.sends++
 	}
 	c.g.m.sends.Add("not_run", 1)
-	c.g.cfg.Log.Info("not_run", "request", c.req.ID, "target", id, "status", a.status, "wrong_target", a.said.WrongTarget,
+	c.g.cfg.Log.Request("not_run", c.req.ID, "target", id, "status", a.status, "wrong_target", a.said.WrongTarget,
 		"key", c.req.Key, "sends", c.sends)
 	if !c.keyed {
 		c.tried = append(c.tried, id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,11 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/retry"
 )
@@ -34,7 +33,7 @@
 type Config struct {
 	Domain string
 	Source Source
-	Log    hclog.Logger
+	Log    *eventlog.Log
 	// RetryRatio and RetryExtra are the deployment's budget: in each window,
 	// ratio x requests + extra requests may be sent once more, by all hosts.
 	RetryRatio  float64
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,12 +14,12 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/platform/standin"
 )
 
@@ -79,7 +79,7 @@
 		})
 	}
 	r.gw = New(Config{
-		Domain: "d", Source: r.source, Log: hclog.NewNullLogger(), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
+		Domain: "d", Source: r.source, Log: eventlog.New(io.Discard, "info"), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -334,7 +334,7 @@
 	if r != nil {
 		id = platform.ReadRequest(r.Header).ID
 	}
-	c.g.cfg.Log.Info("failed", "request", id, "code", f.Code, "status", f.Status, "took_ms", took.Milliseconds(),
+	c.g.cfg.Log.Request("failed", id, "code", f.Code, "status", f.Status, "took_ms", took.Milliseconds(),
 		"retry_after_ms", f.RetryAfter.Milliseconds(), "err", f.Err, "caller_left", c.ctx.Err() != nil)
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -333,8 +333,8 @@
 			a.rest = resp.Body
 		}
 		if a.said.ID != "" && a.said.ID != o.id {
-			if a.rest != nil || resp.Close {
-				break
+			if a.rest != nil || resp.Close || !u.reused {
+				break // no earlier request can be answered here
 			}
 			continue
 		}
