--- a/cmd/boragelock/main.go
+++ b/cmd/boragelock/main.go
@@ -61,7 +61,7 @@
 }
 
 func commands() []command {
-	return slices.Concat(contractCommands(), stateCommands(), showCommands())
+	return slices.Concat(contractCommands(), stateCommands(), showCommands(), fleetCommands())
 }
 
 // run carries out one command line and returns the exit code.
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -281,6 +281,7 @@
 		}
 		f.released = true
 		f.holding.Released()
+		g.changed = g.changed || !f.holding.Free(now)
 		if handover != "" {
 			r.handover = handover
 		}
@@ -384,21 +385,25 @@
 	for i, r := range g.runs {
 		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: r.granted && !r.failing}
 		if !view[i].Ready {
-			view[i].BackMS = r.back(now).Milliseconds()
+			view[i].BackMS = g.back(now, r).Milliseconds()
 		}
 	}
 	return view, changed
 }
 
 // back returns the time until a run can be granted to its owner, or for an owner
-// that fails, to another one.
-func (r *run) back(now time.Duration) time.Duration {
+// that fails, to another one. A former owner that answers releases the keys as
+// soon as the work on them has ended, which is not counted here.
+func (g *RangeGranter) back(now time.Duration, r *run) time.Duration {
 	until := now
 	if r.failing {
 		until = r.holding.end()
 	}
 	for i := range r.formers {
-		until = max(until, r.formers[i].holding.end())
+		f := &r.formers[i]
+		if f.released || now-g.lastOK[f.id] > g.cfg.Failing {
+			until = max(until, f.holding.end())
+		}
 	}
 	return until - now
 }
--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -444,3 +444,30 @@
 		h.check()
 	}
 }
+
+// TestBackOfRuns guards against requests that are refused while keys are handed
+// over between two targets that answer: the end of the former hold is seconds
+// away, the hand-over takes a fraction of one.
+func TestBackOfRuns(t *testing.T) {
+	cfg := RangeConfig{}.withDefaults()
+	term := BeginTerm(cfg.Holds, 1, 0, 0, Prior{Ended: true})
+	table := ownership.NewRangeTable([]string{"a", "b"}, []float64{1, 1})
+	g := NewRangeGranter(cfg, term, table, true)
+	now := time.Second
+	all := func(string) bool { return true }
+	for _, o := range g.Tick(now, all) {
+		g.Granted(now, o, GrantAccepted)
+	}
+	table = table.Move(ownership.RangeMove{From: 10, To: 20, Owner: "b"})
+	g.SetTable(now, table)
+	view, changed := g.View(now)
+	if !changed || view[1].Ready || view[1].BackMS != 0 {
+		t.Fatalf("hand-over from a target that answers: %+v", view[1])
+	}
+	// Without an answer for a while, the end of the former hold is what counts.
+	later := now + cfg.Failing + 10*time.Millisecond
+	g.changed = true
+	if view, _ = g.View(later); view[1].BackMS < 1000 {
+		t.Fatalf("hand-over from a target that does not answer: %+v", view[1])
+	}
+}
