Ask the former leader whether it stopped; end a term only on refused fences in a row

The new leader now asks it every 300 ms. One refused fence ended a healthy term: when a run is cut, a grant of the whole may arrive after that of a part; two in a row from one target are needed now.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -198,6 +198,8 @@
 			So(eventually(6*time.Second, func() bool { x := k.leader(); return x != nil && x != first }), ShouldBeTrue)
 			So(k.doubled(), ShouldBeFalse)
 			So(eventually(5*time.Second, k.held), ShouldBeTrue)
+			// The former leader cannot read who leads, and is asked by the new one.
+			So(eventually(3*time.Second, func() bool { return k.leader().c.lead.hasEnded(1) }), ShouldBeTrue)
 		})
 		Convey("while the store is down for all, the leader keeps the holds up", func() {
 			for _, h := range k.hosts {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -127,6 +127,13 @@
 	return p
 }
 
+// formerRecord returns the record of the leader before the present one.
+func (l *leadership) formerRecord() leaderRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.former
+}
+
 // heard takes what a host says of a term that it led: that it stopped, or that
 // another process runs there now.
 func (l *leadership) heard(m helloMessage) {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -320,19 +320,8 @@
 	})
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler, quiet)
 	defer func() { _ = conn.Close() }() // given up in any case
-	var reply helloReply
-	callCtx, cancelCall := context.WithTimeout(ctx, silentAfter)
-	err = conn.Call(callCtx, methodHello, helloMessage{
-		Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load(),
-	}, &reply)
-	cancelCall()
-	switch {
-	case err != nil:
-		return lossSilent
-	case !reply.Leads && (reply.Incarnation != l.Incarnation || reply.Ended >= l.Term):
-		return lossEnded
-	case !reply.Leads:
-		return lossDenied
+	if reason := c.sayHello(ctx, conn, l); reason != "" {
+		return reason
 	}
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
 	c.lead.connected(true)
@@ -367,6 +356,43 @@
 	}
 }
 
+// sayHello asks a host whether it leads a term. It returns nothing when it does.
+func (c *Coordinator) sayHello(ctx context.Context, conn *jsonrpc2.Conn, l leaderRecord) lossReason {
+	ctx, cancel := context.WithTimeout(ctx, silentAfter)
+	defer cancel()
+	var reply helloReply
+	err := conn.Call(ctx, methodHello, helloMessage{
+		Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load(),
+	}, &reply)
+	switch {
+	case err != nil:
+		return lossSilent
+	case !reply.Leads && (reply.Incarnation != l.Incarnation || reply.Ended >= l.Term):
+		return lossEnded
+	case !reply.Leads:
+		return lossDenied
+	}
+	return ""
+}
+
+// askFormerEvery is the period in which a new leader asks the former one whether
+// it has stopped: one that is cut off from the store does not learn whom to tell.
+const askFormerEvery = 300 * time.Millisecond
+
+// askFormer asks the former leader until it has stopped or the context ends.
+func (c *Coordinator) askFormer(ctx context.Context, former leaderRecord) {
+	for !c.lead.hasEnded(former.Term) && sleep(ctx, askFormerEvery) {
+		nc, err := platform.Dialer(peerDialTimeout).DialContext(ctx, "tcp", former.Address)
+		if err != nil {
+			continue // asked again
+		}
+		none := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
+		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), none, quiet)
+		c.lead.lost(former.Term, c.sayHello(ctx, conn, former))
+		_ = conn.Close() // only opened for the question
+	}
+}
+
 // fromLeader takes a notification of the leader.
 func (c *Coordinator) fromLeader(r *jsonrpc2.Request) error {
 	switch r.Method {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -49,6 +49,8 @@
 	born  map[string]int64
 	// addresses remembers where targets were that are no longer announced.
 	addresses map[string]string
+	// refused counts the refused fences of each target since it last accepted one.
+	refused map[string]int
 
 	began time.Duration
 	// formerEnded says that the leader of the term before is known to have stopped.
@@ -71,11 +73,14 @@
 		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered, w.prior),
 		results: make(chan result, resultQueue), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentView: map[string]*Ranges{},
-		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{},
+		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{}, refused: map[string]int{},
 		dirty: map[string]*ownership.RangeTable{}, began: w.answered, nextConfirm: w.answered + confirmEvery,
 	}
 	c.leading.Store(true)
 	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.prior.Ended, "clear_ms", w.prior.Clear.Milliseconds())
+	if former := c.lead.formerRecord(); former.Address != "" && former.Address != c.cfg.Peer {
+		go c.askFormer(ctx, former)
+	}
 	t.loop()
 	t.lease.End()
 	cancel() // ends the calls in progress before the end of the term is told
@@ -327,6 +332,7 @@
 		var e *platform.Error
 		switch {
 		case err == nil:
+			delete(t.refused, o.Target)
 			g.Granted(now, o, lease.GrantAccepted)
 			return
 		case errors.As(err, &e) && e.Outcome == platform.NotDone && e.Status == 0:
@@ -334,13 +340,25 @@
 		default:
 			g.Granted(now, o, lease.GrantUnknown)
 			if e != nil && e.Outcome == platform.Conflict {
-				t.over = endFenced
+				t.fenced(o.Target)
 			}
 		}
 		t.c.cfg.Log.Info("grant_failed", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
 	})
 }
 
+// refusalsInRow is the number of refused fences of one target after which another
+// leader must have granted it keys. A single one also happens within a term: when
+// a run is cut, a grant of the whole may arrive after that of a part.
+const refusalsInRow = 2
+
+// fenced notes that a target refused a fence.
+func (t *term) fenced(target string) {
+	if t.refused[target]++; t.refused[target] >= refusalsInRow {
+		t.over = endFenced
+	}
+}
+
 // publish makes granted ranges visible here and to the peers.
 func (t *term) publish(now time.Duration) {
 	full := now >= t.nextFull
