--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -23,11 +23,6 @@
 	ColdUntil time.Duration
 }
 
-// Same reports whether two values describe the same run of a target.
-func (t *Target) Same(o *Target) bool {
-	return t.ID == o.ID && t.Born == o.Born && t.Address == o.Address && t.Workload == o.Workload
-}
-
 // Snapshot is an immutable view of the deployment.
 type Snapshot struct {
 	// Desired is nil until the first desired state was read.
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -101,7 +101,6 @@
 
 // peerConn is the leader's side of a connection.
 type peerConn struct {
-	host   string
 	conn   *jsonrpc2.Conn
 	outbox chan peerMessage
 }
@@ -190,10 +189,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	pc := &peerConn{outbox: make(chan peerMessage, outboxSize)}
-	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		switch r.Method {
 		case methodHello:
-			return c.hello(pc, conn, r)
+			return c.hello(pc, r)
 		case methodCounts:
 			var m countsMessage
 			if err := unmarshalParams(r, &m); err != nil {
@@ -236,7 +235,7 @@
 }
 
 // hello registers a follower when this host leads.
-func (c *Coordinator) hello(pc *peerConn, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (c *Coordinator) hello(pc *peerConn, r *jsonrpc2.Request) (any, error) {
 	var m helloMessage
 	if err := unmarshalParams(r, &m); err != nil {
 		return nil, err
@@ -244,7 +243,6 @@
 	if !c.Leading() {
 		return helloReply{Incarnation: c.incarnation, Ended: c.endedTerm.Load()}, nil
 	}
-	pc.host = m.Host
 	c.lead.heard(m)
 	for w, r := range *c.ranges.Load() {
 		pc.post(methodRanges, rangesMessage{Workload: w, Full: true, Runs: r.runs})
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -1,9 +1,6 @@
 package ownership
 
-import (
-	"slices"
-	"sort"
-)
+import "sort"
 
 // RangeTarget is a target that may own keys of a range-partitioned workload.
 type RangeTarget struct {
@@ -361,18 +358,3 @@
 	}
 	return s.From, s.To, !whole
 }
-
-// SortedTargets returns the targets in the order of their IDs, so that the same
-// input gives the same plan on each host.
-func SortedTargets(ts []RangeTarget) []RangeTarget {
-	slices.SortFunc(ts, func(a, b RangeTarget) int {
-		switch {
-		case a.ID < b.ID:
-			return -1
-		case a.ID > b.ID:
-			return 1
-		}
-		return 0
-	})
-	return ts
-}
--- a/placement/board.go
+++ b/placement/board.go
@@ -173,18 +173,6 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// Factors returns the targets' service times in seconds for a route, of those
-// with samples.
-func (b *Board) Factors(workload, route string) map[string]float64 {
-	out := map[string]float64{}
-	for _, t := range b.byWorkload[workload] {
-		if t.samples > 0 {
-			out[t.ID] = b.service(route) * t.factor
-		}
-	}
-	return out
-}
-
 // paceAge is how long a reported pace counts: it changes many times a second.
 const paceAge = 250 * time.Millisecond
 
@@ -241,7 +229,7 @@
 }
 
 // Ended takes the end of a request into account. The request was counted by
-// Submit or Dispatch, or by Sent.
+// Submit or Dispatch.
 func (b *Board) Ended(now time.Duration, id string, s Sample) {
 	t := b.targets[id]
 	if t == nil {
@@ -302,13 +290,6 @@
 	t.factor = min(max(t.factor, 0.2), 20)
 }
 
-// Sent counts a request that was sent to a target without Submit.
-func (b *Board) Sent(id string) {
-	if t := b.targets[id]; t != nil {
-		t.own++
-	}
-}
-
 // Withdrawn ends a request that did not reach its target.
 func (b *Board) Withdrawn(id string) {
 	if t := b.targets[id]; t != nil {
