Set offsets, start granters and ask the former leader in one place each; remove unused state

From a second reading of the change, behaviour unchanged: - Append sets the offsets of the records it added; both callers did it by hand; - askFormer calls internal/peer's client instead of a connection of its own, and shares the reading of the reply with followLeader; - a granter and its loads are started by one function, an idle connection's expiry and a route's service time are computed by one each; - follower.wake, Config.Domain of the coordinator, sendError.answered and Decision.Expected were never read. Ruled out: a socket check shared with internal/forward; that one also tells an end from surplus data and works on a wrapped connection.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -106,7 +106,7 @@
 	holds.Hold = min(holds.Hold, s.MaxHold())
 	d := &daemon{s: s, file: file, log: log}
 	d.coord = coordinator.New(coordinator.Config{
-		Host: s.Host, Domain: s.Domain, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+		Host: s.Host, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		Store: platform.NewStore(s.Store), Grants: platform.NewGrants(), Log: log,
 		Ranges: lease.RangeConfig{Holds: holds}, Cores: s.CPUShare, LinkMbps: s.LinkMbps,
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,8 +19,8 @@
 
 // Config holds the settings of a Coordinator.
 type Config struct {
-	// Host and Domain name the host and its failure domain.
-	Host, Domain string
+	// Host names the host.
+	Host string
 	// Peer is the address on which the leader is called, "ip:port".
 	Peer  string
 	Store *platform.Store
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -91,7 +91,7 @@
 		k.t.Fatal(err)
 	}
 	c := New(Config{
-		Host: fmt.Sprint("host", i), Domain: "z", Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
+		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
 		Grants: platform.NewGrants(), Log: hclog.NewNullLogger(), Cores: 1, LinkMbps: 1000,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -8,7 +8,7 @@
 //   - The peer duty keeps a connection to the leader: records and granted
 //     ranges come from it, key counts go to it.
 //   - The election duty takes the lead by a conditional append when the leader
-//     is gone, and confirms it once a second.
+//     is gone, and confirms it regularly.
 //   - The leader's loop runs a lease.RangeGranter for each keyed workload and
 //     plans moves with ownership.PlanRanges.
 //
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -25,12 +25,10 @@
 	next int64
 	// fresh is when the records before next were last known to be all.
 	fresh time.Duration
-	// wake ends the wait of the duty.
-	wake chan struct{}
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
-	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: -time.Hour, wake: make(chan struct{}, 1)}
+	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: -time.Hour}
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -287,11 +287,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := boottime.Now()
-	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, at, []platform.Record{r.record()})
+	records := []platform.Record{r.record()}
+	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, at, records)
 	if err == nil {
-		record := r.record()
-		record.Offset = at
-		c.control.take(at, platform.Batch{Records: []platform.Record{record}, Next: end}, false, sent)
+		c.control.take(at, platform.Batch{Records: records, Next: end}, false, sent)
 	} else {
 		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
 		var e *platform.Error
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -359,18 +360,27 @@
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	var reply helloReply
-	err := conn.Call(ctx, methodHello, helloMessage{
-		Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load(),
-	}, &reply)
-	switch {
-	case err != nil:
+	err := conn.Call(ctx, methodHello, c.helloFor(l), &reply)
+	if err != nil {
 		return lossSilent
-	case !reply.Leads && (reply.Incarnation != l.Incarnation || reply.Ended >= l.Term):
+	}
+	return reply.reason(l)
+}
+
+// reason says why a host does not lead a term; it returns nothing when it does.
+func (r helloReply) reason(l leaderRecord) lossReason {
+	switch {
+	case r.Leads:
+		return ""
+	case r.Incarnation != l.Incarnation || r.Ended >= l.Term:
 		return lossEnded
-	case !reply.Leads:
-		return lossDenied
 	}
-	return ""
+	return lossDenied
+}
+
+// helloFor returns the question whether a host leads a term.
+func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
+	return helloMessage{Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load()}
 }
 
 // askFormerEvery is the period in which a new leader asks the former one whether
@@ -380,15 +390,23 @@
 // askFormer asks the former leader until it has stopped or the context ends.
 func (c *Coordinator) askFormer(ctx context.Context, former leaderRecord) {
 	for !c.lead.hasEnded(former.Term) && sleep(ctx, askFormerEvery) {
-		nc, err := platform.Dialer(peerDialTimeout).DialContext(ctx, "tcp", former.Address)
-		if err != nil {
-			continue // asked again
-		}
-		none := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
-		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), none, quiet)
-		c.lead.lost(former.Term, c.sayHello(ctx, conn, former))
-		_ = conn.Close() // only opened for the question
+		c.askOnce(ctx, former)
+	}
+}
+
+// askOnce asks the former leader on a connection of its own, so that it does not
+// take this host for one that follows it.
+func (c *Coordinator) askOnce(ctx context.Context, former leaderRecord) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout+silentAfter)
+	defer cancel()
+	client := &peer.Client{DialTimeout: peerDialTimeout}
+	defer client.Close()
+	var reply helloReply
+	if err := client.Call(ctx, former.Address, methodHello, c.helloFor(former), &reply); err != nil {
+		c.cfg.Log.Debug("former_leader_silent", "leader", former.Host, "term", former.Term, "err", err)
+		return
 	}
+	c.lead.lost(former.Term, reply.reason(former))
 }
 
 // fromLeader takes a notification of the leader.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -177,8 +177,7 @@
 			continue
 		}
 		if table := t.c.lead.table(name); table != nil {
-			t.granters[name] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, false)
-			t.loads[name] = newKeyLoads()
+			t.start(name, table, false)
 			continue
 		}
 		if _, ok := t.first[name]; !ok && len(usable(snap, name)) > 0 {
@@ -190,6 +189,12 @@
 	}
 }
 
+// start begins to grant the keys of a workload.
+func (t *term) start(workload string, table *ownership.RangeTable, isNew bool) {
+	t.granters[workload] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, isNew)
+	t.loads[workload] = newKeyLoads()
+}
+
 // usable returns the targets of a workload that may get requests.
 func usable(snap *fleet.Snapshot, workload string) []*fleet.Target {
 	var out []*fleet.Target
@@ -396,9 +401,6 @@
 		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
 	}
 	at := t.c.control.position()
-	for i := range records {
-		records[i].Offset = at + int64(i)
-	}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
 		defer cancel()
@@ -429,8 +431,7 @@
 			g.SetTable(now, table)
 			continue
 		}
-		t.granters[name] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, true)
-		t.loads[name] = newKeyLoads()
+		t.start(name, table, true)
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -259,10 +259,8 @@
 
 // timeLeft reports whether another send could still end in time.
 func (c *call) timeLeft() bool {
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
 	now := boottime.Now()
-	return now+c.g.board.Service(now, c.route.Name, "")/2 < c.deadline
+	return now+c.g.service(now, c.route.Name)/2 < c.deadline
 }
 
 // pause waits and reports whether the request goes on.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -46,10 +46,15 @@
 	reused    bool
 }
 
+// expired reports whether the target may close the idle connection soon.
+func (u *upstream) expired(now time.Duration) bool {
+	return now-u.idleSince > u.keepAlive-keepAliveMargin
+}
+
 // usable reports whether an idle connection is still open and has no data that
 // nobody asked for.
 func (u *upstream) usable(now time.Duration) bool {
-	if now-u.idleSince > u.keepAlive-keepAliveMargin || u.br.Buffered() > 0 {
+	if u.expired(now) || u.br.Buffered() > 0 {
 		return false
 	}
 	sc, ok := u.nc.(syscall.Conn)
@@ -155,7 +160,7 @@
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, u := range list {
-			if now-u.idleSince > u.keepAlive-keepAliveMargin {
+			if u.expired(now) {
 				_ = u.nc.Close() // out of time
 				continue
 			}
@@ -235,11 +240,9 @@
 // sendError says how a request failed at one target.
 type sendError struct {
 	// sent says that bytes of the request may have reached the target.
-	sent bool
-	// answered says that the target began an answer.
-	answered bool
-	reason   string
-	err      error
+	sent   bool
+	reason string
+	err    error
 }
 
 // Error implements error.
@@ -327,7 +330,7 @@
 		a.framed = a.length >= 0 || len(resp.TransferEncoding) > 0
 		a.body, err = io.ReadAll(io.LimitReader(resp.Body, bufferedAnswer))
 		if err != nil {
-			return nil, &sendError{sent: true, answered: true, reason: "answer broke off", err: err}
+			return nil, &sendError{sent: true, reason: "answer broke off", err: err}
 		}
 		if len(a.body) == bufferedAnswer {
 			a.rest = resp.Body
@@ -340,7 +343,7 @@
 		}
 		return a, nil
 	}
-	return nil, &sendError{sent: true, answered: true, reason: "answers of other requests"}
+	return nil, &sendError{sent: true, reason: "answers of other requests"}
 }
 
 // writeInline is the size up to which a request is written before its answer is
--- a/placement/place.go
+++ b/placement/place.go
@@ -58,8 +58,6 @@
 	Reason Reason
 	// RetryAfter is when there will be room, for a refusal.
 	RetryAfter time.Duration
-	// Expected is the estimated time to the answer.
-	Expected time.Duration
 }
 
 // waiter is a request that waits.
@@ -198,7 +196,7 @@
 	case best != nil:
 		best.own++
 		best.coldTokens--
-		return Decision{Verdict: Send, Target: best.ID, Expected: seconds(bestCost)}
+		return Decision{Verdict: Send, Target: best.ID}
 	case full && leastPart*service <= left && max(soonest, 0) < left:
 		return Decision{Verdict: Wait}
 	case full:
