Judge slow and failing targets in package health only; keep learned service times from drifting

Cause: three places judged targets (internal/control, internal/forward and placement) while package health, which was to do it, had no caller. A replay of steady load with one target ten times slower showed two faults of the judge in placement: the mean time of a route and the factors of its targets drifted away together, to 0.5 s for a true 0.1 s after two minutes, since each sample was divided by a factor that was itself measured against the mean; and a slow target whose requests all waited never became known as slow (p99 2.8 s against 0.3 s). The example of placement showed a third one: a request that could not end behind those that waited was queued until that was certain.

Change: health.Judge compares peers and health.Record keeps failures and speed of one target; all three use them. Samples above four times the mean are cut; a sample that waited counts as a lower bound; what is known of a silent target fades, and it is tried by one request at a time. A request behind others is refused on arrival when it cannot end in time even at 0.6 of the expected work.

--- /dev/null
+++ b/fleet/example_test.go
@@ -0,0 +1,28 @@
+package fleet_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/boragelock/boragelock/fleet"
+)
+
+// A target whose announcement lapses while the store is away is kept until it has
+// had time to announce itself again.
+func ExampleDirectory() {
+	d := fleet.NewDirectory()
+	d.PutTarget(&fleet.Target{ID: "a", Workload: "orders", Domain: "north", Slots: 6})
+
+	now := time.Minute
+	d.StoreAway()
+	fmt.Println("removed while the store is away:", d.RemoveTarget(now, "a"))
+
+	now += 9 * time.Second
+	d.StoreBack(now)
+	fmt.Println("targets right after its return:", len(d.Snapshot().Of("orders")))
+	fmt.Println("given up after the grace:", d.Expire(now+fleet.Grace))
+	// Output:
+	// removed while the store is away: false
+	// targets right after its return: 1
+	// given up after the grace: [a]
+}
--- a/health/doc.go
+++ b/health/doc.go
@@ -1,21 +1,18 @@
-// Package health compares the targets of one workload with each other: it
-// lowers the weight of slow ones and selects a target for unkeyed requests.
+// Package health judges targets: which are slow in comparison with their peers,
+// and what the last requests say of one.
 //
 // # Contract
 //
-//   - A target is slow when its service time is above Config.SlowFactor times the
-//     median of the workload's targets for Config.Confirm. Its weight becomes the
-//     ratio of the median to its service time, at least Config.MinWeight.
-//   - At most half of a workload's targets have a lower weight at once, the
-//     slowest ones: when most are slow, the workload is, and moving its load
-//     would overload the rest.
-//   - A slow target gets a probe every Config.ProbeInterval. Its weight returns
-//     in steps, after Config.Probes answers in a row that are near the median.
-//   - Choose takes the better of two random targets by expected wait, from
-//     reports of queue length and service time that age out, and requests sent
-//     since. Targets of the own domain come first; others are used when those
-//     have none that is fit, or the expected wait there is long.
+//   - Judge compares the service times of one workload's targets. A target is slow
+//     when its time is above Config.SlowFactor times the median for Config.Confirm.
+//     Its weight is the ratio of the median to its own time, at least
+//     Config.MinWeight.
+//   - At most half of a workload's targets are slow at once: when most are, the
+//     workload is, and moving its load would overload the rest.
+//   - Record keeps the share of a target's requests that failed and its service
+//     time in relation to that of its peers. Both fade while nothing is heard of
+//     the target, so that one which has recovered is tried again.
 //
 // The package performs no I/O. All times are durations on the boot-time clock
-// of the host, passed in by the caller. A Pool is not safe for concurrent use.
+// of the host, passed in by the caller. Its types are not safe for concurrent use.
 package health
--- /dev/null
+++ b/health/record.go
@@ -0,0 +1,84 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failingAge is the time constant with which a failure rate is forgotten.
+	failingAge = 3 * time.Second
+	// speedAge is the time constant with which the speed of a target without new
+	// answers returns to that of its peers: one that was ten times slower is tried
+	// again after about 20 s, when it counts as twice as slow.
+	speedAge = 10 * time.Second
+	// failureWeight is the weight of one request in the failure rate.
+	failureWeight = 0.2
+	// speedWeight is the least weight of one answer in the speed.
+	speedWeight = 0.1
+	// minFactor and maxFactor bound the speed, so that one odd answer does not
+	// exclude a target.
+	minFactor, maxFactor = 0.2, 20
+)
+
+// Record is what the requests of one host say of a target. The zero value knows
+// nothing.
+type Record struct {
+	// failing is the recent share of requests that failed, as of failedAt.
+	failing  float64
+	failedAt time.Duration
+	// factor is the service time in relation to that of the peers, as of sampledAt.
+	factor    float64
+	samples   int
+	sampledAt time.Duration
+}
+
+// Ended notes the end of a request.
+func (r *Record) Ended(now time.Duration, failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	r.failing = (1-failureWeight)*r.Failing(now) + failureWeight*x
+	r.failedAt = now
+}
+
+// Unreachable notes that no connection to the target could be opened: all
+// requests to it fail for now.
+func (r *Record) Unreachable(now time.Duration) { r.failing, r.failedAt = 1, now }
+
+// Failing returns the share of requests that fail, 0 to 1.
+func (r *Record) Failing(now time.Duration) float64 {
+	return faded(r.failing, now-r.failedAt, failingAge)
+}
+
+// Took notes a service time and the one that is expected of its peers, in
+// seconds.
+func (r *Record) Took(now time.Duration, service, expected float64) {
+	r.samples++
+	// After a silence, what was known before says little.
+	weight := max(speedWeight, 1/float64(r.samples+1), 1-faded(1, now-r.sampledAt, speedAge))
+	factor := r.LastFactor()
+	factor += weight * (service/max(expected, 1e-3) - factor)
+	r.factor = min(max(factor, minFactor), maxFactor)
+	r.sampledAt = now
+}
+
+// LastFactor returns the target's service time in relation to that of its peers,
+// as it was at the last answer.
+func (r *Record) LastFactor() float64 {
+	if r.samples == 0 {
+		return 1
+	}
+	return r.factor
+}
+
+// Factor returns the target's service time in relation to that of its peers, which
+// returns to 1 while there is no answer.
+func (r *Record) Factor(now time.Duration) float64 {
+	return 1 + faded(r.LastFactor()-1, now-r.sampledAt, speedAge)
+}
+
+func faded(x float64, age, constant time.Duration) float64 {
+	return x * math.Exp(-float64(age)/float64(constant))
+}
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/health"
 	"github.com/boragelock/boragelock/hotkeys"
 	"github.com/boragelock/boragelock/journal"
 	"github.com/boragelock/boragelock/ownership"
@@ -79,14 +80,14 @@
 	pending LoadReport
 	// service holds the last reported service time of each target.
 	service map[string]timedService
+	// judges compare the targets of each workload.
+	judges map[string]*health.Judge
 }
 
 // timedService is a service time and when it was reported.
 type timedService struct {
 	us int64
 	at time.Duration
-	// slowSince is when the target was first found slow; 0 while it is not.
-	slowSince time.Duration
 }
 
 // loadKey names a key of a workload.
@@ -95,7 +96,7 @@
 func newLoadTable(now func() time.Duration) *loadTable {
 	return &loadTable{
 		now: now, counter: hotkeys.New(hotkeys.Config{}),
-		shards: map[ownership.ID]float64{}, keys: map[loadKey]float64{}, service: map[string]timedService{},
+		shards: map[ownership.ID]float64{}, keys: map[loadKey]float64{}, service: map[string]timedService{}, judges: map[string]*health.Judge{},
 	}
 }
 
@@ -108,7 +109,7 @@
 		l.pending.ServiceUS = map[string]int64{}
 	}
 	for t, us := range r.ServiceUS {
-		l.service[t] = timedService{us, l.at, l.service[t].slowSince}
+		l.service[t] = timedService{us, l.at}
 		l.pending.ServiceUS[t] = us
 	}
 	for _, s := range r.Counts.Shards {
@@ -200,44 +201,47 @@
 	return out
 }
 
-// weights returns the weights below 1 of the slow targets of each workload: the
-// ratio of the median service time to their own. At most half of a workload's
-// targets get one, since otherwise the workload is slow and not its targets.
+// weights returns the weights below 1 of the slow targets of each workload.
 func (l *loadTable) weights(targets map[string]contract.Target) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	byWorkload := map[string][]int64{}
+	byWorkload := map[string]map[string]time.Duration{}
 	for name, s := range l.service {
 		if l.now()-s.at > serviceLife {
 			delete(l.service, name)
 			continue
 		}
-		byWorkload[targets[name].Workload] = append(byWorkload[targets[name].Workload], s.us)
+		w := targets[name].Workload
+		if byWorkload[w] == nil {
+			byWorkload[w] = map[string]time.Duration{}
+		}
+		byWorkload[w][name] = time.Duration(s.us) * time.Microsecond
 	}
 	out := map[string]float64{}
-	for _, all := range byWorkload {
-		slices.Sort(all)
-	}
-	for name, s := range l.service {
-		all := byWorkload[targets[name].Workload]
-		// The lower median, so that half of the targets are never above it.
-		median := all[(len(all)-1)/2]
-		if float64(s.us) <= slowFactor*float64(median) {
-			s.slowSince = 0
-			l.service[name] = s
-			continue
-		}
-		if s.slowSince == 0 {
-			s.slowSince = l.now()
-			l.service[name] = s
-		}
-		if l.now()-s.slowSince >= slowConfirm {
-			out[name] = max(float64(median)/float64(s.us), leastWeight)
-		}
+	for w, service := range byWorkload {
+		maps.Copy(out, l.judge(w).Slow(l.now(), service))
 	}
 	return out
 }
 
+// judge returns the judge of a workload's targets; l.mu is held.
+func (l *loadTable) judge(workload string) *health.Judge {
+	if l.judges[workload] == nil {
+		l.judges[workload] = newJudge()
+	}
+	return l.judges[workload]
+}
+
+func newJudge() *health.Judge {
+	j, err := health.NewJudge(health.Config{
+		SlowFactor: slowFactor, Confirm: slowConfirm, MinWeight: leastWeight, MinTargets: 2,
+	})
+	if err != nil {
+		panic("settings of the judge: " + err.Error()) // constants of this package
+	}
+	return j
+}
+
 // jumped reports whether a service time differs much from the one that was
 // reported last.
 func jumped(now, last map[string]int64) bool {
--- a/internal/forward/slow.go
+++ b/internal/forward/slow.go
@@ -5,11 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/boragelock/boragelock/health"
 	"github.com/boragelock/boragelock/internal/view"
 )
 
 const (
-	// slowFactor is the ratio of a target's mean latency to the best of its
+	// slowFactor is the ratio of a target's mean latency to the median of its
 	// workload from which on unkeyed requests avoid it.
 	slowFactor = 3
 	// slowLife is how long a target is avoided after the last word about its
@@ -53,28 +54,24 @@
 }
 
 // findSlow compares the mean latencies of the targets of each unkeyed
-// workload, by the last word of their homes. At most half of them count as slow,
-// since otherwise the workload is.
+// workload, by the last word of their homes.
 func (s *Server) findSlow(v *view.View) {
-	byWorkload := map[string][]string{}
-	latency := map[string]time.Duration{}
+	byWorkload := map[string]map[string]time.Duration{}
 	for name, t := range v.State.Config.Targets {
 		if v.State.Config.Workloads[t.Workload].Keyed {
 			continue
 		}
 		if h := s.loadOf(name).hint.Load(); h != nil && h.latency > 0 {
-			latency[name] = h.latency
-			byWorkload[t.Workload] = append(byWorkload[t.Workload], name)
+			if byWorkload[t.Workload] == nil {
+				byWorkload[t.Workload] = map[string]time.Duration{}
+			}
+			byWorkload[t.Workload][name] = h.latency
 		}
 	}
 	slow := map[string]bool{}
-	for _, names := range byWorkload {
-		slices.SortFunc(names, func(a, b string) int { return int(latency[b] - latency[a]) })
-		best := latency[names[len(names)-1]]
-		for _, name := range names[:len(names)/2] {
-			if latency[name] > slowFactor*best {
-				slow[name] = true
-			}
+	for _, latencies := range byWorkload {
+		for name := range health.Above(latencies, slowFactor) {
+			slow[name] = true
 		}
 	}
 	s.slow.Store(&slow)
--- a/placement/board.go
+++ b/placement/board.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/boragelock/boragelock/health"
 )
 
 // Config holds the settings of a Board. A zero field takes its default.
@@ -91,12 +93,7 @@
 	foreign  float64
 	reported time.Duration
 	pace     float64
-	// factor is the target's service time in relation to that of its routes.
-	factor  float64
-	samples int
-	// failing is the recent share of requests that failed, as of failedAt.
-	failing  float64
-	failedAt time.Duration
+	record   health.Record
 	// fullUntil is set when the target shed a request.
 	fullUntil time.Duration
 	// coldTokens are the requests that it may get while cold.
@@ -132,7 +129,7 @@
 	for _, x := range list {
 		t := old[x.ID]
 		if t == nil {
-			t = &target{pace: 1, factor: 1}
+			t = &target{pace: 1}
 		}
 		t.Target = x
 		b.targets[x.ID] = t
@@ -143,15 +140,24 @@
 	}
 }
 
-// estimate is the learned service time of a route in seconds, on a target with
-// factor 1.
+// estimate is the learned service time of a route in seconds, over all targets.
 type estimate struct {
 	mean    float64
 	samples int
 	size    float64 // mean size of an answer in kilobytes
 }
 
+// outlier is the multiple of the mean from which a sample counts as much as this
+// multiple, so that a slow target does not make the whole route slow.
+const outlier = 4
+
+// add takes a service time as it was. Dividing it by the target's factor first
+// lets the mean and the factors drift away together, since only their product is
+// measured.
 func (e *estimate) add(x float64) {
+	if e.samples > 0 {
+		x = min(x, outlier*e.mean)
+	}
 	e.samples++
 	e.mean += max(0.05, 1/float64(e.samples)) * (x - e.mean)
 }
@@ -168,7 +174,7 @@
 func (b *Board) Service(now time.Duration, route, id string) time.Duration {
 	s := b.service(route)
 	if t := b.targets[id]; t != nil {
-		s *= t.factor * t.paceAt(now)
+		s *= t.slowness(now)
 	}
 	return time.Duration(s * float64(time.Second))
 }
@@ -190,11 +196,14 @@
 	return float64(t.own) + t.foreign*math.Exp(-age)
 }
 
-// failingAge is the time constant with which a failure rate is forgotten.
-const failingAge = 3 * time.Second
-
-func (t *target) failingAt(now time.Duration) float64 {
-	return t.failing * math.Exp(-float64(now-t.failedAt)/float64(failingAge))
+// slowness is the service time at a target in relation to that of its routes. A
+// slow target that was not heard of for a while is tried again by one request at
+// a time.
+func (t *target) slowness(now time.Duration) float64 {
+	if t.own == 0 {
+		return t.record.Factor(now) * t.paceAt(now)
+	}
+	return t.record.LastFactor() * t.paceAt(now)
 }
 
 // wait returns the time in seconds until a new request would begin to run at a
@@ -202,7 +211,7 @@
 func (b *Board) wait(now time.Duration, t *target, service float64) float64 {
 	slots := float64(max(t.Slots, 1))
 	ahead := max(0, b.busy(now, t)+1-slots)
-	w := ahead / slots * service * t.factor * t.paceAt(now)
+	w := ahead / slots * service * t.slowness(now)
 	if now < t.fullUntil {
 		w = max(w, (t.fullUntil - now).Seconds())
 	}
@@ -246,15 +255,11 @@
 		t.fullUntil = now + b.cfg.ShedPause
 		return
 	}
-	weight, x := 0.2, 0.0
-	if s.Failed {
-		x = 1
-	}
 	if s.Unreachable {
-		weight = 1
+		t.record.Unreachable(now)
+	} else {
+		t.record.Ended(now, s.Failed)
 	}
-	t.failing = (1-weight)*t.failingAt(now) + weight*x
-	t.failedAt = now
 	if s.Took > 0 && !s.Failed {
 		b.learn(now, t, s)
 	}
@@ -273,21 +278,25 @@
 	}
 }
 
-// learn updates service times from an answer that was not waiting for a slot.
+// learn updates service times from an answer. One that may have waited for a slot
+// shows only whether the target is slower than known: without that, a slow target
+// whose requests all wait keeps its load.
 func (b *Board) learn(now time.Duration, t *target, s Sample) {
+	x := s.Took.Seconds() / t.paceAt(now)
 	if s.Load != nil && s.Load.Waiting > 0 || t.own >= max(t.Slots, 1) {
+		least, expected := x/(1+2*b.cfg.Depth), b.service(s.Route)
+		if least > expected*t.record.LastFactor() {
+			t.record.Took(now, least, expected)
+		}
 		return
 	}
-	x := s.Took.Seconds() / t.paceAt(now)
 	e := b.routes[s.Route]
 	if e == nil {
 		e = &estimate{}
 		b.routes[s.Route] = e
 	}
-	e.add(x / t.factor)
-	t.samples++
-	t.factor += max(0.1, 1/float64(t.samples+1)) * (x/max(e.mean, 1e-3) - t.factor)
-	t.factor = min(max(t.factor, 0.2), 20)
+	e.add(x)
+	t.record.Took(now, x, e.mean)
 }
 
 // Withdrawn ends a request that did not reach its target.
--- a/placement/place.go
+++ b/placement/place.go
@@ -72,6 +72,8 @@
 		if d := b.try(now, r); d.Verdict != Wait {
 			return d
 		}
+	} else if ahead := b.ahead(now, r); hopeless(now, r, ahead, b.service(r.Route)) {
+		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: ahead}
 	}
 	if len(b.waiting) >= b.cfg.MaxWaiting {
 		return Decision{Verdict: Refuse, Reason: ReasonFull, RetryAfter: b.drainTime(now, r)}
@@ -222,8 +224,8 @@
 // cost is the estimated time to an answer in seconds, with what a likely
 // failure and another domain cost.
 func (b *Board) cost(now time.Duration, t *target, r Request, service, wait float64) float64 {
-	cost := wait + service*t.factor*t.paceAt(now)
-	cost += t.failingAt(now) * 2 * max(r.Objective.Seconds(), service)
+	cost := wait + service*t.slowness(now)
+	cost += t.record.Failing(now) * 2 * max(r.Objective.Seconds(), service)
 	if t.Domain != b.cfg.Domain {
 		cost += b.cfg.CrossDomain.Seconds()
 		if e := b.routes[r.Route]; e != nil {
@@ -260,8 +262,27 @@
 	return t.coldTokens >= 1
 }
 
+// hopeless reports whether a request cannot end in time behind the work ahead of
+// it, even if that takes only leastPart of the time expected.
+func hopeless(now time.Duration, r Request, ahead time.Duration, service float64) bool {
+	return leastPart*(ahead.Seconds()+service) > (r.Deadline - now).Seconds()
+}
+
+// ahead returns the time in which the work of a request's workload is done that
+// comes before it: what is in the targets, and the waiting requests that are more
+// urgent or have an earlier deadline.
+func (b *Board) ahead(now time.Duration, r Request) time.Duration {
+	return b.workTime(now, r, func(w *waiter) bool { return compareWaiters(w, &waiter{Request: r, ticket: b.sequence + 1}) < 0 })
+}
+
 // drainTime returns the time after which the queue of a workload is worked off.
 func (b *Board) drainTime(now time.Duration, r Request) time.Duration {
+	return b.workTime(now, r, func(*waiter) bool { return true })
+}
+
+// workTime returns the time for the work that is in the targets that a request
+// may go to, and for the waiting requests of the same kind that count.
+func (b *Board) workTime(now time.Duration, r Request, counts func(*waiter) bool) time.Duration {
 	slots, ahead := 0.0, 0.0
 	for _, t := range b.candidates(r) {
 		if t.Usable {
@@ -270,7 +291,7 @@
 		}
 	}
 	for _, w := range b.waiting {
-		if w.Workload == r.Workload && w.Target == r.Target {
+		if w.Workload == r.Workload && w.Target == r.Target && counts(w) {
 			ahead++
 		}
 	}
