--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -115,6 +115,7 @@
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
 	})
 	expvar.Publish("gateway", d.gw.Vars())
+	expvar.Publish("control", d.coord.Vars())
 	return d
 }
 
--- a/health/record.go
+++ b/health/record.go
@@ -31,6 +31,51 @@
 	factor    float64
 	samples   int
 	sampledAt time.Duration
+	condition Condition
+}
+
+// Condition is what a Record says of a target.
+type Condition uint8
+
+// Conditions.
+const (
+	Fit Condition = iota
+	// Slow targets take at least slowFrom times as long as their peers.
+	Slow
+	// Failing targets fail at least a share of failingFrom of their requests.
+	Failing
+)
+
+// String returns the condition's name in logs.
+func (c Condition) String() string { return [...]string{"fit", "slow", "failing"}[c] }
+
+// Limits of the conditions. A condition ends at a lower value than it begins at, so
+// that one request more or less does not change it.
+const (
+	failingFrom, failingUntil = 0.5, 0.2
+	slowFrom, slowUntil       = 2.5, 1.7
+)
+
+// Condition returns the condition as of the last request.
+func (r *Record) Condition() Condition { return r.condition }
+
+// weigh sets the condition.
+func (r *Record) weigh(now time.Duration) {
+	failing, slow := failingFrom, slowFrom
+	switch r.condition {
+	case Failing:
+		failing = failingUntil
+	case Slow:
+		slow = slowUntil
+	}
+	switch {
+	case r.Failing(now) >= failing:
+		r.condition = Failing
+	case r.LastFactor() >= slow:
+		r.condition = Slow
+	default:
+		r.condition = Fit
+	}
 }
 
 // Ended notes the end of a request.
@@ -41,11 +86,15 @@
 	}
 	r.failing = (1-failureWeight)*r.Failing(now) + failureWeight*x
 	r.failedAt = now
+	r.weigh(now)
 }
 
 // Unreachable notes that no connection to the target could be opened: all
 // requests to it fail for now.
-func (r *Record) Unreachable(now time.Duration) { r.failing, r.failedAt = 1, now }
+func (r *Record) Unreachable(now time.Duration) {
+	r.failing, r.failedAt = 1, now
+	r.weigh(now)
+}
 
 // Failing returns the share of requests that fail, 0 to 1.
 func (r *Record) Failing(now time.Duration) float64 {
@@ -62,6 +111,7 @@
 	factor += weight * (service/max(expected, 1e-3) - factor)
 	r.factor = min(max(factor, minFactor), maxFactor)
 	r.sampledAt = now
+	r.weigh(now)
 }
 
 // LastFactor returns the target's service time in relation to that of its peers,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,6 +83,7 @@
 	// retired hosts do not stand for the lead.
 	retired     atomic.Bool
 	stopLeading atomic.Pointer[context.CancelFunc]
+	m           *metrics
 }
 
 // New returns a coordinator.
@@ -100,6 +101,7 @@
 	c.targets = newFollower(c, platform.TopicTargets, c.applyTargets)
 	c.control = newFollower(c, platform.TopicControl, c.applyControl)
 	c.lead.init()
+	c.m = newMetrics(c)
 	return c
 }
 
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -95,6 +95,7 @@
 	if from == unknownOffset {
 		sent := boottime.Now()
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
+		f.c.m.storeCall("newest", err)
 		if err != nil {
 			return err
 		}
@@ -102,6 +103,7 @@
 		return nil
 	}
 	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, followWait)
+	f.c.m.storeCall("read", err)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -289,6 +289,7 @@
 	sent := boottime.Now()
 	records := []platform.Record{r.record()}
 	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, at, records)
+	c.m.storeCall("append", err)
 	if err == nil {
 		c.control.take(at, platform.Batch{Records: records, Next: end}, false, sent)
 	} else {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/boragelock/boragelock/fleet"
@@ -77,6 +78,7 @@
 		dirty: map[string]*ownership.RangeTable{}, began: w.answered, nextConfirm: w.answered + confirmEvery,
 	}
 	c.leading.Store(true)
+	c.m.terms.Add(1)
 	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.prior.Ended, "clear_ms", w.prior.Clear.Milliseconds())
 	if former := c.lead.formerRecord(); former.Address != "" && former.Address != c.cfg.Peer {
 		go c.askFormer(ctx, former)
@@ -85,6 +87,7 @@
 	t.lease.End()
 	cancel() // ends the calls in progress before the end of the term is told
 	c.leading.Store(false)
+	c.m.holds(0, 0, 0)
 	c.endedTerm.Store(w.record.Term)
 	c.cfg.Log.Info("lead_ended", "term", w.record.Term, "reason", t.over)
 	c.peers.closeAll()
@@ -147,6 +150,7 @@
 		t.nextPlan = now + planEvery
 		t.collect(now)
 		t.plan(now, snap)
+		t.measure(now)
 	}
 	t.order(now, snap)
 	t.publish(now)
@@ -195,6 +199,19 @@
 	t.loads[workload] = newKeyLoads()
 }
 
+// measure updates the metrics of the granted runs.
+func (t *term) measure(now time.Duration) {
+	left, granted, ungranted := time.Duration(math.MaxInt64), 0, 0
+	for _, g := range t.granters {
+		l, n, m := g.Held(now)
+		left, granted, ungranted = min(left, l), granted+n, ungranted+m
+	}
+	if granted == 0 {
+		left = 0
+	}
+	t.c.m.holds(left, granted, ungranted)
+}
+
 // usable returns the targets of a workload that may get requests.
 func usable(snap *fleet.Snapshot, workload string) []*fleet.Target {
 	var out []*fleet.Target
@@ -265,6 +282,7 @@
 		}
 		if len(moves) > 0 {
 			next = next.Move(moves...)
+			t.c.m.moves.Add(int64(len(moves)))
 			for _, m := range moves {
 				t.c.cfg.Log.Info("move", "workload", name, "from", m.From, "to", m.To, "former", table.Find(m.From).Owner,
 					"owner", m.Owner, "rate_per_s", t.loads[name].rate(m.From, m.To), "failing", len(failing))
@@ -319,6 +337,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
 		defer cancel()
 		handover, err := t.c.cfg.Grants.Release(ctx, address, o.Target, o.From, o.To, o.Fence)
+		t.c.m.targetCall("release", err)
 		t.post(func(now time.Duration) {
 			g.Released(now, o, handover, err == nil)
 			t.c.cfg.Log.Debug("release", "target", o.Target, "from", o.From, "to", o.To, "fence", o.Fence, "err", err)
@@ -333,6 +352,7 @@
 	err := t.c.cfg.Grants.Grant(ctx, address, o.Target, platform.Grant{
 		From: o.From, To: o.To, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover,
 	})
+	t.c.m.targetCall("grant", err)
 	t.post(func(now time.Duration) {
 		var e *platform.Error
 		switch {
@@ -406,6 +426,7 @@
 		defer cancel()
 		sent := boottime.Now()
 		end, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, at, records)
+		t.c.m.storeCall("append", err)
 		if err != nil {
 			t.checkTopic(at)
 		}
@@ -440,6 +461,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
 	defer cancel()
 	b, err := t.c.cfg.Store.Read(ctx, platform.TopicControl, at, 0)
+	t.c.m.storeCall("read", err)
 	if err != nil {
 		return // the term ends by itself when this goes on
 	}
@@ -471,6 +493,7 @@
 	defer cancel()
 	r := leaderRecord{Term: t.record.Term, Beat: t.record.Beat + 1, ClearMS: t.lease.Clear(boottime.Now()).Milliseconds()}
 	_, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.record()})
+	t.c.m.storeCall("append", err)
 	if err != nil {
 		t.c.cfg.Log.Info("resignation_failed", "term", r.Term, "err", err)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -77,7 +77,9 @@
 	if c.keyed {
 		g.cfg.Source.CountKey(c.workload, c.req.Key)
 	}
-	return c.run(ctx)
+	a, failure := c.run(ctx)
+	g.m.count(c.workload, route.Kind, a, failure)
+	return a, failure
 }
 
 // run places and sends the request until there is an answer.
@@ -127,6 +129,7 @@
 		if d.Reason == placement.ReasonNoTarget {
 			code = CodeNoTarget
 		}
+		c.g.m.refusals.Add(string(d.Reason), 1)
 		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
 			"reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(), "left_ms", (c.deadline - boottime.Now()).Milliseconds())
 		return d, refuse(code, d.RetryAfter)
@@ -152,6 +155,7 @@
 			}
 		}
 		if now-start >= ownerWait || back+c.g.service(now, c.route.Name)/2 > c.deadline {
+			c.g.m.refusals.Add(string(CodeNoOwner), 1)
 			c.g.cfg.Log.Request("no_owner", c.req.ID, "workload", c.workload, "key", c.req.Key,
 				"waited_ms", (now - start).Milliseconds(), "back_ms", (back - now).Milliseconds())
 			return "", refuse(CodeNoOwner, back-now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/health"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/eventlog"
@@ -51,8 +54,10 @@
 	snapshot *fleet.Snapshot
 	waits    map[uint64]chan placement.Decision
 	budgets  map[string]*retry.Budget
-	hosts    int
-	splits   map[string]float64 // position in each route's split
+	// judged is what was last logged of each target that is not fit, or was not.
+	judged map[string]health.Condition
+	hosts  int
+	splits map[string]float64 // position in each route's split
 
 	draining atomic.Bool
 	// stopAt is when the process ends, on the boot-time clock.
@@ -66,7 +71,7 @@
 func New(cfg Config) *Gateway {
 	return &Gateway{
 		cfg: cfg, pools: newPools(), board: placement.NewBoard(placement.Config{Domain: cfg.Domain}),
-		waits: map[uint64]chan placement.Decision{}, budgets: map[string]*retry.Budget{}, hosts: 1,
+		waits: map[uint64]chan placement.Decision{}, budgets: map[string]*retry.Budget{}, judged: map[string]health.Condition{}, hosts: 1,
 		splits: map[string]float64{}, m: newMetrics(),
 	}
 }
@@ -131,6 +136,7 @@
 		list = append(list, x)
 	}
 	g.board.SetTargets(list)
+	maps.DeleteFunc(g.judged, func(id string, _ health.Condition) bool { return snap.Targets[id] == nil })
 	g.dispatchLocked(boottime.Now())
 	return snap
 }
@@ -189,11 +195,25 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.board.Ended(now, id, s)
+	g.judge(now, id)
 	if g.board.Waiting() > 0 {
 		g.dispatchLocked(now)
 	}
 }
 
+// judge logs and counts a change of what the board thinks of a target; g.mu is
+// held.
+func (g *Gateway) judge(now time.Duration, id string) {
+	condition, failing, factor := g.board.Judgement(now, id)
+	if g.judged[id] == condition {
+		return
+	}
+	g.judged[id] = condition
+	g.m.judgements.Add(condition.String(), 1)
+	g.cfg.Log.Info("target_judged", "target", id, "condition", condition.String(),
+		"failing", math.Round(failing*100)/100, "factor", math.Round(factor*100)/100)
+}
+
 // budgetShare keeps this host's part of the shared budget below the whole,
 // since requests are spread unevenly over the hosts.
 const budgetShare = 0.7
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,10 +2,13 @@
 
 import (
 	"expvar"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"sync"
+
+	"github.com/boragelock/boragelock/fleet"
 )
 
 // Bounds of latency histograms: 0.1 ms to 60 s with two significant digits.
@@ -53,8 +56,11 @@
 // metrics are the counters of the request path.
 type metrics struct {
 	all *expvar.Map
-	// outcomes counts requests by route kind and outcome.
-	outcomes *expvar.Map
+	// outcomes counts requests by status or code, classes by
+	// "WORKLOAD/KIND/OUTCOME", refusals by reason.
+	outcomes, classes, refusals *expvar.Map
+	// judgements counts changes of what is believed of targets.
+	judgements *expvar.Map
 	// sends counts requests to targets by result.
 	sends  *expvar.Map
 	total  *histogram // arrival to answer
@@ -65,9 +71,13 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
+		classes: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), judgements: new(expvar.Map).Init(),
 		total: newHistogram(), queue: newHistogram(), target: newHistogram(),
 	}
 	m.all.Set("requests_total", m.outcomes)
+	m.all.Set("requests_by_class_total", m.classes)
+	m.all.Set("refusals_total", m.refusals)
+	m.all.Set("judgements_total", m.judgements)
 	m.all.Set("sends_total", m.sends)
 	m.all.Set("request_latency", m.total)
 	m.all.Set("queue_wait", m.queue)
@@ -75,5 +85,16 @@
 	return m
 }
 
+// count counts the outcome of a request of a workload and route kind.
+func (m *metrics) count(workload string, kind fleet.Kind, a *answer, f *Failure) {
+	outcome := ""
+	if f != nil {
+		outcome = string(f.Code)
+	} else {
+		outcome = strconv.Itoa(a.status)
+	}
+	m.classes.Add(workload+"/"+kind.String()+"/"+outcome, 1)
+}
+
 // Vars returns the metrics of the gateway.
 func (g *Gateway) Vars() *expvar.Map { return g.m.all }
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -336,6 +336,21 @@
 	return 2*n >= len(g.runs)
 }
 
+// Held returns the shortest time for which a run that was granted in this term is
+// surely held on, and the numbers of runs that were granted and that were not.
+func (g *RangeGranter) Held(now time.Duration) (left time.Duration, granted, ungranted int) {
+	left = g.cfg.Holds.Hold
+	for _, r := range g.runs {
+		if !r.granted {
+			ungranted++
+			continue
+		}
+		granted++
+		left = min(left, max(0, r.since+g.cfg.Holds.Hold-now))
+	}
+	return left, granted, ungranted
+}
+
 // Settled reports whether keys within one run may be moved for the sake of load:
 // nothing is under way for the run and its last move is a while ago.
 func (g *RangeGranter) Settled(now time.Duration, s ownership.Segment, quiet time.Duration) bool {
--- a/placement/board.go
+++ b/placement/board.go
@@ -299,6 +299,16 @@
 	t.record.Took(now, x, e.mean)
 }
 
+// Judgement returns what the board thinks of a target and the figures behind it:
+// the share of requests that fail and the factor of its service time.
+func (b *Board) Judgement(now time.Duration, id string) (c health.Condition, failing, factor float64) {
+	t := b.targets[id]
+	if t == nil {
+		return health.Fit, 0, 1
+	}
+	return t.record.Condition(), t.record.Failing(now), t.record.LastFactor()
+}
+
 // Withdrawn ends a request that did not reach its target.
 func (b *Board) Withdrawn(id string) {
 	if t := b.targets[id]; t != nil {
