Keep the lead while nobody can take it; tell a new leader when the former one stopped; spread the start of a cold target

Change: Retire ends the term once the store answers; the process waits for that up to its stop limit. The greeting between hosts says how long ago a term ended or the process started; Term.PredecessorEnded takes that time; the view is sent anew. Placement starts a cold target with a part of a request by chance.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -180,7 +180,7 @@
 	d.gw.Drain(boottime.Now() + d.s.StopLimit() - stopMargin)
 	d.coord.Retire()
 	for limit := d.s.StopLimit() - stopMargin; time.Since(begun) < limit; time.Sleep(drainPoll) {
-		if time.Since(begun) >= balancerDelay && d.gw.InFlight() == 0 && d.gw.Open() == 0 {
+		if time.Since(begun) >= balancerDelay && d.gw.InFlight() == 0 && d.gw.Open() == 0 && !d.coord.Leading() {
 			return
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -76,14 +76,21 @@
 	counts  keyCounts
 	peers   peerSet
 	leading atomic.Bool
+	// started is when the process began.
+	started time.Duration
 	// endedTerm is the last term that this process led and has stopped leading.
-	endedTerm atomic.Uint64
+	endedTerm atomic.Pointer[endedTerm]
 	// hosts is the number of hosts as the leader last told.
 	hosts atomic.Int64
 	// retired hosts do not stand for the lead.
-	retired     atomic.Bool
-	stopLeading atomic.Pointer[context.CancelFunc]
-	m           *metrics
+	retired atomic.Bool
+	m       *metrics
+}
+
+// endedTerm is a term that this process led, and when it stopped leading.
+type endedTerm struct {
+	term uint64
+	at   time.Duration
 }
 
 // New returns a coordinator.
@@ -91,7 +98,7 @@
 	cfg.Ranges.Holds = cfg.Ranges.Holds.WithDefaults()
 	c := &Coordinator{
 		cfg: cfg, dir: fleet.NewDirectory(), changed: make(chan struct{}),
-		incarnation: fmt.Sprintf("%016x", rand.Uint64()),
+		incarnation: fmt.Sprintf("%016x", rand.Uint64()), started: boottime.Now(),
 	}
 	c.snapshot.Store(c.dir.Snapshot())
 	c.ranges.Store(&map[string]*Ranges{})
@@ -157,12 +164,9 @@
 func (c *Coordinator) Fresh() bool { return c.operator.age(boottime.Now()) < 2*staleAfter }
 
 // Retire gives the lead back, if this host has it, and does not take it again.
-func (c *Coordinator) Retire() {
-	c.retired.Store(true)
-	if stop := c.stopLeading.Load(); stop != nil {
-		(*stop)()
-	}
-}
+// While the store does not answer, nobody else can lead, and the lead is kept
+// until it does; Leading tells when it is given back.
+func (c *Coordinator) Retire() { c.retired.Store(true) }
 
 // Changed returns a channel that is closed at the next change of the snapshot
 // or the ranges.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -69,8 +69,10 @@
 	refused int
 	// ended is the highest term whose leader is known to have stopped; former is
 	// the record of the leader before the present one.
-	ended  uint64
-	former leaderRecord
+	ended uint64
+	// endedAt is when that leader had stopped at the latest.
+	endedAt time.Duration
+	former  leaderRecord
 	// notBefore is when the host may stand for the lead.
 	notBefore time.Duration
 	pending   []countsMessage
@@ -106,8 +108,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case reason == lossEnded:
-		l.ended = max(l.ended, term)
 	case reason == lossRefused && l.record.Term == term:
 		l.refused++
 	}
@@ -139,17 +139,38 @@
 func (l *leadership) heard(m helloMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended = max(l.ended, m.Ended)
-	if l.former.Host == m.Host && l.former.Incarnation != m.Incarnation {
-		l.ended = max(l.ended, l.former.Term)
+	if l.former.Host != m.Host {
+		return
+	}
+	if ago, ok := m.ended(l.former); ok {
+		l.endedLocked(l.former.Term, ago)
+	}
+}
+
+// endedAgo notes that the leader of a term had stopped at least a time ago.
+func (l *leadership) endedAgo(term uint64, ago time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endedLocked(term, ago)
+}
+
+func (l *leadership) endedLocked(term uint64, ago time.Duration) {
+	if term > l.ended {
+		l.ended, l.endedAt = term, boottime.Now()-ago
 	}
 }
 
 // hasEnded reports whether the leader of a term is known to have stopped.
 func (l *leadership) hasEnded(term uint64) bool {
+	_, ok := l.endOf(term)
+	return ok
+}
+
+// endOf returns when the leader of a term had stopped at the latest, or false.
+func (l *leadership) endOf(term uint64) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ended >= term
+	return l.endedAt, l.ended >= term
 }
 
 func (l *leadership) table(workload string) *ownership.RangeTable {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -28,21 +28,50 @@
 	methodCounts = "counts"
 )
 
-// helloMessage asks a host whether it leads the given term. Ended is the last
-// term in which the asking process led and has stopped.
+// helloMessage asks a host whether it leads the given term.
 type helloMessage struct {
-	Host        string `json:"host"`
-	Incarnation string `json:"incarnation"`
-	Term        uint64 `json:"term"`
-	Ended       uint64 `json:"ended,omitempty"`
+	Host string `json:"host"`
+	Term uint64 `json:"term"`
+	processState
 }
 
-// helloReply says whether the host leads, and which process answered. Ended is
-// the last term in which this process led and has stopped.
+// helloReply says whether the host leads, and which process answered.
 type helloReply struct {
-	Leads       bool   `json:"leads"`
+	Leads bool `json:"leads"`
+	processState
+}
+
+// processState is what a process says of itself and of terms that it led.
+type processState struct {
 	Incarnation string `json:"incarnation"`
-	Ended       uint64 `json:"ended,omitempty"`
+	// UpMS is the time in milliseconds since the start of the process.
+	UpMS int64 `json:"up_ms"`
+	// Ended is the last term that the process led and no longer does, EndedMS the
+	// time in milliseconds since its end.
+	Ended   uint64 `json:"ended,omitempty"`
+	EndedMS int64  `json:"ended_ms,omitempty"`
+}
+
+// ended returns how long ago the leader of a term had stopped at the latest, as
+// the process at its address says; false when it may still lead.
+func (p processState) ended(l leaderRecord) (ago time.Duration, ok bool) {
+	switch {
+	case p.Incarnation != l.Incarnation:
+		return time.Duration(p.UpMS) * time.Millisecond, true
+	case p.Ended >= l.Term && l.Term > 0:
+		return time.Duration(p.EndedMS) * time.Millisecond, true
+	}
+	return 0, false
+}
+
+// state returns what this process says of itself.
+func (c *Coordinator) state() processState {
+	now := boottime.Now()
+	p := processState{Incarnation: c.incarnation, UpMS: (now - c.started).Milliseconds()}
+	if e := c.endedTerm.Load(); e != nil {
+		p.Ended, p.EndedMS = e.term, (now - e.at).Milliseconds()
+	}
+	return p
 }
 
 // relayMessage passes on records of a topic between two offsets.
@@ -242,7 +271,7 @@
 		return nil, err
 	}
 	if !c.Leading() {
-		return helloReply{Incarnation: c.incarnation, Ended: c.endedTerm.Load()}, nil
+		return helloReply{processState: c.state()}, nil
 	}
 	c.lead.heard(m)
 	for w, r := range *c.ranges.Load() {
@@ -250,7 +279,7 @@
 	}
 	pc.post(methodFresh, c.freshness())
 	c.peers.add(pc)
-	return helloReply{Leads: true, Incarnation: c.incarnation}, nil
+	return helloReply{Leads: true, processState: c.state()}, nil
 }
 
 // freshness says how old the leader's knowledge is.
@@ -364,6 +393,9 @@
 	if err != nil {
 		return lossSilent
 	}
+	if ago, ok := reply.ended(l); ok && !reply.Leads {
+		c.lead.endedAgo(l.Term, ago)
+	}
 	return reply.reason(l)
 }
 
@@ -372,7 +404,8 @@
 	switch {
 	case r.Leads:
 		return ""
-	case r.Incarnation != l.Incarnation || r.Ended >= l.Term:
+	}
+	if _, ok := r.ended(l); ok {
 		return lossEnded
 	}
 	return lossDenied
@@ -380,7 +413,7 @@
 
 // helloFor returns the question whether a host leads a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	return helloMessage{Host: c.cfg.Host, Incarnation: c.incarnation, Term: l.Term, Ended: c.endedTerm.Load()}
+	return helloMessage{Host: c.cfg.Host, Term: l.Term, processState: c.state()}
 }
 
 // askFormerEvery is the period in which a new leader asks the former one whether
@@ -406,7 +439,9 @@
 		c.cfg.Log.Debug("former_leader_silent", "leader", former.Host, "term", former.Term, "err", err)
 		return
 	}
-	c.lead.lost(former.Term, reply.reason(former))
+	if ago, ok := reply.ended(former); ok && !reply.Leads {
+		c.lead.endedAgo(former.Term, ago)
+	}
 }
 
 // fromLeader takes a notification of the leader.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -57,8 +57,10 @@
 	// formerEnded says that the leader of the term before is known to have stopped.
 	formerEnded bool
 
-	appending           bool
-	dirty               map[string]*ownership.RangeTable
+	appending bool
+	dirty     map[string]*ownership.RangeTable
+	// confirmed is when the store last accepted a record of this term.
+	confirmed           time.Duration
 	nextConfirm         time.Duration
 	nextPlan            time.Duration
 	nextFresh, nextFull time.Duration
@@ -69,13 +71,12 @@
 func (c *Coordinator) leadTerm(ctx context.Context, w *wonTerm) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.stopLeading.Store(&cancel)
 	t := &term{
 		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered, w.prior),
 		results: make(chan result, resultQueue), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentView: map[string]*Ranges{},
 		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{}, refused: map[string]int{},
-		dirty: map[string]*ownership.RangeTable{}, began: w.answered, nextConfirm: w.answered + confirmEvery,
+		dirty: map[string]*ownership.RangeTable{}, began: w.answered, confirmed: w.answered, nextConfirm: w.answered + confirmEvery,
 	}
 	c.leading.Store(true)
 	c.m.terms.Add(1)
@@ -88,7 +89,7 @@
 	cancel() // ends the calls in progress before the end of the term is told
 	c.leading.Store(false)
 	c.m.holds(0, 0, 0)
-	c.endedTerm.Store(w.record.Term)
+	c.endedTerm.Store(&endedTerm{term: w.record.Term, at: boottime.Now()})
 	c.cfg.Log.Info("lead_ended", "term", w.record.Term, "reason", t.over)
 	c.peers.closeAll()
 	c.lead.mu.Lock()
@@ -136,13 +137,18 @@
 		t.over = endAuthority
 		return
 	}
-	if !t.formerEnded && t.c.lead.hasEnded(t.record.Term-1) {
+	if t.c.retired.Load() && now-t.confirmed < awayAfter {
+		t.over = endStopped
+		return
+	}
+	if at, ok := t.c.lead.endOf(t.record.Term - 1); ok && !t.formerEnded {
 		t.formerEnded = true
-		t.c.cfg.Log.Info("former_leader_ended", "term", t.record.Term-1, "after_ms", (now - t.began).Milliseconds())
+		t.c.cfg.Log.Info("former_leader_ended", "term", t.record.Term-1, "after_ms", (now - t.began).Milliseconds(),
+			"ago_ms", (now - at).Milliseconds())
+		t.lease.PredecessorEnded(at)
 		for _, g := range t.granters {
-			g.PredecessorEnded(now)
+			g.PredecessorEnded()
 		}
-		t.lease.PredecessorEnded(now)
 	}
 	snap := t.c.Snapshot()
 	t.follow(now, snap)
@@ -438,6 +444,7 @@
 				t.appendFailed(err)
 				return
 			}
+			t.confirmed = now
 			t.lease.Confirm(sent)
 			t.c.control.take(at, platform.Batch{Records: records, Next: end}, false, sent)
 			t.stored(now, tables)
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -66,7 +66,7 @@
 	count     uint64
 	ended     bool
 	// prior is what is known of earlier granters; endedAt is when the previous one
-	// was known to have stopped.
+	// had stopped at the latest.
 	prior   Prior
 	endedAt time.Duration
 }
@@ -109,11 +109,11 @@
 	return t.MayGrant(now) && now < t.confirmed+t.cfg.Dial
 }
 
-// PredecessorEnded notes that the granter of the term before is known, at a time,
-// to have stopped.
-func (t *Term) PredecessorEnded(now time.Duration) {
+// PredecessorEnded notes that the granter of the term before had stopped at a time,
+// which may lie before this term began.
+func (t *Term) PredecessorEnded(at time.Duration) {
 	if !t.prior.Ended {
-		t.prior.Ended, t.endedAt = true, now
+		t.prior.Ended, t.endedAt = true, at
 	}
 }
 
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -288,9 +288,11 @@
 	}
 }
 
-// PredecessorEnded notes that the granter of the term before has stopped.
-func (g *RangeGranter) PredecessorEnded(now time.Duration) {
-	g.term.PredecessorEnded(now)
+// PredecessorEnded applies what the term has come to know of the granter of the
+// term before: that it has stopped.
+func (g *RangeGranter) PredecessorEnded() {
+	// Keys that are waited for are back sooner than the last View said.
+	g.changed = true
 	for _, r := range g.runs {
 		r.holding.narrow(g.term)
 		r.before.narrow(g.term)
--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -81,6 +81,8 @@
 	log     []rangeRecord
 	hosts   []*rangeHost
 	targets map[string]*rangeSimTarget
+	// stopped is when the granter of each term was first seen to have stopped.
+	stopped map[uint64]time.Duration
 	names   []string
 	calls   []*rangeCall
 	moves   int
@@ -96,7 +98,7 @@
 func probeKey(i int) int { return i * ownership.RangeKeys / probeKeys }
 
 func newRangeHistory(t *testing.T, seed int64, cfg RangeConfig) *rangeHistory {
-	h := &rangeHistory{t: t, rnd: rand.New(rand.NewSource(seed)), cfg: cfg, targets: map[string]*rangeSimTarget{}, restarts: 0.001}
+	h := &rangeHistory{t: t, rnd: rand.New(rand.NewSource(seed)), cfg: cfg, targets: map[string]*rangeSimTarget{}, stopped: map[uint64]time.Duration{}, restarts: 0.001}
 	for i := range 4 {
 		name := fmt.Sprintf("t%d", i)
 		h.names = append(h.names, name)
@@ -161,18 +163,31 @@
 	return true
 }
 
-// tellEnded lets the present granter hear that the one before has stopped.
+// noteStops notes when each term was first seen to have no granter.
+func (h *rangeHistory) noteStops() {
+	running := map[uint64]bool{}
+	for _, x := range h.hosts {
+		if x.term != nil && !x.term.ended {
+			running[x.term.Number] = true
+		}
+	}
+	for n := uint64(1); n <= h.last().term; n++ {
+		if _, known := h.stopped[n]; !known && !running[n] {
+			h.stopped[n] = h.now
+		}
+	}
+}
+
+// tellEnded lets the present granter hear that the one before has stopped, and
+// when it had at the latest.
 func (h *rangeHistory) tellEnded() {
 	for _, x := range h.hosts {
 		if x.term == nil || !h.chance(0.05) {
 			continue
 		}
-		running := false
-		for _, y := range h.hosts {
-			running = running || y.term != nil && y.term.Number == x.term.Number-1 && !y.term.ended
-		}
-		if !running {
-			x.granter.PredecessorEnded(h.now)
+		if at, ok := h.stopped[x.term.Number-1]; ok {
+			x.term.PredecessorEnded(at)
+			x.granter.PredecessorEnded()
 		}
 	}
 }
@@ -367,6 +382,7 @@
 func (h *rangeHistory) run() {
 	for ; h.now < historyEnd && h.broken == ""; h.now += historyStep {
 		h.faults()
+		h.noteStops()
 		h.tellEnded()
 		for i, x := range h.hosts {
 			h.act(i, x)
--- a/placement/board.go
+++ b/placement/board.go
@@ -96,7 +96,9 @@
 	record   health.Record
 	// fullUntil is set when the target shed a request.
 	fullUntil time.Duration
-	// coldTokens are the requests that it may get while cold.
+	// cold is whether the target was cold at the last look, coldTokens are the
+	// requests that it may get while it is.
+	cold       bool
 	coldTokens float64
 	coldAt     time.Duration
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -174,7 +174,7 @@
 		if !t.Usable || slices.Contains(r.Tried, t.ID) {
 			continue
 		}
-		if !b.coldRoom(now, t) {
+		if !b.coldRoom(now, t, r.Random) {
 			full = full || r.Target != ""
 			continue
 		}
@@ -251,11 +251,16 @@
 
 // coldRoom reports whether a target may get a request as far as its cold rate
 // goes.
-func (b *Board) coldRoom(now time.Duration, t *target) bool {
+func (b *Board) coldRoom(now time.Duration, t *target, random float64) bool {
 	if now >= t.ColdUntil || t.ColdRate <= 0 {
-		t.coldTokens, t.coldAt = 1, now
+		t.cold = false
 		return true
 	}
+	if !t.cold {
+		// A part of a request in hand, by chance: with a whole one on each host, a
+		// target that turns cold gets as many requests at once as there are hosts.
+		t.cold, t.coldTokens, t.coldAt = true, random, now
+	}
 	rate := t.ColdRate * b.cfg.ColdShare
 	t.coldTokens = min(1, t.coldTokens+rate*(now-t.coldAt).Seconds())
 	t.coldAt = now
--- a/placement/slow_test.go
+++ b/placement/slow_test.go
@@ -160,6 +160,46 @@
 	})
 }
 
+// Load pattern: steady load over 90 hosts when one target turns cold. Each host had
+// one request in hand for it, so that it got 90 within a second instead of the few
+// that it bears.
+func TestColdTargetOverManyHosts(t *testing.T) {
+	Convey("a cold target gets its rate over all hosts together", t, func() {
+		const hosts, coldRate = 90, 4.0
+		rnd := rand.New(rand.NewSource(1))
+		list := []Target{{ID: "cold", Workload: "w", Slots: 6, Usable: true}, {ID: "warm", Workload: "w", Slots: 6, Usable: true}}
+		var boards []*Board
+		for range hosts {
+			b := NewBoard(Config{ColdShare: 1.0 / hosts})
+			b.SetTargets(list)
+			boards = append(boards, b)
+		}
+		list = slices.Clone(list)
+		list[0].ColdUntil, list[0].ColdRate = 40*time.Second, coldRate
+		perSecond := map[int]int{}
+		total := 0
+		for now := 10 * time.Second; now < 40*time.Second; now += 2 * time.Millisecond {
+			b := boards[rnd.Intn(hosts)]
+			if now >= 11*time.Second {
+				b.SetTargets(list)
+			}
+			d := b.Submit(now, Request{Workload: "w", Route: "r", Deadline: now + 5*time.Second, Random: rnd.Float64()})
+			if d.Verdict != Send {
+				continue
+			}
+			b.Ended(now, d.Target, Sample{Route: "r", Took: 10 * time.Millisecond, Cold: -1})
+			if d.Target == "cold" && now >= 11*time.Second {
+				perSecond[int(now/time.Second)]++
+				total++
+			}
+		}
+		for _, n := range perSecond {
+			So(n, ShouldBeLessThanOrEqualTo, int(1.5*coldRate)+5)
+		}
+		So(total, ShouldBeBetween, 29*coldRate/2, 29*coldRate*1.3)
+	})
+}
+
 // Load pattern: a burst of requests with short time limits arrives while others
 // wait for the only slot. Those that cannot end in time used to wait until that was
 // certain, instead of being told when to come back.
--- a/spec/ranges.pml
+++ b/spec/ranges.pml
@@ -59,6 +59,7 @@
 byte view[LEADERS];         /* owner it knows */
 byte waits[LEADERS];        /* mask of former owners that it waits for */
 byte sent[LEADERS];         /* grants sent */
+byte gone[LEADERS];         /* counts down from SPAN from the leader's end */
 bool busy[LEADERS];
 bool granted[LEADERS];      /* the owner accepted a grant of this leader */
 byte released[LEADERS];     /* mask of targets that carried out its release */
@@ -114,17 +115,17 @@
 #define OTHERS_SPAN (AUTH + SPAN)
 #endif
 
-/* Leader g learns that the one before has stopped. */
+/* Leader g learns that the one before has stopped, and when. */
 inline learnEnd(g) {
 	over[g] = 1;
-	inherited[g] = MIN(inherited[g], MAX(earlier[g], SPAN));
+	inherited[g] = MIN(inherited[g], MAX(earlier[g], gone[g - 1]));
 #ifdef M_STOP_ENDS_HOLDS
 	inherited[g] = earlier[g];
 #endif
 	prior[GT(g, 0)] = MIN(prior[GT(g, 0)], inherited[g]);
 	prior[GT(g, 1)] = MIN(prior[GT(g, 1)], inherited[g]);
 	if
-	:: cleared[g] -> exclusive[g] = MIN(exclusive[g], CALL + 1)
+	:: cleared[g] -> exclusive[g] = MIN(exclusive[g], (gone[g - 1] > HOLD -> gone[g - 1] - HOLD : 0))
 	:: else
 	fi
 }
@@ -177,6 +178,7 @@
 /* Leader g stops. Its grants under way go on; what it knew is dropped. */
 inline stop(g) {
 	stage[g] = 2;
+	gone[g] = SPAN;
 	auth[g] = 0; asked[g] = 0; view[g] = 0; waits[g] = 0; busy[g] = 0; granted[g] = 0; released[g] = 0;
 	over[g] = 0; cleared[g] = 0; earlier[g] = 0; exclusive[g] = 0; inherited[g] = 0;
 	for (k : 0 .. 1) { own[GT(g, k)] = 0; late[GT(g, k)] = 0; prior[GT(g, k)] = 0 }
@@ -267,7 +269,7 @@
 inline tick() {
 	for (k : 0 .. 1) { DEC(held[k]) }
 	for (k : 0 .. LEADERS - 1) {
-		DEC(auth[k]); DEC(asked[k]);
+		DEC(auth[k]); DEC(asked[k]); DEC(gone[k]);
 		DEC(earlier[k]); DEC(exclusive[k]); DEC(inherited[k])
 	}
 	for (k : 0 .. 2 * LEADERS - 1) {
