Add a fault soak of real gateway processes

Cause: the scenarios of internal/bench play the project's own lease protocol; the programs for the users' platform had no test as processes under overlapping faults.

It takes internal/faultproxy and the stand-ins of platform/standin. The proxy drops what it holds when one side resets, as a host's kernel does; without that a grant that was given up is delivered when a cut ends.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -40,6 +42,9 @@
 	// Provisional names the class of a connection until Classify, which may
 	// take long, has returned. While ok is false, connections wait for it.
 	Provisional func() (class string, ok bool)
+	// DropOnReset drops the bytes held for the other side when one side resets its
+	// connection, as the kernel of a host does that resets what it could not send.
+	DropOnReset bool
 }
 
 // Proxy is one proxy in front of one server.
@@ -333,6 +338,10 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buf)
+		if c.p.opts.DropOnReset && errors.Is(err, syscall.ECONNRESET) {
+			c.close()
+			return
+		}
 		x := chunk{data: bytes.Clone(buf[:n]), at: time.Now(), eof: n == 0 && err != nil}
 		if n > 0 || err != nil {
 			select {
--- /dev/null
+++ b/internal/soak/checks_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+func ask(x *standin.Target, path, id, body string) int {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set(standin.HeaderID, id)
+	r.Header.Set(standin.HeaderKey, "7")
+	rec := httptest.NewRecorder()
+	x.ServeHTTP(rec, r)
+	return rec.Code
+}
+
+// TestChecksFindBreaks guards against checks that cannot fail.
+func TestChecksFindBreaks(t *testing.T) {
+	w := &world{cfg: Config{Dir: t.TempDir()}, began: time.Now(), store: standin.NewStore()}
+	for i := range 2 {
+		x := &target{id: fmt.Sprint("t", i)}
+		x.startInstance(0)
+		w.targets = append(w.targets, x)
+		if status := ask(x.now(), "/-/grant", "g", `{"from":0,"to":100,"fence":1,"hold-s":5}`); status != http.StatusOK {
+			t.Fatalf("grant: status %d", status)
+		}
+		for _, id := range []string{"twice", "refused"} {
+			if status := ask(x.now(), "/order/x", id, ""); status != http.StatusOK {
+				t.Fatalf("request: status %d", status)
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	w.watchHolders(ctx)
+	w.ledger.requests = []request{
+		{id: "twice", order: true, status: http.StatusOK},
+		{id: "refused", status: http.StatusServiceUnavailable},
+		{id: "lost", status: http.StatusOK},
+	}
+	w.checkRequests()
+	for _, want := range []string{"is held by", "order twice ran 2 times", "refused was refused and ran", "lost was answered and did not run"} {
+		if !strings.Contains(strings.Join(w.breaks, "\n"), want) {
+			t.Errorf("%q was not found in %q", want, w.breaks)
+		}
+	}
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")"
 
 JOBS=${JOBS:-4}             # searches at a time
-MEMORY_MB=${MEMORY_MB:-1200} # limit of one search
+MEMORY_MB=${MEMORY_MB:-2000} # limit of one search
 DEPTH=20000                 # the specification needs under 1000 steps
 
 PAIR="-DPAIR -DMAXLOG=3"
