Lead a term whose append had no answer once the topic shows it; read the topic after a lost election

Change: the host keeps the term of an append without an answer and leads it when the topic shows its record and no later one; its authority counts from the append. After any failed append the topic is read before the next attempt.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,10 +72,12 @@
 	changedMu sync.Mutex
 	changed   chan struct{}
 
-	lead    leadership
-	counts  keyCounts
-	peers   peerSet
-	leading atomic.Bool
+	lead leadership
+	// unanswered is a term whose append had no answer; only serveLead uses it.
+	unanswered *wonTerm
+	counts     keyCounts
+	peers      peerSet
+	leading    atomic.Bool
 	// started is when the process began.
 	started time.Duration
 	// endedTerm is the last term that this process led and has stopped leading.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -255,6 +255,10 @@
 // serveLead stands for the lead when there is no leader, and leads.
 func (c *Coordinator) serveLead(ctx context.Context) error {
 	for sleep(ctx, 100*time.Millisecond) {
+		if w := c.lateWin(); w != nil {
+			c.leadTerm(ctx, w)
+			continue
+		}
 		if !c.mayStand() {
 			continue
 		}
@@ -316,15 +320,17 @@
 	} else {
 		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
 		var e *platform.Error
-		if !errors.As(err, &e) || e.Outcome != platform.Unknown {
-			return nil
+		if errors.As(err, &e) && e.Outcome == platform.Unknown {
+			c.unanswered = &wonTerm{record: r, prior: prior, sent: sent}
 		}
-		// The record may have been appended; what the topic holds decides.
+		// What the topic holds decides: the record may have been appended, or another
+		// host was first, which the next attempt has to know.
 		readCtx, cancelRead := context.WithTimeout(ctx, readTimeout)
 		defer cancelRead()
 		if err := c.control.read(readCtx); err != nil {
-			return nil
+			c.cfg.Log.Debug("store_read_failed", "topic", platform.TopicControl, "err", err)
 		}
+		return c.lateWin()
 	}
 	if now := c.lead.current(); now.Term != r.Term || now.Incarnation != c.incarnation {
 		return nil
@@ -332,6 +338,27 @@
 	return &wonTerm{record: r, prior: prior, sent: sent, answered: boottime.Now()}
 }
 
+// lateWin returns the term of an append without an answer when the topic shows that
+// it was carried out and no other term has begun since. Without this the term has no
+// leader, and the next one waits for the authority that nobody uses.
+func (c *Coordinator) lateWin() *wonTerm {
+	w := c.unanswered
+	if w == nil {
+		return nil
+	}
+	now := c.lead.current()
+	if now.Term < w.record.Term {
+		return nil // not yet known
+	}
+	c.unanswered = nil
+	if now.Term != w.record.Term || now.Incarnation != c.incarnation || c.retired.Load() {
+		return nil
+	}
+	// The authority counts from the append, so that it is confirmed anew first.
+	w.answered = boottime.Now()
+	return w
+}
+
 // wonTerm is a term that this host has begun.
 type wonTerm struct {
 	record leaderRecord
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -39,15 +39,30 @@
 // stopLimit is the time of a planned stop, in seconds.
 const stopLimit = 6
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// Ports of hosts lie below those that the kernel gives to outgoing connections,
+// which could take one between two processes of a host.
+const firstPort, lastPort = 10000, 32000
+
+// freePort returns a port on which nobody listens. Runs beside each other start at
+// different places.
+func (w *world) freePort() (int, error) {
+	for range 100 {
+		port := firstPort + w.ports.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue // taken
+		}
+		return port, l.Close()
 	}
-	defer func() { _ = l.Close() }() // nothing was accepted
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, &PortError{}
 }
 
+// PortError says that no free port was found.
+type PortError struct{}
+
+// Error implements error.
+func (*PortError) Error() string { return "no free port in 100 tries" }
+
 // addHost starts an entry host.
 func (w *world) addHost(ctx context.Context, i int) error {
 	h := &host{name: fmt.Sprint("host", i), dir: w.cfg.Dir, gateway: w.cfg.Gateway}
@@ -58,7 +73,7 @@
 	h.store = p
 	ports := make([]int, 4)
 	for j := range ports {
-		if ports[j], err = freePort(); err != nil {
+		if ports[j], err = w.freePort(); err != nil {
 			return err
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -54,6 +54,7 @@
 type world struct {
 	cfg         Config
 	rnd         *rand.Rand
+	ports       *rand.Rand
 	began       time.Time
 	store       *standin.Store
 	storeServer *httptest.Server
@@ -75,7 +76,7 @@
 // Run plays one run. It ends only the processes that it started.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
 	w := &world{
-		cfg: cfg.withDefaults(), rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), began: time.Now(), store: standin.NewStore(),
+		cfg: cfg.withDefaults(), rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), ports: rand.New(rand.NewPCG(cfg.Seed, 2)), began: time.Now(), store: standin.NewStore(),
 		replacing: map[*host]*sync.Mutex{},
 	}
 	defer func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,9 @@
 	// A host that was paused past the limit of its stop cut off requests that came
 	// during the pause; allowed, the check looks at the limit since.
 	{seed: 1008, cause: "paused during a planned stop"},
+	// An append without an answer won a term that nobody led; the next leader waited
+	// for its authority.
+	{seed: 1033, cause: "term without a leader"},
 }
 
 // TestSoak guards the promises listed in the package comment under overlapping
