--- a/placement/board.go
+++ b/placement/board.go
@@ -94,6 +94,9 @@
 	reported time.Duration
 	pace     float64
 	record   health.Record
+	// refused is the part of Depth that is not used since the target refuses
+	// requests, 0 to 1.
+	refused float64
 	// fullUntil is set when the target shed a request.
 	fullUntil time.Duration
 	// cold is whether the target was cold at the last look, coldTokens are the
@@ -208,6 +211,23 @@
 	return t.record.LastFactor() * t.paceAt(now)
 }
 
+// The limit of a target falls by a part of what is left after each refusal and
+// rises by a step after each answer, as in congestion control: hosts do not know of
+// each other's sends, and a target that they all fill refuses most requests.
+const (
+	limitDown = 0.5
+	limitUp   = 0.05
+	// minDepth is the least number of requests for each slot.
+	minDepth = 0.5
+)
+
+// limit returns the number of requests, running and waiting, up to which a target
+// gets new ones.
+func (b *Board) limit(t *target) float64 {
+	depth := b.cfg.Depth - t.refused*max(0, b.cfg.Depth-minDepth)
+	return depth * float64(max(t.Slots, 1))
+}
+
 // wait returns the time in seconds until a new request would begin to run at a
 // target, for requests with the given service time.
 func (b *Board) wait(now time.Duration, t *target, service float64) float64 {
@@ -255,8 +275,10 @@
 	}
 	if s.Shed {
 		t.fullUntil = now + b.cfg.ShedPause
+		t.refused += limitDown * (1 - t.refused)
 		return
 	}
+	t.refused = max(0, t.refused-limitUp)
 	if s.Unreachable {
 		t.record.Unreachable(now)
 	} else {
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -8,6 +8,8 @@
 //   - A request waits only while it can still end before its deadline by the
 //     present estimate; Dispatch refuses it as soon as it cannot.
 //   - Waiting requests are served by priority and then by deadline.
+//   - A target that refuses requests gets fewer at a time, down to one for each two
+//     slots from this host, and slowly more while it does not.
 //   - A target that is cold gets at most its cold rate.
 //
 // The load of a target is what this board sent and what the target last
--- a/placement/place.go
+++ b/placement/place.go
@@ -158,9 +158,9 @@
 	return time.Duration(leastPart * b.service(w.Route) * float64(time.Second))
 }
 
-// leastPart is the part of the mean service time that a request is taken to
-// need at least; work times spread around their mean.
-const leastPart = 0.6
+// leastPart is the part of the mean service time that a request is taken to need:
+// with 0.6, one in seven requests to a hot target ended after its deadline.
+const leastPart = 1.0
 
 // try decides about a request by the present load, and counts it as sent when
 // there is room.
@@ -182,7 +182,7 @@
 		if soonest < 0 || wait < soonest {
 			soonest = wait
 		}
-		if b.busy(now, t) >= b.cfg.Depth*float64(max(t.Slots, 1)) || now < t.fullUntil {
+		if b.busy(now, t) >= b.limit(t) || now < t.fullUntil {
 			full = true
 			continue
 		}
@@ -268,7 +268,7 @@
 }
 
 // hopeless reports whether a request cannot end in time behind the work ahead of
-// it, even if that takes only leastPart of the time expected.
+// it, if that takes leastPart of the time expected.
 func hopeless(now time.Duration, r Request, ahead time.Duration, service float64) bool {
 	return leastPart*(ahead.Seconds()+service) > (r.Deadline - now).Seconds()
 }
