Count the return of the store from when it could be read; read only the newest desired state after an absence

The grace is now 2.2 s (live targets are back in about two) from the first record or confirmation. Test: TestFollowerBack.

They now read the newest record only. Test: TestDesiredStateAfterAbsence.

Ruled out: a grace of 2.0 s, which is shorter than what TestDirectory asks for.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -42,8 +42,9 @@
 func (s *Snapshot) Usable(t *Target) bool { return !t.Leaving && !s.Evacuated[t.Domain] }
 
 // Grace is how long a target whose announcement lapsed while the store was away
-// is kept after the store's return; live targets are back in about two seconds.
-const Grace = 2500 * time.Millisecond
+// is kept after the store's return; live targets are back in about two seconds, and
+// one that has left must not get requests for longer.
+const Grace = 2200 * time.Millisecond
 
 // Directory folds records of the store into snapshots.
 type Directory struct {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,6 +52,9 @@
 	// awayAfter is the age of the last answer from which the store counts as
 	// away for this host.
 	awayAfter = 1 * time.Second
+	// awayFor is the age of a topic from which the host has been without the store:
+	// a read in time brings it below.
+	awayFor = awayAfter + followWait
 )
 
 // Coordinator is the control side of one entry host. Its read methods are safe
@@ -274,13 +277,13 @@
 	for sleep(ctx, expireEvery) {
 		now := boottime.Now()
 		c.mu.Lock()
-		if stale := c.targets.age(now) > awayAfter+followWait; stale != away {
+		if stale := c.targets.age(now) > awayFor; stale != away {
 			away = stale
 			if away {
 				c.dir.StoreAway()
 				c.cfg.Log.Warn("store_lost", "age_ms", c.targets.age(now).Milliseconds())
 			} else {
-				c.dir.StoreBack(now)
+				c.dir.StoreBack(c.targets.backAt())
 				c.cfg.Log.Info("store_regained")
 			}
 		}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -25,6 +25,8 @@
 	next int64
 	// fresh is when the records before next were last known to be all.
 	fresh time.Duration
+	// back is when fresh went on after the host had been without the store.
+	back time.Duration
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
@@ -41,6 +43,24 @@
 	return now - f.fresh
 }
 
+// refreshed notes that all records before next were known at a time; f.mu is held.
+func (f *follower) refreshed(at time.Duration) {
+	if at <= f.fresh {
+		return
+	}
+	if at-f.fresh > awayFor {
+		f.back = at
+	}
+	f.fresh = at
+}
+
+// backAt returns when the topic could be read again after it could not.
+func (f *follower) backAt() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.back
+}
+
 // position returns the offset of the next record, or unknownOffset.
 func (f *follower) position() int64 {
 	f.mu.Lock()
@@ -77,12 +97,18 @@
 	return ctx.Err()
 }
 
+// forget makes the follower read the newest record of each key next.
+func (f *follower) forget() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = unknownOffset
+	return f.next
+}
+
 func (f *follower) failed(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Outcome == platform.Expired {
-		f.mu.Lock()
-		f.next = unknownOffset
-		f.mu.Unlock()
+		f.forget()
 	}
 	f.c.cfg.Log.Debug("store_read_failed", "topic", f.topic, "err", err)
 }
@@ -92,6 +118,10 @@
 	ctx, cancel := context.WithTimeout(ctx, followWait+readTimeout)
 	defer cancel()
 	from := f.position()
+	if f.topic == platform.TopicOperator && f.age(boottime.Now()) > awayFor {
+		// Each desired state replaces the one before, and may be large.
+		from = f.forget()
+	}
 	if from == unknownOffset {
 		sent := boottime.Now()
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
@@ -120,7 +150,8 @@
 		return false
 	}
 	applied := f.next
-	f.next, f.fresh = b.Next, max(f.fresh, fresh)
+	f.next = b.Next
+	f.refreshed(fresh)
 	f.mu.Unlock()
 	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
 	relevant := records
@@ -138,6 +169,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next >= next {
-		f.fresh = max(f.fresh, now-age)
+		f.refreshed(now - age)
 	}
 }
--- /dev/null
+++ b/internal/coordinator/follow_test.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+// TestFollowerBack guards against a return of the store that is counted from when it
+// is noticed: a target that had left meanwhile got requests for half a second more
+// than it may.
+func TestFollowerBack(t *testing.T) {
+	Convey("a follower knows when it could read again", t, func() {
+		f := newFollower(New(Config{Log: hclog.NewNullLogger()}), platform.TopicTargets, nil)
+		f.next = 5
+		f.confirm(5, 0, 10*time.Second)
+		So(f.backAt(), ShouldEqual, 10*time.Second)
+		f.confirm(5, 200*time.Millisecond, 11*time.Second)
+		f.confirm(5, 0, 12*time.Second)
+		So(f.backAt(), ShouldEqual, 10*time.Second)
+		f.confirm(5, 300*time.Millisecond, 20*time.Second)
+		f.confirm(5, 0, 20500*time.Millisecond)
+		So(f.backAt(), ShouldEqual, 19700*time.Millisecond)
+	})
+}
+
+// TestDesiredStateAfterAbsence guards against a host that reads each desired state
+// that it missed, on a slow link and with hundreds of routes, before the one in force.
+func TestDesiredStateAfterAbsence(t *testing.T) {
+	Convey("a host that was without the store reads the newest desired state only", t, func() {
+		store := standin.NewStore()
+		for range 20 {
+			store.Put(platform.TopicOperator, "config", []byte(desiredJSON))
+		}
+		srv := httptest.NewServer(store)
+		defer srv.Close()
+		c := New(Config{Log: hclog.NewNullLogger(), Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://"))})
+		var got int
+		c.operator.apply = func(r []platform.Record, _ bool) []platform.Record { got += len(r); return r }
+		c.operator.next, c.operator.fresh = 1, boottime.Now()-time.Minute
+		So(c.operator.read(t.Context()), ShouldBeNil)
+		So(got, ShouldEqual, 1)
+		So(c.operator.position(), ShouldEqual, 20)
+	})
+}
