Wake the reads of a host that was without the store; look for lapsed targets each 50 ms

Cause of the DRAIN that was left: after a cut of a host its view of the targets came back 0.5 to 0.9 s after the cut although the topic of the leader was read after 0.1 s, since a read that had begun during the cut hung on; a target that had left meanwhile got requests until 3.1 s after the cut.

Change: the first answer of the store ends the reads of the other topics that are behind; lapsed targets are looked for each 50 ms instead of 200, and kept for 2.05 s. Test: TestWakeFollowers.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -44,7 +44,7 @@
 // Grace is how long a target whose announcement lapsed while the store was away
 // is kept after the store's return; live targets are back in about two seconds, and
 // one that has left must not get requests for longer.
-const Grace = 2200 * time.Millisecond
+const Grace = 2050 * time.Millisecond
 
 // Directory folds records of the store into snapshots.
 type Directory struct {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -268,7 +268,7 @@
 }
 
 // expireEvery is the period in which lapsed targets are given up.
-const expireEvery = 200 * time.Millisecond
+const expireEvery = 50 * time.Millisecond
 
 // serveExpire tells the directory whether the store answers, and gives up
 // targets that stay away.
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -25,6 +25,8 @@
 	next int64
 	// fresh is when the records before next were last known to be all.
 	fresh time.Duration
+	// abort ends the read under way.
+	abort context.CancelFunc
 	// back is when fresh went on after the host had been without the store.
 	back time.Duration
 }
@@ -85,11 +87,15 @@
 			continue
 		}
 		start := boottime.Now()
+		away := f.age(start) > awayFor
 		if err := f.read(ctx); err != nil {
 			f.failed(err)
 			sleep(ctx, retryPause+jitter(retryPause))
 			continue
 		}
+		if away {
+			f.c.wakeFollowers(f)
+		}
 		if rest := followPause - (boottime.Now() - start); rest > 0 {
 			sleep(ctx, rest)
 		}
@@ -117,6 +123,9 @@
 func (f *follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, followWait+readTimeout)
 	defer cancel()
+	f.mu.Lock()
+	f.abort = cancel
+	f.mu.Unlock()
 	from := f.position()
 	if f.topic == platform.TopicOperator && f.age(boottime.Now()) > awayFor {
 		// Each desired state replaces the one before, and may be large.
@@ -141,6 +150,24 @@
 	return nil
 }
 
+// wakeFollowers makes the others try again at once that have been without the store,
+// since one follower was answered: a read that began during a cut may hang for its
+// whole time limit after it.
+func (c *Coordinator) wakeFollowers(answered *follower) {
+	now := boottime.Now()
+	for _, f := range []*follower{c.operator, c.targets, c.control} {
+		if f == answered || f.age(now) <= awayFor {
+			continue
+		}
+		f.mu.Lock()
+		abort := f.abort
+		f.mu.Unlock()
+		if abort != nil {
+			abort()
+		}
+	}
+}
+
 // take applies records that were read from offset from on, unless they leave a
 // gap, and relays them. Records that were applied before are left out.
 func (f *follower) take(from int64, b platform.Batch, full bool, fresh time.Duration) bool {
--- a/internal/coordinator/follow_test.go
+++ b/internal/coordinator/follow_test.go
@@ -51,3 +51,21 @@
 		So(c.operator.position(), ShouldEqual, 20)
 	})
 }
+
+// TestWakeFollowers guards against a read that hangs after a cut although another one
+// was answered: the view of the targets came back half a second after the leader was
+// known.
+func TestWakeFollowers(t *testing.T) {
+	Convey("an answer ends the reads of followers that have been without the store", t, func() {
+		c := New(Config{Log: hclog.NewNullLogger()})
+		now := boottime.Now()
+		ended := map[*follower]bool{}
+		for _, f := range []*follower{c.operator, c.targets, c.control} {
+			f.abort = func() { ended[f] = true }
+			f.fresh = now - time.Minute
+		}
+		c.operator.fresh = now
+		c.wakeFollowers(c.control)
+		So(ended, ShouldResemble, map[*follower]bool{c.targets: true})
+	})
+}
