Do not lead a term again that this host led after a second append

Found by reading the change that leads a term whose append had no answer: when a second append for the same term succeeds, the first one stays noted, and the host would have led the term again after it had told the others of its end. Test: a case of TestLateWin.

--- a/internal/coordinator/latewin_test.go
+++ b/internal/coordinator/latewin_test.go
@@ -44,6 +44,11 @@
 			c.applyControl([]platform.Record{record(5, c.incarnation)}, false)
 			So(c.lateWin(), ShouldBeNil)
 		})
+		Convey("when it led the term after a second append and has stopped, it does not lead it again", func() {
+			c.endedTerm.Store(&endedTerm{term: 4, at: boottime.Now()})
+			c.applyControl([]platform.Record{record(4, c.incarnation)}, false)
+			So(c.lateWin(), ShouldBeNil)
+		})
 		Convey("when it was told to stop meanwhile, it does not lead", func() {
 			c.Retire()
 			c.applyControl([]platform.Record{record(4, c.incarnation)}, false)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -354,6 +354,9 @@
 	if now.Term != w.record.Term || now.Incarnation != c.incarnation || c.retired.Load() {
 		return nil
 	}
+	if e := c.endedTerm.Load(); e != nil && e.term >= w.record.Term {
+		return nil // led already, after another append: other hosts know that it ended
+	}
 	// The authority counts from the append, so that it is confirmed anew first.
 	w.answered = boottime.Now()
 	return w
