--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -28,7 +28,7 @@
 		x := &target{id: fmt.Sprint("t", i)}
 		x.startInstance(0)
 		w.targets = append(w.targets, x)
-		if status := ask(x.now(), "/-/grant", "g", `{"from":0,"to":100,"fence":1,"hold-s":5}`); status != http.StatusOK {
+		if status := ask(x.now(), standin.GrantPath, "g", `{"from":0,"to":100,"fence":1,"hold-s":5}`); status != http.StatusOK {
 			t.Fatalf("grant: status %d", status)
 		}
 		for _, id := range []string{"twice", "refused"} {
