--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -107,8 +107,7 @@
 func (l *leadership) lost(term uint64, reason lossReason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case reason == lossRefused && l.record.Term == term:
+	if reason == lossRefused && l.record.Term == term {
 		l.refused++
 	}
 }
@@ -290,7 +289,7 @@
 
 func (c *Coordinator) mayStand() bool {
 	now := boottime.Now()
-	return !c.retired.Load() && c.control.position() != unknownOffset && c.control.age(now) < staleAfter+followWait &&
+	return !c.retired.Load() && c.control.position() != unknownOffset && c.control.age(now) < awayFor &&
 		c.lead.vacant(now, c.cfg.Peer, c.incarnation)
 }
 
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -393,16 +393,20 @@
 	if err != nil {
 		return lossSilent
 	}
+	c.noteEnd(reply, l)
+	return reply.reason(l)
+}
+
+// noteEnd takes what a reply says of the end of a term.
+func (c *Coordinator) noteEnd(reply helloReply, l leaderRecord) {
 	if ago, ok := reply.ended(l); ok && !reply.Leads {
 		c.lead.endedAgo(l.Term, ago)
 	}
-	return reply.reason(l)
 }
 
 // reason says why a host does not lead a term; it returns nothing when it does.
 func (r helloReply) reason(l leaderRecord) lossReason {
-	switch {
-	case r.Leads:
+	if r.Leads {
 		return ""
 	}
 	if _, ok := r.ended(l); ok {
@@ -439,9 +443,7 @@
 		c.cfg.Log.Debug("former_leader_silent", "leader", former.Host, "term", former.Term, "err", err)
 		return
 	}
-	if ago, ok := reply.ended(former); ok && !reply.Leads {
-		c.lead.endedAgo(former.Term, ago)
-	}
+	c.noteEnd(reply, former)
 }
 
 // fromLeader takes a notification of the leader.
