--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -113,6 +113,7 @@
 	d.gw = gateway.New(gateway.Config{
 		Domain: s.Domain, Source: d.coord, Log: log,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
+		MemoryMB: s.MemoryMB,
 	})
 	expvar.Publish("gateway", d.gw.Vars())
 	expvar.Publish("control", d.coord.Vars())
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -23,6 +23,17 @@
 	ColdUntil time.Duration
 }
 
+// Run is one life of a target at an address. A target that starts again under its
+// ID, or another one at its address, is another run.
+type Run struct {
+	ID      string `json:"id"`
+	Born    int64  `json:"born"`
+	Address string `json:"address"`
+}
+
+// Run returns the target's present run.
+func (t *Target) Run() Run { return Run{ID: t.ID, Born: t.Born, Address: t.Address} }
+
 // Snapshot is an immutable view of the deployment.
 type Snapshot struct {
 	// Desired is nil until the first desired state was read.
@@ -54,6 +65,9 @@
 	// lapsed are targets that were removed while the store was away, with the
 	// time at which they are given up.
 	lapsed map[string]time.Duration
+	// leaving are runs that said themselves that they stop; true for those that
+	// said so to this host.
+	leaving map[Run]bool
 	// storeAway is whether the store is unreachable, and returned when it came back.
 	storeAway bool
 	returned  time.Duration
@@ -65,6 +79,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		evacuated: map[string]bool{}, targets: map[string]*Target{}, lapsed: map[string]time.Duration{},
+		leaving:  map[Run]bool{},
 		returned: -Grace, changed: true,
 	}
 }
@@ -95,6 +110,12 @@
 // PutTarget takes the announcement of a target and reports whether it changed.
 func (d *Directory) PutTarget(t *Target) bool {
 	delete(d.lapsed, t.ID)
+	if _, ok := d.leaving[t.Run()]; ok && !t.Leaving {
+		// A target's own word holds for the rest of its run, whatever the store says.
+		c := *t
+		c.Leaving = true
+		t = &c
+	}
 	old := d.targets[t.ID]
 	if old != nil && *old == *t {
 		return false
@@ -103,6 +124,49 @@
 	return true
 }
 
+// maxLeaving bounds the runs that are remembered as leaving.
+const maxLeaving = 8192
+
+// TargetLeaves takes the word of a target that it stops: it gets no new requests
+// for the rest of its run. own says that the target told this host. It reports
+// whether this was not known.
+func (d *Directory) TargetLeaves(run Run, own bool) bool {
+	if known, ok := d.leaving[run]; ok && (known || !own) {
+		return false
+	}
+	if len(d.leaving) >= maxLeaving {
+		d.forgetGone()
+	}
+	d.leaving[run] = own
+	if t := d.targets[run.ID]; t != nil && t.Run() == run && !t.Leaving {
+		c := *t
+		c.Leaving = true
+		d.targets[run.ID], d.changed = &c, true
+	}
+	return true
+}
+
+// forgetGone drops the leaving runs that are no longer announced.
+func (d *Directory) forgetGone() {
+	maps.DeleteFunc(d.leaving, func(r Run, _ bool) bool {
+		t := d.targets[r.ID]
+		return t == nil || t.Run() != r
+	})
+}
+
+// Leaving returns the announced runs that said themselves that they stop, or only
+// those that said so to this host, in the order of their IDs.
+func (d *Directory) Leaving(ownOnly bool) []Run {
+	var out []Run
+	for r, own := range d.leaving {
+		if t := d.targets[r.ID]; t != nil && t.Run() == r && (own || !ownOnly) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // RemoveTarget takes the removal of an announcement and reports whether the
 // target is gone; during and shortly after an absence of the store it is kept.
 func (d *Directory) RemoveTarget(now time.Duration, id string) bool {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -87,6 +87,9 @@
 	endedTerm atomic.Pointer[endedTerm]
 	// hosts is the number of hosts as the leader last told.
 	hosts atomic.Int64
+	// leavingHeard wakes the connection to the leader when a target told this host
+	// that it stops.
+	leavingHeard chan struct{}
 	// retired hosts do not stand for the lead.
 	retired atomic.Bool
 	m       *metrics
@@ -103,7 +106,8 @@
 	cfg.Ranges.Holds = cfg.Ranges.Holds.WithDefaults()
 	c := &Coordinator{
 		cfg: cfg, dir: fleet.NewDirectory(), changed: make(chan struct{}),
-		incarnation: fmt.Sprintf("%016x", rand.Uint64()), started: boottime.Now(),
+		leavingHeard: make(chan struct{}, 1),
+		incarnation:  fmt.Sprintf("%016x", rand.Uint64()), started: boottime.Now(),
 	}
 	c.snapshot.Store(c.dir.Snapshot())
 	c.ranges.Store(&map[string]*Ranges{})
@@ -114,6 +118,9 @@
 	c.control = newFollower(c, platform.TopicControl, c.applyControl)
 	c.lead.init()
 	c.m = newMetrics(c)
+	if cfg.Grants != nil {
+		cfg.Grants.OnAnswer(c.heardGrant)
+	}
 	return c
 }
 
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -183,7 +184,7 @@
 	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
 	relevant := records
 	if len(records) > 0 || full {
-		relevant = f.apply(records, full)
+		relevant = f.fold(records, full)
 	}
 	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
 		f.c.peers.relay(relayMessage{Topic: f.topic, From: from, Next: b.Next, Records: relevant})
@@ -191,6 +192,25 @@
 	return true
 }
 
+// fold applies records. After a panic it applies each by itself, so that only the
+// one that causes it is left out.
+func (f *follower) fold(records []platform.Record, full bool) (relevant []platform.Record) {
+	duty := f.String()
+	err := guard.Call(duty, func() { relevant = f.apply(records, full) })
+	if err == nil {
+		return relevant
+	}
+	f.c.cfg.Log.Error("panic", "duty", duty, "records", len(records), "err", err)
+	relevant = nil
+	for i := range records {
+		one := records[i : i+1]
+		if err := guard.Call(duty, func() { relevant = append(relevant, f.apply(one, false)...) }); err != nil {
+			f.c.cfg.Log.Error("record_left_out", "topic", f.topic, "offset", one[0].Offset, "err", err)
+		}
+	}
+	return relevant
+}
+
 // confirm notes that another host knew, an age ago, that the topic ended at next.
 func (f *follower) confirm(next int64, age, now time.Duration) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/coordinator/leaving.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// leavingMessage names targets that said themselves that they stop. Hosts tell the
+// leader, which moves their keys, and the leader tells all others.
+type leavingMessage struct {
+	Runs []fleet.Run `json:"runs"`
+}
+
+// TargetLeaves takes a target's own word that it stops.
+func (c *Coordinator) TargetLeaves(run fleet.Run) {
+	if !c.targetsLeave([]fleet.Run{run}, true) {
+		return
+	}
+	select {
+	case c.leavingHeard <- struct{}{}:
+	default: // the connection is about to send all
+	}
+}
+
+// heardGrant takes what a target says of itself in the answer to a grant.
+func (c *Coordinator) heardGrant(target, address string, said platform.Answer) {
+	if !said.Leaving {
+		return
+	}
+	if t := c.Snapshot().Targets[target]; t != nil && t.Address == address {
+		c.TargetLeaves(t.Run())
+	}
+}
+
+// targetsLeave puts runs on the list of those that stop and reports whether any
+// was new. The leader tells its peers.
+func (c *Coordinator) targetsLeave(runs []fleet.Run, own bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var fresh []fleet.Run
+	for _, r := range runs {
+		if c.dir.TargetLeaves(r, own) {
+			fresh = append(fresh, r)
+			c.cfg.Log.Info("target_leaves", "target", r.ID, "address", r.Address, "own", own)
+		}
+	}
+	if len(fresh) == 0 {
+		return false
+	}
+	c.publish()
+	if c.Leading() {
+		c.peers.send(methodLeaving, leavingMessage{Runs: fresh})
+	}
+	return true
+}
+
+// leavingTargets returns the announced targets that said themselves that they stop.
+func (c *Coordinator) leavingTargets(ownOnly bool) []fleet.Run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dir.Leaving(ownOnly)
+}
+
+// tellLeaving tells the leader which targets told this host that they stop.
+func (c *Coordinator) tellLeaving(ctx context.Context, conn *jsonrpc2.Conn, limit func(time.Time) error) error {
+	runs := c.leavingTargets(true)
+	if len(runs) == 0 {
+		return nil
+	}
+	if err := limit(time.Now().Add(silentAfter)); err != nil {
+		return err
+	}
+	return conn.Notify(ctx, methodLeaving, leavingMessage{Runs: runs})
+}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -11,9 +11,11 @@
 	"syscall"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/platform"
@@ -26,6 +28,8 @@
 	methodFresh  = "fresh"
 	methodRanges = "ranges"
 	methodCounts = "counts"
+	// methodLeaving goes both ways.
+	methodLeaving = "leaving"
 )
 
 // helloMessage asks a host whether it leads the given term.
@@ -230,10 +234,12 @@
 			}
 			c.lead.addCounts(m)
 			return nil, nil
+		case methodLeaving:
+			return nil, c.heardLeaving(r)
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
-	pc.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler, quiet)
+	pc.conn = jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
 	defer c.peers.remove(pc)
 	for {
 		select {
@@ -264,6 +270,35 @@
 	return nil
 }
 
+// heardLeaving takes another host's word about targets that stop.
+func (c *Coordinator) heardLeaving(r *jsonrpc2.Request) error {
+	var m leavingMessage
+	if err := unmarshalParams(r, &m); err != nil {
+		return err
+	}
+	c.targetsLeave(m.Runs, false)
+	return nil
+}
+
+// bounded keeps a panic in the handling of one message from ending the process.
+func (c *Coordinator) bounded(h jsonrpc2.Handler) jsonrpc2.Handler {
+	return boundedHandler{h, c.cfg.Log}
+}
+
+type boundedHandler struct {
+	jsonrpc2.Handler
+	log hclog.Logger
+}
+
+// Handle implements jsonrpc2.Handler. After a panic the connection is closed, since
+// what the message should have changed is unknown; a new one begins with all state.
+func (h boundedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if err := guard.Call("peer message", func() { h.Handler.Handle(ctx, conn, r) }); err != nil {
+		h.log.Error("panic", "duty", "peer message", "method", r.Method, "err", err)
+		_ = conn.Close() // given up
+	}
+}
+
 // hello registers a follower when this host leads.
 func (c *Coordinator) hello(pc *peerConn, r *jsonrpc2.Request) (any, error) {
 	var m helloMessage
@@ -278,6 +313,9 @@
 		pc.post(methodRanges, rangesMessage{Workload: w, Full: true, Runs: r.runs})
 	}
 	pc.post(methodFresh, c.freshness())
+	if runs := c.leavingTargets(false); len(runs) > 0 {
+		pc.post(methodLeaving, leavingMessage{Runs: runs})
+	}
 	c.peers.add(pc)
 	return helloReply{Leads: true, processState: c.state()}, nil
 }
@@ -346,11 +384,14 @@
 		}
 		return nil, c.fromLeader(r)
 	})
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler, quiet)
+	conn := jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
 	defer func() { _ = conn.Close() }() // given up in any case
 	if reason := c.sayHello(ctx, conn, l); reason != "" {
 		return reason
 	}
+	if err := c.tellLeaving(ctx, conn, nc.SetWriteDeadline); err != nil {
+		return lossClosed
+	}
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
 	c.lead.connected(true)
 	defer c.lead.connected(false)
@@ -371,6 +412,10 @@
 			if c.lead.current().Term != l.Term {
 				return lossTerm
 			}
+		case <-c.leavingHeard:
+			if err := c.tellLeaving(ctx, conn, nc.SetWriteDeadline); err != nil {
+				return lossClosed
+			}
 		case <-counts.C:
 			for _, m := range c.counts.take() {
 				if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
@@ -469,6 +514,8 @@
 				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, now)
 			}
 		}
+	case methodLeaving:
+		return c.heardLeaving(r)
 	case methodRanges:
 		var m rangesMessage
 		if err := unmarshalParams(r, &m); err != nil {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/ownership"
 	"github.com/boragelock/boragelock/platform"
@@ -84,7 +85,10 @@
 	if former := c.lead.formerRecord(); former.Address != "" && former.Address != c.cfg.Peer {
 		go c.askFormer(ctx, former)
 	}
-	t.loop()
+	if err := guard.Call("lead", t.loop); err != nil {
+		t.over = endPanic
+		c.cfg.Log.Error("panic", "duty", "lead", "err", err)
+	}
 	t.lease.End()
 	cancel() // ends the calls in progress before the end of the term is told
 	c.leading.Store(false)
@@ -95,7 +99,7 @@
 	c.lead.mu.Lock()
 	c.lead.notBefore = boottime.Now() + resignPause
 	c.lead.mu.Unlock()
-	if t.over == endStopped || t.over == endIsolated {
+	if t.over == endStopped || t.over == endIsolated || t.over == endPanic {
 		t.resign()
 	}
 }
@@ -107,6 +111,7 @@
 	endFenced    = "a target refused the fence"
 	endAuthority = "store did not confirm the term in time"
 	endIsolated  = "most targets cannot be reached"
+	endPanic     = "fault of this program"
 )
 
 func (t *term) loop() {
@@ -325,7 +330,7 @@
 	for _, g := range t.granters {
 		orders := g.Tick(now, func(id string) bool { return t.address(snap, id) != "" })
 		for _, o := range orders {
-			go t.call(g, o, t.address(snap, o.Target))
+			go t.guardedCall(g, o, t.address(snap, o.Target))
 		}
 	}
 }
@@ -337,6 +342,22 @@
 	return t.addresses[id]
 }
 
+// guardedCall makes one call to a target. After a panic the outcome is unknown.
+func (t *term) guardedCall(g *lease.RangeGranter, o lease.Order, address string) {
+	err := guard.Call("grant call", func() { t.call(g, o, address) })
+	if err == nil {
+		return
+	}
+	t.c.cfg.Log.Error("panic", "duty", "grant call", "target", o.Target, "err", err)
+	t.post(func(now time.Duration) {
+		if o.Release {
+			g.Released(now, o, "", false)
+		} else {
+			g.Granted(now, o, lease.GrantUnknown)
+		}
+	})
+}
+
 // call makes one call to a target and posts its result.
 func (t *term) call(g *lease.RangeGranter, o lease.Order, address string) {
 	if o.Release {
--- /dev/null
+++ b/internal/gateway/answer_test.go
@@ -0,0 +1,490 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+// rawTarget answers each request that it reads by a function of the number of the
+// connection, the number of the request on it, and the request.
+func rawTarget(t *testing.T, answer func(nc net.Conn, conn, n int, r *http.Request)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for conn := 0; ; conn++ {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					answer(nc, conn, n, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func rawAnswer(status, id, headers, body string) string {
+	if id != "" {
+		headers += standin.HeaderID + ": " + id + "\r\n"
+	}
+	return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + fmt.Sprint(len(body)) + "\r\n\r\n" + body
+}
+
+const (
+	signed   = standin.HeaderSignature + ": s\r\n"
+	notRun   = "X-Boragelock-Not-Executed: 1\r\n"
+	refusal  = "503 Service Unavailable"
+	okStatus = "200 OK"
+)
+
+func roundTrip(p *pools, address, id string) (*answer, *sendError) {
+	o := &outgoing{method: "POST", uri: "/", host: "h", header: http.Header{}, id: id, left: time.Second}
+	o.header.Set(standin.HeaderID, id)
+	return p.roundTrip(context.Background(), o, "t", address, newMemoryBudget(1<<20))
+}
+
+func write(nc net.Conn, s string) { _, _ = io.WriteString(nc, s) } // the gateway may have closed
+
+func TestSecondCopies(t *testing.T) {
+	Convey("Given a target that refuses a request and sends a second copy of the refusal, late", t, func() {
+		address := rawTarget(t, func(nc net.Conn, conn, n int, r *http.Request) {
+			id := r.Header.Get(standin.HeaderID)
+			if conn == 0 && n == 0 {
+				write(nc, rawAnswer(refusal, id, notRun, ""))
+				return
+			}
+			if n > 0 {
+				write(nc, rawAnswer(refusal, "x", notRun, "")) // the late copy
+			}
+			write(nc, rawAnswer(okStatus, id, signed, "ran"))
+		})
+		p := newPools()
+		a, failure := roundTrip(p, address, "x")
+		So(failure, ShouldBeNil)
+		So(a.said.NotRun, ShouldBeTrue)
+
+		Convey("a repeat with the same identifier does not take the copy for its answer", func() {
+			a, failure := roundTrip(p, address, "x")
+			So(failure, ShouldBeNil)
+			So(a.said.NotRun, ShouldBeFalse)
+			So(string(a.body), ShouldEqual, "ran")
+		})
+		Convey("another request on the connection skips the copy", func() {
+			a, failure := roundTrip(p, address, "y")
+			So(failure, ShouldBeNil)
+			So(a.said.ID, ShouldEqual, "y")
+			So(string(a.body), ShouldEqual, "ran")
+		})
+		Convey("nor after another request went between the two", func() {
+			_, failure := roundTrip(p, address, "y")
+			So(failure, ShouldBeNil)
+			a, failure := roundTrip(p, address, "x")
+			So(failure, ShouldBeNil)
+			So(a.said.NotRun, ShouldBeFalse)
+		})
+	})
+	Convey("A copy whose head arrives in pieces around the next request is skipped", t, func() {
+		address := rawTarget(t, func(nc net.Conn, conn, n int, r *http.Request) {
+			id := r.Header.Get(standin.HeaderID)
+			copied := rawAnswer(okStatus, "x", signed, "old")
+			if n > 0 {
+				write(nc, copied[:20])
+				time.Sleep(50 * time.Millisecond)
+				write(nc, copied[20:])
+			}
+			write(nc, rawAnswer(okStatus, id, signed, "answer of "+id))
+		})
+		p := newPools()
+		_, failure := roundTrip(p, address, "x")
+		So(failure, ShouldBeNil)
+		a, failure := roundTrip(p, address, "y")
+		So(failure, ShouldBeNil)
+		So(string(a.body), ShouldEqual, "answer of y")
+	})
+	Convey("An answer without an identifier is taken on a new connection only", t, func() {
+		address := rawTarget(t, func(nc net.Conn, _, _ int, _ *http.Request) {
+			write(nc, rawAnswer(okStatus, "", signed, "whose"))
+		})
+		p := newPools()
+		a, failure := roundTrip(p, address, "x")
+		So(failure, ShouldBeNil)
+		So(string(a.body), ShouldEqual, "whose")
+		_, failure = roundTrip(p, address, "y")
+		So(failure, ShouldNotBeNil)
+		So(failure.sent, ShouldBeTrue)
+	})
+	Convey("A connection is closed when it cannot remember more identifiers", t, func() {
+		var conns atomic.Int64
+		address := rawTarget(t, func(nc net.Conn, conn, _ int, r *http.Request) {
+			conns.Store(int64(conn) + 1)
+			write(nc, rawAnswer(okStatus, r.Header.Get(standin.HeaderID), signed, ""))
+		})
+		p := newPools()
+		for i := range maxCarried + 1 {
+			_, failure := roundTrip(p, address, fmt.Sprint(i))
+			So(failure, ShouldBeNil)
+		}
+		So(conns.Load(), ShouldEqual, 2)
+	})
+}
+
+// endless are beginnings of answers and what follows without end.
+var endless = map[string][2]string{
+	"status line":           {"HTTP/1.1 200 ", "x"},
+	"header line":           {"HTTP/1.1 200 OK\r\nA: ", "x"},
+	"headers":               {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+	"informational answers": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"chunk extension":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"chunk extensions":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 1000) + "\r\nb\r\n"},
+	"trailers":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+	"body without a length": {"HTTP/1.1 200 OK\r\n" + signed + "\r\n", "body"},
+	"chunked body":          {"HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"body of huge length":   {"HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 9000000000\r\n\r\n", "body"},
+}
+
+// endlessTarget sends an answer that never ends until the connection is closed.
+func endlessTarget(t *testing.T, what [2]string) string {
+	block := strings.Repeat(what[1], 1+(32<<10)/len(what[1]))
+	return rawTarget(t, func(nc net.Conn, _, _ int, _ *http.Request) {
+		write(nc, what[0])
+		for {
+			if _, err := io.WriteString(nc, block); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// complete reports whether a request ends with a complete success; the body is
+// dropped as it is read.
+func (r *rig) complete(path, id string) bool {
+	nc, err := net.Dial("tcp", r.address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = nc.Close() }()
+	write(nc, raw(id, path))
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil
+}
+
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		hostMB      = 184
+		badTargets  = 100
+		sampleEvery = 5 * time.Millisecond
+	)
+	Convey("Given a host of 184 MiB and 100 targets whose answers never end", t, func() {
+		r := newRig(t, 1)
+		d := *r.source.dir.Snapshot().Desired
+		d.Version++
+		d.Routes = append(d.Routes, fleet.Route{Name: "bad", Host: "h", Prefix: "/bad/", Kind: fleet.Safe, MaxAttempts: 1,
+			Parts: []fleet.Part{{Workload: "bad", Weight: 1}}, Timeout: 1500 * time.Millisecond, Objective: time.Second})
+		d.Workloads["bad"] = &fleet.Workload{Name: "bad", MaxConns: 100}
+		d.Index()
+		r.source.mu.Lock()
+		r.source.dir.PutDesired(&d)
+		i := 0
+		var kinds [][2]string
+		for _, e := range endless {
+			kinds = append(kinds, e)
+		}
+		for ; i < badTargets; i++ {
+			r.source.dir.PutTarget(&fleet.Target{ID: fmt.Sprint("bad", i), Workload: "bad", Domain: "d", Slots: 1, Address: endlessTarget(t, kinds[i%len(kinds)])})
+		}
+		r.source.mu.Unlock()
+
+		runtime.GC()
+		var peak atomic.Uint64
+		stop, sampled := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(sampled)
+			for tick := time.NewTicker(sampleEvery); ; {
+				select {
+				case <-stop:
+					return
+				case <-tick.C:
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					peak.Store(max(peak.Load(), m.HeapInuse+m.StackInuse))
+				}
+			}
+		}()
+		var wg sync.WaitGroup
+		for i := range badTargets {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if r.complete("/bad/x", fmt.Sprint("e", i)) {
+					t.Error("an endless answer was taken for complete")
+				}
+			}()
+		}
+		served := 0
+		for i := range 20 {
+			resp, _, err := r.do("GET", "/s/x", fmt.Sprint("g", i), "", 1500)
+			if err == nil && resp.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		wg.Wait()
+		close(stop)
+		<-sampled
+		So(served, ShouldEqual, 20)
+		So(peak.Load()>>20, ShouldBeLessThan, hostMB)
+		t.Logf("peak of heap and stacks: %d MiB", peak.Load()>>20)
+		for end := time.Now().Add(time.Second); r.gw.answers.free.Load() < int64(answerShare*hostMB*(1<<20)) && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		So(r.gw.answers.free.Load(), ShouldEqual, int64(answerShare*hostMB*(1<<20)))
+	})
+	for name, e := range endless {
+		if strings.Contains(name, "body") {
+			continue // streamed until the deadline
+		}
+		Convey("An endless "+name+" ends the exchange before the deadline", t, func() {
+			start := time.Now()
+			_, failure := roundTrip(newPools(), endlessTarget(t, e), "x")
+			So(failure, ShouldNotBeNil)
+			So(failure.sent, ShouldBeTrue)
+			So(time.Since(start), ShouldBeLessThan, 900*time.Millisecond)
+		})
+	}
+}
+
+func TestStreamedAnswers(t *testing.T) {
+	big := strings.Repeat("b", 3*bufferedAnswer)
+	Convey("An answer for which the budget has no room is streamed whole", t, func() {
+		r := newRig(t, 0)
+		r.gw.answers.free.Store(0)
+		r.source.dir.PutTarget(&fleet.Target{ID: "t", Workload: "w", Domain: "d", Slots: 2, Address: rawTarget(t, func(nc net.Conn, _, _ int, req *http.Request) {
+			write(nc, rawAnswer(okStatus, req.Header.Get(standin.HeaderID), signed, "small"))
+		})})
+		resp, body, err := r.do("GET", "/s/x", "a", "", 1500)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, 200)
+		So(body, ShouldEqual, "small")
+	})
+	for _, ended := range []bool{true, false} {
+		Convey(fmt.Sprintf("A large answer in chunks, ended %v, is complete for the caller only if it ended", ended), t, func() {
+			r := newRig(t, 0)
+			r.source.dir.PutTarget(&fleet.Target{ID: "t", Workload: "w", Domain: "d", Slots: 2, Address: rawTarget(t, func(nc net.Conn, _, _ int, req *http.Request) {
+				write(nc, "HTTP/1.1 200 OK\r\n"+signed+standin.HeaderID+": "+req.Header.Get(standin.HeaderID)+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+				write(nc, fmt.Sprintf("%x\r\n%s\r\n", len(big), big))
+				if ended {
+					write(nc, "0\r\n\r\n")
+				} else {
+					_ = nc.Close() // breaks the answer off
+				}
+			})})
+			resp, body, err := r.do("GET", "/s/x", "a", "", 1500)
+			if ended {
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 200)
+				So(len(body), ShouldEqual, len(big))
+			} else {
+				So(err, ShouldNotBeNil)
+			}
+		})
+	}
+}
+
+func TestLeavingAndPausingTargets(t *testing.T) {
+	Convey("Given two targets, one of which says something of itself in its answers", t, func() {
+		r := newRig(t, 1)
+		var reached atomic.Int64
+		say := func(status, headers string) {
+			address := rawTarget(t, func(nc net.Conn, _, _ int, req *http.Request) {
+				reached.Add(1)
+				write(nc, rawAnswer(status, req.Header.Get(standin.HeaderID), headers, "b"))
+			})
+			r.source.mu.Lock()
+			r.source.dir.PutTarget(&fleet.Target{ID: "s", Born: 1, Workload: "w", Address: address, Domain: "d", Slots: 2})
+			r.source.mu.Unlock()
+			r.gw.sync()
+		}
+		requests := func(n int) {
+			// Four at a time fill the other target, so that both are chosen.
+			const together = 4
+			for range n / together {
+				var failed atomic.Int64
+				var wg sync.WaitGroup
+				for i := range together {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						resp, _, err := r.do("POST", "/o/x", fmt.Sprint(time.Now().UnixNano(), i), "b", 2000)
+						if err != nil || resp.StatusCode != http.StatusOK {
+							failed.Add(1)
+						}
+					}()
+				}
+				wg.Wait()
+				So(failed.Load(), ShouldEqual, 0)
+			}
+		}
+		r.set(standin.Behaviour{Work: 20 * time.Millisecond})
+		// Requests that are on their way when the first answer comes may still arrive.
+		first := func() int64 {
+			for reached.Load() == 0 {
+				requests(4)
+			}
+			return reached.Load()
+		}
+		Convey("one that leaves gets nothing more, also when it is announced as ready again", func() {
+			say(okStatus, signed+"Server-Leaving: 1\r\n")
+			before := first()
+			requests(20)
+			So(reached.Load(), ShouldEqual, before)
+			old := *r.source.Snapshot().Targets["s"]
+			So(old.Leaving, ShouldBeTrue)
+			old.Leaving = false
+			r.source.mu.Lock()
+			r.source.dir.PutTarget(&old)
+			r.source.mu.Unlock()
+			requests(20)
+			So(reached.Load(), ShouldEqual, before)
+			next := old
+			next.Born = 2
+			r.source.mu.Lock()
+			r.source.dir.PutTarget(&next)
+			r.source.mu.Unlock()
+			requests(20)
+			So(reached.Load(), ShouldBeGreaterThan, before) // a new run is a new target
+		})
+		Convey("one that asks for a pause gets nothing until its end", func() {
+			say(refusal, notRun+"Retry-After: 1.5\r\n")
+			start := time.Now()
+			before := first()
+			requests(32)
+			So(reached.Load(), ShouldEqual, before)
+			So(time.Since(start), ShouldBeLessThan, 1500*time.Millisecond)
+			time.Sleep(1600*time.Millisecond - time.Since(start))
+			requests(32)
+			So(reached.Load(), ShouldBeGreaterThan, before)
+		})
+		Convey("a pause that cannot be true is ignored", func() {
+			say(refusal, notRun+"Retry-After: 1e300\r\n")
+			requests(4)
+			before := reached.Load()
+			So(before, ShouldBeGreaterThan, 0)
+			time.Sleep(100 * time.Millisecond)
+			requests(8)
+			So(reached.Load(), ShouldBeGreaterThan, before)
+		})
+	})
+}
+
+// panickySource panics at a point of a request's way.
+type panickySource struct {
+	*fakeSource
+	where atomic.Value
+}
+
+func (s *panickySource) Fresh() bool {
+	if s.where.Load() == "route" {
+		panic("test")
+	}
+	return s.fakeSource.Fresh()
+}
+
+func (s *panickySource) TargetLeaves(fleet.Run) { panic("test") }
+
+func TestPanicInARequest(t *testing.T) {
+	Convey("Given a gateway with a fault that panics", t, func() {
+		r := newRig(t, 1)
+		p := &panickySource{fakeSource: r.source}
+		r.gw.cfg.Source = p
+
+		Convey("a request that reached no target is refused, and the next one is served", func() {
+			p.where.Store("route")
+			resp, _, err := r.do("GET", "/none", "a", "", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 503)
+			resp, _, err = r.do("GET", "/s/x", "b", "", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+		})
+		Convey("one that was sent is not refused, and its target is not counted as busy", func() {
+			r.source.dir.RemoveTarget(time.Hour, "t0")
+			r.source.dir.PutTarget(&fleet.Target{ID: "s", Workload: "w", Domain: "d", Slots: 1, Address: rawTarget(t, func(nc net.Conn, _, _ int, req *http.Request) {
+				h := signed
+				if req.Header.Get(standin.HeaderID) != "last" {
+					h += "Server-Leaving: 1\r\n"
+				}
+				write(nc, rawAnswer(okStatus, req.Header.Get(standin.HeaderID), h, ""))
+			})})
+			for i := range 10 {
+				resp, _, err := r.do("POST", "/o/x", fmt.Sprint(i), "b", 1000)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 502)
+			}
+			resp, _, err := r.do("POST", "/o/x", "last", "b", 1000)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+		})
+	})
+}
+
+func TestAnswerMemory(t *testing.T) {
+	Convey("Answers that are held at a time take no more memory than the budget, and give it back", t, func() {
+		const limit = 4 << 20
+		budget := newMemoryBudget(limit)
+		var held []*answer
+		total := 0
+		for range 20 {
+			resp := &http.Response{StatusCode: 200, Header: http.Header{}, ContentLength: -1, TransferEncoding: []string{"chunked"},
+				Body: io.NopCloser(io.LimitReader(zeros{}, 2*bufferedAnswer))}
+			a, err := readAnswer(resp, budget)
+			So(err, ShouldBeNil)
+			So(a.rest, ShouldNotBeNil)
+			a.finish = func(bool) {}
+			total += cap(a.body)
+			held = append(held, a)
+		}
+		So(total, ShouldBeLessThanOrEqualTo, limit)
+		So(total, ShouldBeGreaterThan, limit/2)
+		for _, a := range held {
+			a.discard()
+			a.discard()
+		}
+		So(budget.free.Load(), ShouldEqual, limit)
+	})
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -11,6 +11,7 @@
 
 // Codes of the gateway's own answers.
 const (
+	CodeInternal   Code = "internal"     // a fault of this program
 	CodeNotReady   Code = "not_ready"    // no desired state is known yet
 	CodeStopping   Code = "stopping"     // the host stops before the request's deadline
 	CodeNoRoute    Code = "no_route"     // no route matches
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -31,6 +32,10 @@
 	// a send is unknown.
 	refused    int
 	mayHaveRun bool
+	// placed is the target at which the board counts the request, or empty; sending
+	// is set from the send to a target until its outcome was taken.
+	placed  string
+	sending bool
 }
 
 // Times of the request path.
@@ -47,30 +52,49 @@
 	shedRetry = 80 * time.Millisecond
 )
 
-// serve answers one request. body has been read whole.
-func (g *Gateway) serve(ctx context.Context, r *http.Request, body []byte, arrived time.Duration) (*answer, *Failure) {
+// serve answers one request. body has been read whole. A panic ends the request
+// with a failure that is true: refused when nothing was sent to a target.
+func (g *Gateway) serve(ctx context.Context, r *http.Request, body []byte, arrived time.Duration) (a *answer, f *Failure) {
+	c := &call{g: g, req: platform.ReadRequest(r.Header), arrived: arrived}
+	err := guard.Call("request", func() { a, f = c.serve(ctx, r, body) })
+	if err == nil {
+		return a, f
+	}
+	g.cfg.Log.Error("panic", "duty", "request", "request", c.req.ID, "target", c.placed, "err", err)
+	if c.placed != "" {
+		g.withdrawn(c.placed)
+	}
+	if c.sending || c.mayHaveRun {
+		return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: err}
+	}
+	return nil, refuse(CodeInternal, notReadyAfter)
+}
+
+// serve finds the route of a request and runs it.
+func (c *call) serve(ctx context.Context, r *http.Request, body []byte) (*answer, *Failure) {
+	g := c.g
 	snap := g.sync()
 	if snap.Desired == nil {
 		return nil, refuse(CodeNotReady, notReadyAfter)
 	}
 	host, _, _ := strings.Cut(strings.ToLower(r.Host), ":")
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := snap.Desired.Match(host, path)
-	if route == nil {
+	c.route = snap.Desired.Match(host, path)
+	if c.route == nil {
 		if !g.cfg.Source.Fresh() {
 			return nil, refuse(CodeNotReady, notReadyAfter)
 		}
 		return nil, &Failure{Code: CodeNoRoute, Status: http.StatusNotFound}
 	}
-	c := &call{g: g, req: platform.ReadRequest(r.Header), route: route, arrived: arrived, workload: g.part(route)}
-	left := route.Timeout
+	left := c.route.Timeout
 	if c.req.Deadline > 0 && (left <= 0 || c.req.Deadline < left) {
 		left = c.req.Deadline
 	}
-	c.deadline = arrived + left
+	c.deadline = c.arrived + left
 	if g.stopping(c.deadline) {
 		return nil, refuse(CodeStopping, minRetryAfter)
 	}
+	c.workload = g.part(c.route)
 	c.keyed = c.req.Key >= 0 && snap.Desired.Workloads[c.workload] != nil && snap.Desired.Workloads[c.workload].Keyed
 	c.out = outgoing{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body, id: c.req.ID}
 	g.earn(c.workload)
@@ -78,7 +102,7 @@
 		g.cfg.Source.CountKey(c.workload, c.req.Key)
 	}
 	a, failure := c.run(ctx)
-	g.m.count(c.workload, route.Kind, a, failure)
+	g.m.count(c.workload, c.route.Kind, a, failure)
 	return a, failure
 }
 
@@ -89,7 +113,9 @@
 		if failure != nil {
 			return nil, c.final(failure)
 		}
+		c.placed = d.Target
 		a, failure, again := c.send(ctx, d.Target)
+		c.placed, c.sending = "", false
 		if !again {
 			return a, failure
 		}
@@ -196,12 +222,13 @@
 	if !c.route.Kind.Idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	a, failure := c.g.pools.roundTrip(ctx, &c.out, id, t.Address)
+	c.sending = true
+	a, failure := c.g.pools.roundTrip(ctx, &c.out, id, t.Address, c.g.answers)
 	took := boottime.Now() - now
 	if failure != nil {
 		return c.sendFailed(ctx, id, failure, took)
 	}
-	return c.answered(ctx, id, a, took)
+	return c.answered(ctx, t, a, took)
 }
 
 func (g *Gateway) withdrawn(id string) {
@@ -283,8 +310,10 @@
 }
 
 // answered decides what follows an answer.
-func (c *call) answered(ctx context.Context, id string, a *answer, took time.Duration) (*answer, *Failure, bool) {
-	s := placement.Sample{Route: c.route.Name, Took: took, Cold: a.said.Cold, Size: len(a.body)}
+func (c *call) answered(ctx context.Context, t *fleet.Target, a *answer, took time.Duration) (*answer, *Failure, bool) {
+	id := t.ID
+	c.heard(t, a)
+	s := placement.Sample{Route: c.route.Name, Took: took, Cold: a.said.Cold, Size: len(a.body), Pause: a.said.Pause}
 	if l := a.said.Load; l != nil {
 		s.Load = &placement.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace}
 	}
@@ -299,17 +328,17 @@
 	c.g.m.target.add(took)
 	switch {
 	case a.said.NotRun:
+		a.discard()
 		return c.notRun(ctx, id, a)
 	case s.Failed && c.route.Kind.Idempotent() && c.sends+1 < c.route.MaxAttempts && !c.keyed && c.timeLeft():
 		c.sends++
 		c.tried = append(c.tried, id)
 		c.mayHaveRun = true
 		c.g.m.sends.Add("failed", 1)
-		if a.rest != nil {
-			a.finish(false)
-		}
+		a.discard()
 		return nil, nil, true
 	case broken:
+		a.discard()
 		c.g.m.sends.Add("broken", 1)
 		return nil, &Failure{Code: CodeBadAnswer, Status: http.StatusBadGateway}, false
 	}
@@ -320,6 +349,21 @@
 	return a, nil, false
 }
 
+// heard takes what an answer says of the target itself.
+func (c *call) heard(t *fleet.Target, a *answer) {
+	if a.said.Leaving {
+		c.g.cfg.Source.TargetLeaves(t.Run())
+		c.g.sync()
+	}
+	if a.said.BadPause {
+		c.g.m.sends.Add("bad_pause", 1)
+	}
+	if a.said.Pause > 0 {
+		c.g.m.sends.Add("pause", 1)
+		c.g.cfg.Log.Request("target_pauses", c.req.ID, "target", t.ID, "pause_ms", a.said.Pause.Milliseconds())
+	}
+}
+
 // notRun decides what follows a refusal by a target.
 func (c *call) notRun(ctx context.Context, id string, a *answer) (*answer, *Failure, bool) {
 	c.refused++
@@ -333,7 +377,11 @@
 		c.tried = append(c.tried, id)
 	}
 	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || c.keyed && !c.pause(ctx, shedRetry) {
-		return nil, c.final(refuse(CodeShed, shedRetry)), false
+		after := shedRetry
+		if c.keyed {
+			after = max(after, a.said.Pause)
+		}
+		return nil, c.final(refuse(CodeShed, after)), false
 	}
 	return nil, nil, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 	Changed() <-chan struct{}
 	CountKey(workload string, key int)
 	CountTarget(workload string, t coordinator.TargetCount)
+	// TargetLeaves takes a target's own word that it stops.
+	TargetLeaves(run fleet.Run)
 	Ready() bool
 	// Hosts returns the number of hosts that share budgets, at least 1.
 	Hosts() int
@@ -42,12 +44,25 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// MemoryMB is the memory of the process in MiB; a part of it holds answers.
+	// Default: 184.
+	MemoryMB int
 }
 
+const (
+	// defaultMemoryMB is the least memory of a host in the deployments' settings.
+	defaultMemoryMB = 184
+	// answerShare is the part of the process's memory for answers of targets: the
+	// collector may keep as much again before it runs, beside 10 to 40 MiB of state.
+	answerShare = 1.0 / 8
+)
+
 // Gateway is the request path of one host.
 type Gateway struct {
 	cfg   Config
 	pools *pools
+	// answers bounds the memory of buffered answers.
+	answers *memoryBudget
 
 	mu       sync.Mutex
 	board    *placement.Board
@@ -69,8 +84,12 @@
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
+	if cfg.MemoryMB == 0 {
+		cfg.MemoryMB = defaultMemoryMB
+	}
 	return &Gateway{
-		cfg: cfg, pools: newPools(), board: placement.NewBoard(placement.Config{Domain: cfg.Domain}),
+		answers: newMemoryBudget(int64(answerShare * float64(cfg.MemoryMB) * (1 << 20))),
+		cfg:     cfg, pools: newPools(), board: placement.NewBoard(placement.Config{Domain: cfg.Domain}),
 		waits: map[uint64]chan placement.Decision{}, budgets: map[string]*retry.Budget{}, judged: map[string]health.Condition{}, hosts: 1,
 		splits: map[string]float64{}, m: newMetrics(),
 	}
@@ -126,7 +145,7 @@
 	list := make([]placement.Target, 0, len(snap.Targets))
 	for _, t := range snap.Targets {
 		x := placement.Target{
-			ID: t.ID, Workload: t.Workload, Domain: t.Domain, Slots: t.Slots, Usable: snap.Usable(t), ColdUntil: t.ColdUntil,
+			ID: t.ID, Run: t.Run(), Workload: t.Workload, Domain: t.Domain, Slots: t.Slots, Usable: snap.Usable(t), ColdUntil: t.ColdUntil,
 		}
 		if snap.Desired != nil {
 			if w := snap.Desired.Workloads[t.Workload]; w != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -41,9 +41,14 @@
 func (s *fakeSource) Ranges(string) *coordinator.Ranges           { return nil }
 func (s *fakeSource) CountKey(string, int)                        {}
 func (s *fakeSource) CountTarget(string, coordinator.TargetCount) {}
-func (s *fakeSource) Ready() bool                                 { return true }
-func (s *fakeSource) Hosts() int                                  { return 1 }
-func (s *fakeSource) Fresh() bool                                 { return !s.stale }
+func (s *fakeSource) TargetLeaves(run fleet.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dir.TargetLeaves(run, true)
+}
+func (s *fakeSource) Ready() bool { return true }
+func (s *fakeSource) Hosts() int  { return 1 }
+func (s *fakeSource) Fresh() bool { return !s.stale }
 
 // rig is a gateway in front of stand-in targets.
 type rig struct {
@@ -302,8 +307,8 @@
 				_, _ = far.Write(b) // the reader may have given up
 			}
 		}()
-		u := &upstream{nc: near, br: bufio.NewReader(near)}
-		a, err := u.exchange(&outgoing{method: "GET", uri: "/", host: "h", header: http.Header{}, id: "id", left: time.Second}, "t")
+		u := newUpstream(near)
+		a, err := u.exchange(&outgoing{method: "GET", uri: "/", host: "h", header: http.Header{}, id: "id", left: time.Second}, "t", newMemoryBudget(1<<20))
 		if err != nil {
 			return
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,12 +9,14 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -55,7 +57,12 @@
 			}
 			return err
 		}
-		go g.serveConn(ctx, nc)
+		go func() {
+			if err := guard.Call("connection", func() { g.serveConn(ctx, nc) }); err != nil {
+				g.cfg.Log.Error("panic", "duty", "connection", "err", err)
+				_ = nc.Close() // the connection is given up
+			}
+		}()
 	}
 }
 
@@ -172,7 +179,11 @@
 			defer c.wg.Done()
 			defer c.g.inFlight.Add(-1)
 			defer close(done)
-			c.handle(r, body, failure, arrived, turn)
+			err := guard.Call("answer", func() { c.handle(r, body, failure, arrived, turn) })
+			if err != nil {
+				c.g.cfg.Log.Error("panic", "duty", "answer", "err", err)
+				c.abandon()
+			}
 			<-c.slots
 		}()
 		if failure != nil {
@@ -186,6 +197,16 @@
 	}
 }
 
+// abandon ends the connection after a panic in the writing of an answer, of which
+// a part may have been written.
+func (c *callerConn) abandon() {
+	c.mu.Lock()
+	c.pending--
+	c.broken = true
+	c.mu.Unlock()
+	_ = c.nc.Close() // the reader ends
+}
+
 // watch waits for the caller's end after the last request, and cancels what is
 // in progress when it leaves.
 func (c *callerConn) watch() {
@@ -297,8 +318,9 @@
 	c.mu.Unlock()
 	if !broken {
 		broken = !c.write(r, a, failure)
-	} else if a != nil && a.rest != nil {
-		a.finish(false)
+	}
+	if a != nil {
+		a.discard()
 	}
 	c.mu.Lock()
 	c.pending--
@@ -345,6 +367,7 @@
 	}
 	var b bytes.Buffer
 	end := r == nil || r.Close || c.g.draining.Load() && c.alone()
+	chunked := a != nil && a.rest != nil && a.length < 0 && r.ProtoAtLeast(1, 1)
 	if f != nil {
 		end = end || f.Status == http.StatusBadRequest || f.Status == http.StatusRequestTimeout ||
 			f.Status == http.StatusRequestEntityTooLarge || f.Status == http.StatusRequestHeaderFieldsTooLarge
@@ -357,6 +380,8 @@
 		writeStatus(&b, a.status)
 		writeHeader(&b, a.header)
 		switch {
+		case chunked:
+			b.WriteString("Transfer-Encoding: chunked\r\n")
 		case a.rest != nil && a.length < 0:
 			end = true // the end of the connection marks the end of the body
 		case a.rest != nil:
@@ -369,27 +394,63 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
+	if err := c.nc.SetWriteDeadline(time.Now().Add(callerWrite)); err != nil {
+		return false
+	}
 	if f != nil {
 		b.WriteString(string(f.Code))
-	} else {
-		b.Write(a.body)
+		_, err := c.nc.Write(b.Bytes())
+		return err == nil && !end
 	}
-	if err := c.nc.SetWriteDeadline(time.Now().Add(callerWrite)); err != nil {
-		return false
+	if a.rest != nil {
+		return c.stream(b.Bytes(), a, chunked) && !end
 	}
-	if _, err := c.nc.Write(b.Bytes()); err != nil {
-		return false
+	_, err := (&net.Buffers{b.Bytes(), a.body}).WriteTo(c.nc)
+	return err == nil && !end
+}
+
+// stream writes an answer of which a part has not been read yet. One that breaks
+// off ends the connection so that the caller sees it: without the last chunk, short
+// of its length, or by a reset where the end of the connection marks the end of the
+// body.
+func (c *callerConn) stream(head []byte, a *answer, chunked bool) bool {
+	_, err := c.nc.Write(head)
+	if err == nil {
+		var w io.WriteCloser = plainWriter{c.nc}
+		if chunked {
+			w = httputil.NewChunkedWriter(c.nc)
+		}
+		_, err = w.Write(a.body)
+		if err == nil {
+			_, err = io.Copy(w, a.rest)
+		}
+		if err == nil {
+			err = w.Close()
+		}
+		if err == nil && chunked {
+			_, err = io.WriteString(c.nc, "\r\n") // no trailers
+		}
 	}
-	if a != nil && a.rest != nil {
-		_, err := io.Copy(c.nc, a.rest)
-		a.finish(err == nil)
-		if err != nil {
-			return false
+	a.finish(err == nil)
+	a.rest = nil
+	if err == nil {
+		return true
+	}
+	c.g.m.sends.Add("cut", 1)
+	if tcp, ok := c.nc.(interface{ SetLinger(int) error }); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			c.g.cfg.Log.Debug("linger_failed", "err", err)
 		}
 	}
-	return !end
+	return false
 }
 
+// plainWriter writes a body whose length or end the head tells.
+type plainWriter struct{ io.Writer }
+
+// Close implements io.Closer.
+func (plainWriter) Close() error { return nil }
+
 // alone reports whether no request follows the present one: those behind an
 // answer that ends the connection would be sent again.
 func (c *callerConn) alone() bool {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -5,17 +5,18 @@
 	"bytes"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -31,7 +32,16 @@
 	bufferedAnswer = 1 << 20
 	// maxSurplus is the number of answers to earlier requests that are skipped.
 	maxSurplus = 3
+	// maxInformational is the number of informational answers before the final one.
+	maxInformational = 4
+	// readBuffer in bytes also bounds a chunk's line and the trailers of an answer,
+	// which net/http reads only as far as they fit the buffer.
 	readBuffer = 4 << 10
+	// maxAnswerHead bounds the status line and headers of an answer, in bytes.
+	maxAnswerHead = 64 << 10
+	// maxCarried is the number of requests after which a connection is closed, 8
+	// bytes are kept of each.
+	maxCarried = 1024
 	// lateAnswer is how long an answer is waited for beyond the deadline that the
 	// target was told, since the target's own answer to a timeout is on its way.
 	lateAnswer = 60 * time.Millisecond
@@ -39,13 +49,36 @@
 
 // upstream is a connection to a target.
 type upstream struct {
-	nc        net.Conn
+	nc net.Conn
+	// limited bounds the bytes of the head of an answer; br reads from it.
+	limited   *io.LimitedReader
 	br        *bufio.Reader
 	idleSince time.Duration
 	keepAlive time.Duration
 	reused    bool
+	// carried are the hashes of the identifiers that were sent on the connection.
+	// A late second copy of an answer is told apart by its identifier, so that
+	// none is sent twice.
+	carried []uint64
 }
 
+func newUpstream(nc net.Conn) *upstream {
+	limited := &io.LimitedReader{R: nc}
+	return &upstream{nc: nc, limited: limited, br: bufio.NewReaderSize(limited, readBuffer), keepAlive: assumedKeepAlive}
+}
+
+var identifierSeed = maphash.MakeSeed()
+
+// hasCarried reports whether a request with the identifier was sent on the
+// connection.
+func (u *upstream) hasCarried(requestID string) bool {
+	return slices.Contains(u.carried, maphash.String(identifierSeed, requestID))
+}
+
+// worn reports whether the connection has carried as many requests as it
+// remembers.
+func (u *upstream) worn() bool { return len(u.carried) >= maxCarried }
+
 // expired reports whether the target may close the idle connection soon.
 func (u *upstream) expired(now time.Duration) bool {
 	return now-u.idleSince > u.keepAlive-keepAliveMargin
@@ -74,108 +107,6 @@
 	return err == nil && open
 }
 
-// poolKey names one run of a target at an address.
-type poolKey struct{ id, address string }
-
-// pools keeps idle connections to targets.
-type pools struct {
-	mu   sync.Mutex
-	idle map[poolKey][]*upstream
-	// open counts the idle connections of each target.
-	open map[string]int
-}
-
-func newPools() *pools { return &pools{idle: map[poolKey][]*upstream{}, open: map[string]int{}} }
-
-// connected reports whether a connection to a target is open and idle.
-func (p *pools) connected(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open[id] > 0
-}
-
-// take returns an idle connection or opens one.
-func (p *pools) take(ctx context.Context, id, address string) (*upstream, error) {
-	key := poolKey{id, address}
-	now := boottime.Now()
-	for {
-		p.mu.Lock()
-		list := p.idle[key]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			break
-		}
-		u := list[len(list)-1]
-		p.idle[key] = list[:len(list)-1]
-		p.count(id, -1)
-		p.mu.Unlock()
-		if u.usable(now) {
-			u.reused = true
-			return u, nil
-		}
-		_ = u.nc.Close() // the target closed it or it is out of step
-	}
-	nc, err := platform.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &upstream{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), keepAlive: assumedKeepAlive}, nil
-}
-
-// count changes the number of idle connections of a target; p.mu is held.
-func (p *pools) count(id string, n int) {
-	if p.open[id] += n; p.open[id] <= 0 {
-		delete(p.open, id)
-	}
-}
-
-// put returns a connection after a complete answer.
-func (p *pools) put(u *upstream, id, address string) {
-	u.idleSince = boottime.Now()
-	key := poolKey{id, address}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[key] = append(p.idle[key], u)
-	p.count(id, 1)
-}
-
-// drop closes the idle connections of a target, for example because one of
-// them went silent.
-func (p *pools) drop(id, address string) {
-	key := poolKey{id, address}
-	p.mu.Lock()
-	list := p.idle[key]
-	delete(p.idle, key)
-	p.count(id, -len(list))
-	p.mu.Unlock()
-	for _, u := range list {
-		_ = u.nc.Close() // given up
-	}
-}
-
-// sweep closes connections that were idle for too long.
-func (p *pools) sweep(now time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, list := range p.idle {
-		kept := list[:0]
-		for _, u := range list {
-			if u.expired(now) {
-				_ = u.nc.Close() // out of time
-				continue
-			}
-			kept = append(kept, u)
-		}
-		p.count(key.id, len(kept)-len(list))
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(p.idle, key)
-		} else {
-			p.idle[key] = kept
-		}
-	}
-}
-
 // outgoing is a request as it is sent to a target.
 type outgoing struct {
 	method, uri, host string
@@ -222,21 +153,6 @@
 	}
 }
 
-// answer is a target's answer.
-type answer struct {
-	status int
-	header http.Header
-	said   platform.Answer
-	body   []byte
-	// rest is the part of a large answer that has not been read, or nil. finish
-	// must be called after it was read.
-	rest   io.Reader
-	length int64 // of the whole body, -1 when the answer does not say
-	// framed answers end before their connection does.
-	framed bool
-	finish func(complete bool)
-}
-
 // sendError says how a request failed at one target.
 type sendError struct {
 	// sent says that bytes of the request may have reached the target.
@@ -263,13 +179,13 @@
 
 // roundTrip sends a request to a target and reads its answer. It fails with
 // *sendError.
-func (p *pools) roundTrip(ctx context.Context, o *outgoing, id, address string) (*answer, *sendError) {
-	u, err := p.take(ctx, id, address)
+func (p *pools) roundTrip(ctx context.Context, o *outgoing, id, address string, memory *memoryBudget) (*answer, *sendError) {
+	u, err := p.take(ctx, id, address, o.id)
 	if err != nil {
 		return nil, &sendError{reason: "connect", err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = u.nc.Close() }) // ends the work at the target
-	a, failure := u.exchange(o, id)
+	a, failure := u.exchange(o, id, memory)
 	if failure != nil {
 		stop()
 		_ = u.nc.Close() // out of step
@@ -280,7 +196,7 @@
 	}
 	finish := func(complete bool) {
 		// A stop that comes too late means that the connection is being closed.
-		if !stop() || !complete || a.header.Get("Connection") == "close" || u.br.Buffered() > 0 || !a.framed {
+		if !stop() || !complete || a.header.Get("Connection") == "close" || u.br.Buffered() > 0 || !a.framed || u.worn() {
 			_ = u.nc.Close() // not to be used again
 			return
 		}
@@ -298,10 +214,11 @@
 }
 
 // exchange writes a request and reads the answer that belongs to it.
-func (u *upstream) exchange(o *outgoing, id string) (*answer, *sendError) {
+func (u *upstream) exchange(o *outgoing, id string, memory *memoryBudget) (*answer, *sendError) {
 	if err := u.nc.SetDeadline(time.Now().Add(o.left + lateAnswer)); err != nil {
 		return nil, &sendError{reason: "deadline", err: err}
 	}
+	u.carried = append(u.carried, maphash.String(identifierSeed, o.id))
 	payload := o.encode(id)
 	if len(payload) <= writeInline {
 		if n, err := u.nc.Write(payload); err != nil {
@@ -316,36 +233,64 @@
 		}()
 	}
 	for range maxSurplus {
-		resp, err := http.ReadResponse(u.br, &http.Request{Method: o.method})
+		resp, err := u.readHead(o.method)
 		if err != nil {
 			return nil, &sendError{sent: true, reason: "no answer", err: err}
 		}
-		if resp.StatusCode < 200 {
-			continue
-		}
-		a := &answer{status: resp.StatusCode, header: resp.Header, said: platform.ReadAnswer(resp.StatusCode, resp.Header), length: resp.ContentLength}
-		if resp.Close {
-			resp.Header.Set("Connection", "close")
-		}
-		a.framed = a.length >= 0 || len(resp.TransferEncoding) > 0
-		a.body, err = io.ReadAll(io.LimitReader(resp.Body, bufferedAnswer))
+		a, err := readAnswer(resp, memory)
 		if err != nil {
 			return nil, &sendError{sent: true, reason: "answer broke off", err: err}
 		}
-		if len(a.body) == bufferedAnswer {
-			a.rest = resp.Body
+		if a.said.ID == o.id || a.said.ID == "" && !u.reused {
+			return a, nil
 		}
-		if a.said.ID != "" && a.said.ID != o.id {
-			if a.rest != nil || resp.Close || !u.reused {
-				break // no earlier request can be answered here
-			}
-			continue
+		more := a.rest == nil && !resp.Close && u.reused && a.said.ID != ""
+		a.memory.release()
+		if !more {
+			break // no earlier request can be answered here
 		}
-		return a, nil
 	}
 	return nil, &sendError{sent: true, reason: "answers of other requests"}
 }
 
+// headTooLongError says that the head of an answer is over maxAnswerHead.
+type headTooLongError struct{ err error }
+
+// Error implements error.
+func (e *headTooLongError) Error() string {
+	return "head of the answer over " + strconv.Itoa(maxAnswerHead) + " bytes: " + e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *headTooLongError) Unwrap() error { return e.err }
+
+// readHead reads the head of the next answer that is not informational.
+func (u *upstream) readHead(method string) (*http.Response, error) {
+	for range maxInformational {
+		u.limited.N = maxAnswerHead
+		resp, err := http.ReadResponse(u.br, &http.Request{Method: method})
+		if err != nil {
+			if u.limited.N <= 0 {
+				err = &headTooLongError{err}
+			}
+			return nil, err
+		}
+		u.limited.N = math.MaxInt64 // the body has a bound of its own
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, &informationalError{}
+}
+
+// informationalError says that too many informational answers came.
+type informationalError struct{}
+
+// Error implements error.
+func (*informationalError) Error() string {
+	return "over " + strconv.Itoa(maxInformational) + " informational answers"
+}
+
 // writeInline is the size up to which a request is written before its answer is
 // read; it fits the socket's buffer.
 const writeInline = 16 << 10
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewPlainObjectStream(countedConn{raw})
+	stream := NewStream(countedConn{raw})
 	conn := jsonrpc2.NewConn(context.Background(), stream, refuseCalls{}, quiet)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/boragelock/boragelock/internal/guard"
 )
 
 // MaxCallsPerConn limits the calls that one connection may have in progress.
@@ -84,7 +86,7 @@
 	if s.TLS != nil {
 		raw = tls.Server(raw, s.TLS)
 	}
-	stream := jsonrpc2.NewPlainObjectStream(countedConn{raw})
+	stream := NewStream(countedConn{raw})
 	d := &dispatcher{server: s, slots: make(chan struct{}, MaxCallsPerConn)}
 	conn := jsonrpc2.NewConn(ctx, stream, d, quiet)
 	select {
@@ -122,7 +124,11 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := h(ctx, params)
+	var result any
+	var err error
+	if panicked := guard.Call("peer call "+req.Method, func() { result, err = h(ctx, params) }); panicked != nil {
+		result, err = nil, panicked
+	}
 	if req.Notif {
 		return
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/health"
 )
 
@@ -66,7 +67,10 @@
 
 // Target describes a target to the board.
 type Target struct {
-	ID       string
+	ID string
+	// Run tells two lives of a target under one ID apart; what is known of one says
+	// nothing of the next.
+	Run      fleet.Run
 	Workload string
 	Domain   string
 	Slots    int
@@ -97,8 +101,9 @@
 	// refused is the part of Depth that is not used since the target refuses
 	// requests, 0 to 1.
 	refused float64
-	// fullUntil is set when the target shed a request.
-	fullUntil time.Duration
+	// fullUntil is set when the target shed a request, pausedUntil when it asked
+	// this host for a pause.
+	fullUntil, pausedUntil time.Duration
 	// cold is whether the target was cold at the last look, coldTokens are the
 	// requests that it may get while it is.
 	cold       bool
@@ -133,7 +138,7 @@
 	b.byWorkload = map[string][]*target{}
 	for _, x := range list {
 		t := old[x.ID]
-		if t == nil {
+		if t == nil || t.Run != x.Run {
 			t = &target{pace: 1}
 		}
 		t.Target = x
@@ -234,12 +239,12 @@
 	slots := float64(max(t.Slots, 1))
 	ahead := max(0, b.busy(now, t)+1-slots)
 	w := ahead / slots * service * t.slowness(now)
-	if now < t.fullUntil {
-		w = max(w, (t.fullUntil - now).Seconds())
-	}
-	return w
+	return max(w, (t.closedUntil() - now).Seconds())
 }
 
+// closedUntil returns when the target may get requests again.
+func (t *target) closedUntil() time.Duration { return max(t.fullUntil, t.pausedUntil) }
+
 // Sample is the end of a request at a target.
 type Sample struct {
 	Route string
@@ -251,6 +256,8 @@
 	Load *Load
 	// Shed says that the target refused the request without running it.
 	Shed bool
+	// Pause is how long the target wants no request from this host.
+	Pause time.Duration
 	// Failed says that there was no proper answer, or one that says failure.
 	Failed bool
 	// Unreachable says that no connection could be opened.
@@ -273,6 +280,9 @@
 	if s.Cold >= 0 {
 		t.ColdUntil = now + s.Cold
 	}
+	if s.Pause > 0 {
+		t.pausedUntil = max(t.pausedUntil, now+s.Pause)
+	}
 	if s.Shed {
 		t.fullUntil = now + b.cfg.ShedPause
 		t.refused += limitDown * (1 - t.refused)
--- a/placement/place.go
+++ b/placement/place.go
@@ -182,7 +182,7 @@
 		if soonest < 0 || wait < soonest {
 			soonest = wait
 		}
-		if b.busy(now, t) >= b.limit(t) || now < t.fullUntil {
+		if b.busy(now, t) >= b.limit(t) || now < t.closedUntil() {
 			full = true
 			continue
 		}
