--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,41 @@
 		So(r.Choose(1), ShouldEqual, "b")
 	})
 }
+
+// TestSilentTarget guards against giving up a target that was only not heard of:
+// what the store's absence hides is no departure.
+func TestSilentTarget(t *testing.T) {
+	Convey("A target that is silent while the store is away stays in use until the grace time is over", t, func() {
+		d := NewDirectory()
+		d.PutTarget(&Target{ID: "t", Born: 1, Address: "a"})
+		d.StoreAway()
+		So(d.RemoveTarget(time.Minute, "t"), ShouldBeFalse)
+		So(d.Expire(time.Hour), ShouldBeEmpty)
+		So(d.Snapshot().Targets["t"], ShouldNotBeNil)
+		d.StoreBack(time.Hour)
+		So(d.Expire(time.Hour+Grace-1), ShouldBeEmpty)
+		So(d.Expire(time.Hour+Grace), ShouldResemble, []string{"t"})
+	})
+	Convey("A target's own word that it leaves holds for its run, and for no other", t, func() {
+		d := NewDirectory()
+		d.PutTarget(&Target{ID: "t", Born: 1, Address: "a"})
+		So(d.TargetLeaves(Run{"t", 1, "a"}, true), ShouldBeTrue)
+		So(d.TargetLeaves(Run{"t", 1, "a"}, false), ShouldBeFalse)
+		So(d.Snapshot().Usable(d.Snapshot().Targets["t"]), ShouldBeFalse)
+		d.PutTarget(&Target{ID: "t", Born: 1, Address: "a", Slots: 2})
+		So(d.Snapshot().Targets["t"].Leaving, ShouldBeTrue)
+		So(d.Leaving(true), ShouldResemble, []Run{{"t", 1, "a"}})
+		d.PutTarget(&Target{ID: "t", Born: 2, Address: "a"})
+		So(d.Snapshot().Targets["t"].Leaving, ShouldBeFalse)
+		So(d.Leaving(false), ShouldBeEmpty)
+		d.PutTarget(&Target{ID: "t", Born: 1, Address: "b"})
+		So(d.Snapshot().Targets["t"].Leaving, ShouldBeFalse)
+	})
+	Convey("What is remembered of leaving targets is bounded", t, func() {
+		d := NewDirectory()
+		for i := range 3 * maxLeaving {
+			d.TargetLeaves(Run{ID: fmt.Sprint(i)}, true)
+		}
+		So(len(d.leaving), ShouldBeLessThanOrEqualTo, maxLeaving)
+	})
+}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -50,13 +50,18 @@
 	store   *standin.Store
 	hosts   []*testHost
 	targets map[string]*standin.Target
+	log     hclog.Logger
 }
 
 const desiredJSON = `{"version":"%08x","routes":[{"name":"r","host":"h","path-prefix":"/","kind":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2}],
 "services":[{"name":"w","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":true,"warmup-s":3}],"limits":{}}`
 
 func newCluster(t *testing.T, hosts, targets int) *cluster {
-	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}}
+	return newLoggedCluster(t, hosts, targets, hclog.NewNullLogger())
+}
+
+func newLoggedCluster(t *testing.T, hosts, targets int, log hclog.Logger) *cluster {
+	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, log: log}
 	k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 1)))
 	for i := range targets {
 		k.addTarget(fmt.Sprint("t", i))
@@ -92,7 +97,7 @@
 	}
 	c := New(Config{
 		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
-		Grants: platform.NewGrants(), Log: hclog.NewNullLogger(), Cores: 1, LinkMbps: 1000,
+		Grants: platform.NewGrants(), Log: k.log, Cores: 1, LinkMbps: 1000,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	sup := suture.New("test", suture.Spec{EventHook: func(suture.Event) {}})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -224,6 +224,60 @@
 	})
 }
 
+// TestPlannedStopUnderLoad stops a host while requests are on their way in every
+// stage: none that was sent may end without an answer.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	Convey("Given a host that is told to stop while connections are new, idle, half read and busy", t, func() {
+		r := newRig(t, 4)
+		r.set(standin.Behaviour{Work: 150 * time.Millisecond})
+		open := func() (net.Conn, *bufio.Reader) {
+			nc, err := net.Dial("tcp", r.address)
+			So(err, ShouldBeNil)
+			t.Cleanup(func() { _ = nc.Close() })
+			So(nc.SetDeadline(time.Now().Add(6*time.Second)), ShouldBeNil)
+			return nc, bufio.NewReader(nc)
+		}
+		status := func(br *bufio.Reader) int {
+			resp, err := http.ReadResponse(br, nil)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			So(err, ShouldBeNil)
+			return resp.StatusCode
+		}
+		unread, unreadBR := open() // accepted, nothing was sent yet
+		idle, idleBR := open()
+		write(idle, raw("idle0", "/s/x"))
+		So(status(idleBR), ShouldEqual, 200)
+		half, halfBR := open()
+		whole := raw("half", "/s/x")
+		write(half, whole[:30])
+		busy, busyBR := open()
+		write(busy, raw("b0", "/s/x")+raw("b1", "/s/x")+raw("b2", "/s/x"))
+		time.Sleep(50 * time.Millisecond)
+
+		r.gw.Drain(boottime.Now() + 5*time.Second)
+		late, lateBR := open() // the balancer has not seen it yet
+		write(late, raw("late", "/s/x"))
+		write(half, whole[30:])
+		write(unread, raw("unread", "/s/x"))
+		write(idle, raw("idle1", "/s/x"))
+		for range 3 {
+			So(status(busyBR), ShouldEqual, 200)
+		}
+		for _, br := range []*bufio.Reader{lateBR, halfBR, unreadBR, idleBR} {
+			So(status(br), ShouldEqual, 200)
+		}
+		So(func() bool {
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if r.gw.Open() == 0 && r.gw.InFlight() == 0 {
+					return true
+				}
+			}
+			return false
+		}(), ShouldBeTrue)
+	})
+}
+
 func raw(id, path string) string {
 	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.HeaderID + ": " + id + "\r\n" + standin.HeaderDeadline + ": 1500\r\n\r\n"
 }
