Move hot runs of large fleets, join the smallest runs first, gather targets before the first table

Cause: a plan of a fleet with 619 targets stopped while one of them had 58 times what it bears: the room of the others up to the mean load was less than a single key of the hot run, and such keys stay. A plan had 8 moves at most. Keys were first assigned 0.7 s after the first target; those that came later took 58 % of all keys from it before the first request. A host applied each moved run by copying and sorting the whole table.

Change: targets that cannot do their work give to those with the most room in requests per second, up to 0.9 of the hot level, single keys too; a move for each six targets; the quiet run with the fewest keys first; the first table waits for 0.7 s without a further target, 3 s at most; Ranges.overlay merges in one pass.

Ruled out: more moves alone (130 moves in 8 s, still 58 times).

--- /dev/null
+++ b/internal/coordinator/gather_test.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestGather guards against a first assignment to the few targets that announced
+// themselves first: each one that comes later then takes keys from others, and more
+// than half of all keys changed hands before the first request.
+func TestGather(t *testing.T) {
+	Convey("Keys are first assigned when no further target has come for a while", t, func() {
+		x := gathered{}
+		now := time.Minute
+		for n := range 20 {
+			x = x.with(now, n)
+			So(x.complete(now), ShouldBeFalse)
+			now += 100 * time.Millisecond
+		}
+		So(x.with(now, 19).complete(now), ShouldBeFalse)
+		So(x.with(now+gatherFor, 19).complete(now+gatherFor), ShouldBeTrue)
+	})
+	Convey("Targets that go on coming are not waited for without end", t, func() {
+		x := gathered{}
+		now := time.Minute
+		for n := 1; now < time.Minute+gatherMost; n++ {
+			x = x.with(now, n)
+			So(x.complete(now), ShouldBeFalse)
+			now += 500 * time.Millisecond
+		}
+		So(x.complete(now), ShouldBeTrue)
+	})
+	Convey("Without a target nothing is assigned", t, func() {
+		So(gathered{}.with(time.Hour, 0).complete(2*time.Hour), ShouldBeFalse)
+	})
+}
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -31,37 +31,37 @@
 // Runs returns the runs of keys in order; the slice must not be changed.
 func (r *Ranges) Runs() []lease.RangeView { return r.runs }
 
-// overlay returns ranges in which the given runs replace what they cover.
+// overlay returns ranges in which the given runs replace what they cover. The runs
+// that are given do not overlap each other.
 func (r *Ranges) overlay(now time.Duration, changed []lease.RangeView) *Ranges {
-	// The times of runs that stay are restated for now.
-	out := slices.Clone(r.runs)
-	for i := range out {
-		if out[i].BackMS > 0 {
-			out[i].BackMS = max(0, out[i].BackMS-(now-r.at).Milliseconds())
+	changed = slices.Clone(changed)
+	slices.SortFunc(changed, func(a, b lease.RangeView) int { return a.From - b.From })
+	passed := (now - r.at).Milliseconds()
+	out := make([]lease.RangeView, 0, len(r.runs)+2*len(changed))
+	next := 0 // the first changed run that has not been put out
+	for _, x := range r.runs {
+		if x.BackMS > 0 {
+			x.BackMS = max(0, x.BackMS-passed) // restated for now
 		}
-	}
-	for _, c := range changed {
-		var next []lease.RangeView
-		for _, x := range out {
-			if x.To < c.From || x.From > c.To {
-				next = append(next, x)
-				continue
+		for x.From <= x.To {
+			for next < len(changed) && changed[next].To < x.From {
+				out = append(out, changed[next])
+				next++
 			}
+			if next == len(changed) || changed[next].From > x.To {
+				out = append(out, x)
+				break
+			}
+			c := changed[next]
 			if x.From < c.From {
 				left := x
 				left.To = c.From - 1
-				next = append(next, left)
-			}
-			if x.To > c.To {
-				right := x
-				right.From = c.To + 1
-				next = append(next, right)
+				out = append(out, left)
 			}
+			x.From = c.To + 1
 		}
-		next = append(next, c)
-		slices.SortFunc(next, func(a, b lease.RangeView) int { return a.From - b.From })
-		out = next
 	}
+	out = append(out, changed[next:]...)
 	return &Ranges{runs: out, at: now}
 }
 
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -23,9 +23,11 @@
 	fullRangesEvery = 5 * time.Second
 	// quietAfterMove is how long keys stay after a move for the sake of load.
 	quietAfterMove = 1 * time.Second
-	// gatherFor is how long a new workload's targets are gathered before its keys
-	// are first assigned.
-	gatherFor = 700 * time.Millisecond
+	// gatherFor is the time without a further target after which a new workload's
+	// keys are first assigned, gatherMost the longest time to wait for that: targets
+	// that come later take keys from others.
+	gatherFor  = 700 * time.Millisecond
+	gatherMost = 3 * time.Second
 	// releaseTimeout bounds a release, which waits for work in progress.
 	releaseTimeout = 4 * time.Second
 	// resultQueue bounds the results of calls that wait for the loop.
@@ -46,9 +48,9 @@
 	granters map[string]*lease.RangeGranter
 	loads    map[string]*keyLoads
 	sentView map[string]*Ranges
-	// first is when a workload without a table was first seen.
-	first map[string]time.Duration
-	born  map[string]int64
+	// gathering are the targets seen so far of workloads without a table.
+	gathering map[string]gathered
+	born      map[string]int64
 	// addresses remembers where targets were that are no longer announced.
 	addresses map[string]string
 	// refused counts the refused fences of each target since it last accepted one.
@@ -76,7 +78,7 @@
 		c: c, record: w.record, lease: lease.BeginTerm(c.cfg.Ranges.Holds, w.record.Term, w.sent, w.answered, w.prior),
 		results: make(chan result, resultQueue), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentView: map[string]*Ranges{},
-		first: map[string]time.Duration{}, born: map[string]int64{}, addresses: map[string]string{}, refused: map[string]int{},
+		gathering: map[string]gathered{}, born: map[string]int64{}, addresses: map[string]string{}, refused: map[string]int{},
 		dirty: map[string]*ownership.RangeTable{}, began: w.answered, confirmed: w.answered, nextConfirm: w.answered + confirmEvery,
 	}
 	c.leading.Store(true)
@@ -195,15 +197,38 @@
 			t.start(name, table, false)
 			continue
 		}
-		if _, ok := t.first[name]; !ok && len(usable(snap, name)) > 0 {
-			t.first[name] = now
-		}
-		if at, ok := t.first[name]; ok && now >= at+gatherFor && !t.appending && t.dirty[name] == nil {
+		x := t.gathering[name].with(now, len(usable(snap, name)))
+		t.gathering[name] = x
+		if x.complete(now) && !t.appending && t.dirty[name] == nil {
 			t.dirty[name] = firstTable(snap, name)
 		}
 	}
 }
 
+// gathered counts the targets of a workload whose keys were never assigned.
+type gathered struct {
+	targets int
+	// first is when there was a target, latest when their number last changed.
+	first, latest time.Duration
+}
+
+// with returns the count after a look at the targets.
+func (x gathered) with(now time.Duration, targets int) gathered {
+	if targets == x.targets {
+		return x
+	}
+	if x.targets == 0 {
+		x.first = now
+	}
+	x.targets, x.latest = targets, now
+	return x
+}
+
+// complete reports whether the keys should be assigned now.
+func (x gathered) complete(now time.Duration) bool {
+	return x.targets > 0 && (now >= x.latest+gatherFor || now >= x.first+gatherMost)
+}
+
 // start begins to grant the keys of a workload.
 func (t *term) start(workload string, table *ownership.RangeTable, isNew bool) {
 	t.granters[workload] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, isNew)
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -26,7 +26,8 @@
 	// Join is the part of the mean load that a target without keys is given.
 	// Default: 0.7.
 	Join float64
-	// MaxMoves limits the moves of one plan. Default: 8.
+	// MaxMoves limits the moves of one plan. Default: one for each six targets, 8 at
+	// least.
 	MaxMoves int
 	// MaxRuns is the number of runs for each target from which quiet ones are
 	// joined with their neighbours: each run is granted by a call of its own.
@@ -40,7 +41,7 @@
 	Quiet float64
 }
 
-func (c RangePlanConfig) withDefaults() RangePlanConfig {
+func (c RangePlanConfig) withDefaults(targets int) RangePlanConfig {
 	set := func(p *float64, v float64) {
 		if *p == 0 {
 			*p = v
@@ -53,11 +54,16 @@
 	set(&c.Quiet, 1)
 	set(&c.Worthwhile, 0.1)
 	if c.MaxMoves == 0 {
-		c.MaxMoves = 8
+		c.MaxMoves = max(leastMoves, targets/targetsPerMove)
 	}
 	return c
 }
 
+const (
+	leastMoves     = 8
+	targetsPerMove = 6
+)
+
 // RangeInput is what a plan of one workload is made from.
 type RangeInput struct {
 	Table *RangeTable
@@ -84,6 +90,9 @@
 	load   map[string]float64 // busy slots
 	byID   map[string]*RangeTarget
 	moves  []RangeMove
+	// urgent says that the target that gives keys away cannot do its work, so that a
+	// run of a single key may go as a whole.
+	urgent bool
 }
 
 // PlanRanges returns the moves that bring keys away from targets that are gone,
@@ -95,7 +104,7 @@
 // shortest run with enough requests is moved, so that some dozens of keys carry
 // the load away and the rest stays.
 func PlanRanges(cfg RangePlanConfig, in RangeInput) []RangeMove {
-	p := &rangePlan{cfg: cfg.withDefaults(), in: in, table: in.Table, byID: map[string]*RangeTarget{}, load: map[string]float64{}}
+	p := &rangePlan{cfg: cfg.withDefaults(len(in.Targets)), in: in, table: in.Table, byID: map[string]*RangeTarget{}, load: map[string]float64{}}
 	for i := range in.Targets {
 		p.byID[in.Targets[i].ID] = &in.Targets[i]
 	}
@@ -145,6 +154,21 @@
 	return best
 }
 
+// roomiest returns the receiving target that bears the most further requests up to
+// urgentPart of the hot level.
+func (p *rangePlan) roomiest() *RangeTarget {
+	var best *RangeTarget
+	most := 0.0
+	for i := range p.in.Targets {
+		t := &p.in.Targets[i]
+		room := (p.cfg.Hot*urgentPart*t.Capacity - p.load[t.ID]) / t.Service
+		if t.Receives && (best == nil || room > most) {
+			best, most = t, room
+		}
+	}
+	return best
+}
+
 func (p *rangePlan) move(from, to int, owner *RangeTarget) {
 	for _, s := range p.table.Segments {
 		lo, hi := max(s.From, from), min(s.To, to)
@@ -196,7 +220,10 @@
 		if !t.Receives || owned[t.ID] > 0 {
 			continue
 		}
-		p.take(p.fullest(t), t, p.cfg.Join*p.mean()*t.Capacity)
+		if from := p.fullest(t); from != nil {
+			want := p.cfg.Join * p.mean() * t.Capacity / from.Service
+			p.take(from, t, want, tooHot*want)
+		}
 	}
 }
 
@@ -228,31 +255,69 @@
 		if hot == nil || cool == nil || hot == cool || p.used(hot) < max(p.cfg.Hot, p.cfg.Spread*mean) {
 			return
 		}
-		level := max(mean, p.cfg.Hot*0.6)
+		level := max(mean, p.cfg.Hot*levelPart)
 		excess := p.load[hot.ID] - level*hot.Capacity
-		room := (level - p.used(cool)) * cool.Capacity
-		load := min(excess, room)
-		if load < p.cfg.Worthwhile*hot.Capacity || !p.take(hot, cool, load) {
+		p.urgent = p.used(hot) > 1
+		if p.urgent {
+			cool = p.roomiest()
+		}
+		room := (p.fill(level) - p.used(cool)) * cool.Capacity
+		want := min(excess/hot.Service, room/cool.Service)
+		most := tooHot * want
+		if p.urgent {
+			most = max(most, room/cool.Service)
+		}
+		if min(excess, room) < p.cfg.Worthwhile*hot.Capacity || !p.take(hot, cool, want, most) {
 			stuck[hot.ID] = true
 		}
 	}
 }
 
-// tidy gives quiet runs to the owner of a neighbouring run that has room.
+// levelPart is the part of the hot level to which targets are brought when the mean
+// is lower.
+const levelPart = 0.6
+
+// urgentPart is the part of the hot level to which targets are filled from one that
+// cannot do its work, so that they do not count as hot themselves afterwards.
+const urgentPart = 0.9
+
+// fill returns the part of its capacity up to which a target takes keys from a hot
+// one. For one that cannot do its work, others take all that they bear: up to the
+// level of the rest, no single key of a hot run may fit.
+func (p *rangePlan) fill(level float64) float64 {
+	if p.urgent {
+		return max(level, p.cfg.Hot*urgentPart)
+	}
+	return level
+}
+
+// tidy gives quiet runs to the owner of a neighbouring run that has room, those with
+// the fewest keys first: what a move costs grows with the keys that change hands.
 func (p *rangePlan) tidy() {
-	for i, n := 0, 0; n < maxTidied && len(p.moves) < p.cfg.MaxMoves && i < len(p.table.Segments); i++ {
+	for n := 0; n < maxTidied && len(p.moves) < p.cfg.MaxMoves; n++ {
 		if float64(len(p.table.Segments)) <= p.cfg.MaxRuns*float64(len(p.in.Targets)) {
 			return
 		}
-		s := p.table.Segments[i]
-		if p.rate(s.From, s.To) > p.cfg.Quiet || !p.movable(s) {
+		s, to := p.quietest()
+		if to == nil {
+			return
+		}
+		p.move(s.From, s.To, to)
+	}
+}
+
+// quietest returns the quiet run with the fewest keys that can be joined with a
+// neighbouring one, and the owner that would have it.
+func (p *rangePlan) quietest() (best Segment, owner *RangeTarget) {
+	for i, s := range p.table.Segments {
+		if owner != nil && s.Len() >= best.Len() || p.rate(s.From, s.To) > p.cfg.Quiet || !p.movable(s) {
 			continue
 		}
 		if to := p.neighbour(i); to != nil {
-			p.move(s.From, s.To, to)
-			n++
+			best, owner = s, to
 		}
 	}
+	return best, owner
 }
 
 // maxTidied is the number of quiet runs that one plan joins.
@@ -280,19 +345,19 @@
 	return p.byID[s.Owner] != nil && len(s.Former) == 0 && (p.in.Settled == nil || p.in.Settled(s))
 }
 
-// take moves the shortest run of keys that carries about the given load, in
-// busy slots on the giver, and reports whether it found one that helps.
-func (p *rangePlan) take(from, to *RangeTarget, load float64) bool {
-	if from == nil || load <= 0 {
+// take moves the shortest run of keys that draws about the given rate, in requests
+// per second, and reports whether it found one that helps. Single keys with a rate
+// over most stay.
+func (p *rangePlan) take(from, to *RangeTarget, want, most float64) bool {
+	if want <= 0 {
 		return false
 	}
-	want := load / from.Service
 	best := RangeMove{From: -1}
 	for _, s := range p.table.Segments {
 		if s.Owner != from.ID || !p.movable(s) {
 			continue
 		}
-		if lo, hi, ok := p.shortest(s, want, p.cfg.Worthwhile*from.Capacity/from.Service); ok && (best.From < 0 || hi-lo < best.To-best.From) {
+		if lo, hi, ok := p.shortest(s, want, most, p.cfg.Worthwhile*from.Capacity/from.Service); ok && (best.From < 0 || hi-lo < best.To-best.From) {
 			best = RangeMove{From: lo, To: hi}
 		}
 	}
@@ -309,13 +374,13 @@
 }
 
 // shortest returns the shortest run of a segment's keys with at least the given
-// rate. Keys that have more than that alone stay where they are: the keys beside
-// them are moved away instead, if they have at least the rate least.
-func (p *rangePlan) shortest(s Segment, rate, least float64) (lo, hi int, ok bool) {
+// rate. Keys that have more than the rate most alone stay where they are: the keys
+// beside them are moved away instead, if they have at least the rate least.
+func (p *rangePlan) shortest(s Segment, rate, most, least float64) (lo, hi int, ok bool) {
 	best := RangeMove{From: -1}
 	from := s.From
 	for k := s.From; k <= s.To+1; k++ {
-		if k <= s.To && p.rate(k, k) <= tooHot*rate {
+		if k <= s.To && p.rate(k, k) <= most {
 			continue
 		}
 		if from < k {
@@ -356,5 +421,5 @@
 	case whole && s.Len() > 1:
 		return s.From, p.reach(s.From, s.To-1, total/2), true
 	}
-	return s.From, s.To, !whole
+	return s.From, s.To, !whole || p.urgent
 }
