Refuse what would be late behind a queue, remember the usual load of targets, back off from full ones

Cause: the owner of a hot key has its queue full all the time, so that it answers everything after the objective at the rate at which a short queue would be answered within it. Reports of foreign load aged to nothing within 0.4 s, so that hosts that hear of a target rarely took it for free; a host repeated to a full owner every 80 ms and kept up to half of its slots in requests there.

Change: reports age towards their mean; a request that the work ahead would make later than 0.7 of its objective is refused at once with the time until it would not; pauses after refusals in a row double from 60 ms to 1 s, unless the target has free slots; the limit goes down to one request. A reset counts as a sign of fullness.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -135,7 +135,7 @@
 func (c *call) place(ctx context.Context) (placement.Decision, *Failure) {
 	r := placement.Request{
 		Workload: c.workload, Route: c.route.Name, Priority: c.route.Priority, Deadline: c.deadline,
-		Objective: c.route.Objective, Tried: c.tried, Connected: c.g.pools.connected,
+		Objective: c.route.Objective, Aim: c.aim(), Tried: c.tried, Connected: c.g.pools.connected,
 	}
 	if c.keyed {
 		owner, failure := c.owner(ctx)
@@ -163,6 +163,14 @@
 	return d, nil
 }
 
+// aim returns when the answer should be there, or 0 without an objective.
+func (c *call) aim() time.Duration {
+	if c.route.Objective <= 0 {
+		return 0
+	}
+	return c.arrived + c.route.Objective
+}
+
 // owner returns the target that holds the request's key. It waits while the key
 // is handed over, if that can end before the deadline.
 func (c *call) owner(ctx context.Context) (string, *Failure) {
@@ -241,7 +249,7 @@
 func (c *call) sendFailed(ctx context.Context, id string, e *sendError, took time.Duration) (*answer, *Failure, bool) {
 	c.g.m.sends.Add(e.reason, 1)
 	gone := ctx.Err() != nil
-	s := placement.Sample{Route: c.route.Name, Failed: !gone, Unreachable: !e.sent && !gone, Cold: -1}
+	s := placement.Sample{Route: c.route.Name, Failed: !gone, Unreachable: !e.sent && !gone, Cold: -1, Full: e.reset()}
 	c.g.ended(id, s)
 	if !gone {
 		c.count(id, s)
@@ -376,7 +384,7 @@
 	if !c.keyed {
 		c.tried = append(c.tried, id)
 	}
-	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || c.keyed && !c.pause(ctx, shedRetry) {
+	if c.sends >= c.route.MaxAttempts || !c.timeLeft() || a.said.WrongTarget && c.keyed && !c.pause(ctx, shedRetry) {
 		after := shedRetry
 		if c.keyed {
 			after = max(after, a.said.Pause)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -172,6 +172,10 @@
 // Unwrap returns the cause.
 func (e *sendError) Unwrap() error { return e.err }
 
+// reset reports whether the target reset the connection, as some do when they are
+// full. Whether the request ran is not known from it.
+func (e *sendError) reset() bool { return errors.Is(e.err, syscall.ECONNRESET) }
+
 func (e *sendError) timeout() bool {
 	var ne net.Error
 	return errors.As(e.err, &ne) && ne.Timeout()
--- a/placement/board.go
+++ b/placement/board.go
@@ -26,14 +26,18 @@
 	// running and waiting. Default: 3.
 	Depth float64
 	// ReportAge is the time constant with which a target's report of foreign
-	// load ages. Default: 400 ms.
-	ReportAge time.Duration
+	// load ages towards the mean of its reports, and MeanAge that with which the
+	// mean follows the reports, and is forgotten without any. Defaults: 400 ms and
+	// 3 s.
+	ReportAge, MeanAge time.Duration
 	// InitialService is the service time of a route without a sample.
 	// Default: 100 ms.
 	InitialService time.Duration
-	// ShedPause is how long a target that shed a request is taken to be full.
-	// Default: 60 ms, about half of a service time.
-	ShedPause time.Duration
+	// ShedPause is how long a target that shed a request is taken to be full, and
+	// twice as long after each further one in a row, up to MaxShedPause. Defaults:
+	// 60 ms, about half of a service time, and 1 s.
+	ShedPause    time.Duration
+	MaxShedPause time.Duration
 	// MaxWaiting bounds the waiting requests. Default: 512.
 	MaxWaiting int
 	// ColdShare is the part of a target's cold rate that this host may use.
@@ -51,8 +55,10 @@
 	set(&c.CrossDomainKB, 3*time.Millisecond)
 	set(&c.NewConnection, 40*time.Millisecond)
 	set(&c.ReportAge, 400*time.Millisecond)
+	set(&c.MeanAge, 3*time.Second)
 	set(&c.InitialService, 100*time.Millisecond)
 	set(&c.ShedPause, 60*time.Millisecond)
+	set(&c.MaxShedPause, time.Second)
 	if c.Depth == 0 {
 		c.Depth = 3
 	}
@@ -96,14 +102,24 @@
 	// foreign is the load of others in the last report.
 	foreign  float64
 	reported time.Duration
-	pace     float64
-	record   health.Record
+	// usual is the mean of foreign over the last reports, of which there were
+	// reports since the target was not heard of for long.
+	usual   float64
+	reports int
+	// keyed targets own keys. Requests for them have no other target, and their
+	// load changes with their keys.
+	keyed  bool
+	pace   float64
+	record health.Record
 	// refused is the part of Depth that is not used since the target refuses
 	// requests, 0 to 1.
 	refused float64
 	// fullUntil is set when the target shed a request, pausedUntil when it asked
 	// this host for a pause.
 	fullUntil, pausedUntil time.Duration
+	// shedPause is the pause after the last one of the refusals in a row, 0 after an
+	// answer.
+	shedPause time.Duration
 	// cold is whether the target was cold at the last look, coldTokens are the
 	// requests that it may get while it is.
 	cold       bool
@@ -202,8 +218,12 @@
 // busy returns the requests that run or wait at a target by the present
 // estimate.
 func (b *Board) busy(now time.Duration, t *target) float64 {
-	age := float64(now-t.reported) / float64(b.cfg.ReportAge)
-	return float64(t.own) + t.foreign*math.Exp(-age)
+	age := float64(now - t.reported)
+	usual := 0.0
+	if t.reports >= leastReports {
+		usual = t.usual * math.Exp(-age/float64(b.cfg.MeanAge))
+	}
+	return float64(t.own) + usual + (t.foreign-usual)*math.Exp(-age/float64(b.cfg.ReportAge))
 }
 
 // slowness is the service time at a target in relation to that of its routes. A
@@ -222,15 +242,15 @@
 const (
 	limitDown = 0.5
 	limitUp   = 0.05
-	// minDepth is the least number of requests for each slot.
-	minDepth = 0.5
+	// minLimit is the least number of requests.
+	minLimit = 1
 )
 
 // limit returns the number of requests, running and waiting, up to which a target
 // gets new ones.
 func (b *Board) limit(t *target) float64 {
-	depth := b.cfg.Depth - t.refused*max(0, b.cfg.Depth-minDepth)
-	return depth * float64(max(t.Slots, 1))
+	most := b.cfg.Depth * float64(max(t.Slots, 1))
+	return most - t.refused*max(0, most-minLimit)
 }
 
 // wait returns the time in seconds until a new request would begin to run at a
@@ -258,6 +278,8 @@
 	Shed bool
 	// Pause is how long the target wants no request from this host.
 	Pause time.Duration
+	// Full says that the target dropped the request as it does when it is full.
+	Full bool
 	// Failed says that there was no proper answer, or one that says failure.
 	Failed bool
 	// Unreachable says that no connection could be opened.
@@ -275,7 +297,7 @@
 	}
 	t.own = max(0, t.own-1)
 	if s.Load != nil {
-		t.report(now, *s.Load)
+		b.report(now, t, *s.Load)
 	}
 	if s.Cold >= 0 {
 		t.ColdUntil = now + s.Cold
@@ -283,12 +305,16 @@
 	if s.Pause > 0 {
 		t.pausedUntil = max(t.pausedUntil, now+s.Pause)
 	}
+	if s.Shed || s.Full {
+		b.shed(now, t, s.Load)
+	}
 	if s.Shed {
-		t.fullUntil = now + b.cfg.ShedPause
-		t.refused += limitDown * (1 - t.refused)
 		return
 	}
-	t.refused = max(0, t.refused-limitUp)
+	if !s.Full {
+		t.shedPause /= 2
+		t.refused = max(0, t.refused-limitUp)
+	}
 	if s.Unreachable {
 		t.record.Unreachable(now)
 	} else {
@@ -302,10 +328,44 @@
 	}
 }
 
+// shed notes that a target refused a request. Hosts that fill the same target do not
+// know of each other: each one waits longer after each refusal in a row, so that
+// together they send about as much as it bears. Refusals during a pause belong to
+// requests that were sent before it. A target that refuses though it has free slots
+// is faulty and not full: waiting would not help.
+func (b *Board) shed(now time.Duration, t *target, l *Load) {
+	t.refused += limitDown * (1 - t.refused)
+	if now < t.fullUntil {
+		return
+	}
+	if l.hasRoom() {
+		t.fullUntil = now + b.cfg.ShedPause
+		return
+	}
+	t.shedPause = min(max(2*t.shedPause, b.cfg.ShedPause), b.cfg.MaxShedPause)
+	t.fullUntil = now + t.shedPause
+}
+
+// hasRoom reports whether a target said that it has free slots.
+func (l *Load) hasRoom() bool { return l != nil && l.Waiting == 0 && l.Running < l.Slots }
+
+// A report has at least leastWeight in the mean of a target's reports, which counts
+// from leastReports on: one or two alone are no mean.
+const (
+	leastWeight  = 0.2
+	leastReports = 3
+)
+
 // report takes the load that a target states, which includes the request that
 // has just ended.
-func (t *target) report(now time.Duration, l Load) {
+func (b *Board) report(now time.Duration, t *target, l Load) {
 	t.foreign = max(0, float64(l.Running+l.Waiting-1-t.own))
+	if now-t.reported > 2*b.cfg.MeanAge {
+		t.reports, t.usual = 0, 0
+	}
+	t.reports++
+	weight := max(1-math.Exp(-float64(now-t.reported)/float64(b.cfg.MeanAge)), leastWeight, 1/float64(t.reports))
+	t.usual += weight * (t.foreign - t.usual)
 	t.reported, t.pace = now, l.Pace
 	if l.Slots > 0 {
 		t.Slots = l.Slots
--- a/placement/place.go
+++ b/placement/place.go
@@ -17,6 +17,8 @@
 	Deadline time.Duration
 	// Objective is the latency aimed at; a likely failure is weighed with it.
 	Objective time.Duration
+	// Aim is when the answer should be there, 0 when there is no objective.
+	Aim time.Duration
 	// Connected reports whether a connection to a target is open and idle.
 	Connected func(id string) bool
 	// Tried lists targets that must not be chosen again.
@@ -44,6 +46,8 @@
 	ReasonNoTarget Reason = "no_target"
 	// ReasonDeadline means that the request cannot end before its deadline.
 	ReasonDeadline Reason = "deadline"
+	// ReasonObjective means that the work ahead would make the request late.
+	ReasonObjective Reason = "objective"
 	// ReasonFull means that too many requests wait.
 	ReasonFull Reason = "queue_full"
 )
@@ -193,6 +197,8 @@
 	}
 	left := (r.Deadline - now).Seconds()
 	switch {
+	case b.late(now, r, service, soonest):
+		return Decision{Verdict: Refuse, Reason: ReasonObjective, RetryAfter: b.relief(now, r, service, soonest)}
 	case best != nil && b.wait(now, best, service)+leastPart*service > left:
 		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: seconds(soonest)}
 	case best != nil:
@@ -207,6 +213,22 @@
 	return Decision{Verdict: Refuse, Reason: ReasonNoTarget, RetryAfter: seconds(service)}
 }
 
+// late reports whether the work ahead of a request, and not the request itself,
+// makes it late: soonest is the shortest wait at a target that may get it.
+func (b *Board) late(now time.Duration, r Request, service, soonest float64) bool {
+	return r.Aim > 0 && soonest > 0 && soonest+service > max(aimPart*(r.Aim-now).Seconds(), service)
+}
+
+// aimPart is the part of the time to the objective that waiting and mean service
+// may take: both vary, and hosts do not know of each other's sends.
+const aimPart = 0.7
+
+// relief returns the time until the work ahead is short enough for a request to
+// be in time.
+func (b *Board) relief(now time.Duration, r Request, service, soonest float64) time.Duration {
+	return seconds(max(service, soonest+service-r.Objective.Seconds()))
+}
+
 func (b *Board) candidates(r Request) []*target {
 	if r.Target == "" {
 		return b.byWorkload[r.Workload]
