--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -15,8 +15,7 @@
 		err := Call("test", func() {
 			mu.Lock()
 			defer mu.Unlock()
-			var m map[string]int
-			m["x"] = 1
+			panic("test")
 		})
 		var p *PanicError
 		So(errors.As(err, &p), ShouldBeTrue)
--- a/placement/board.go
+++ b/placement/board.go
@@ -106,11 +106,8 @@
 	// reports since the target was not heard of for long.
 	usual   float64
 	reports int
-	// keyed targets own keys. Requests for them have no other target, and their
-	// load changes with their keys.
-	keyed  bool
-	pace   float64
-	record health.Record
+	pace    float64
+	record  health.Record
 	// refused is the part of Depth that is not used since the target refuses
 	// requests, 0 to 1.
 	refused float64
