Send a digest of all runs in place of the runs; encode a message to all hosts once

Cause: the leader sent all granted runs to each host every 5 s, and encoded each message once for each host. With 619 targets and 295 hosts that is some 80 kB times 295 in 5 s, about 38 Mbit/s of a link of 20 to 200 Mbit/s (computed, not measured).

Change: changes go out as before; every 5 s a digest of all runs follows, and a host whose runs differ asks for all of them. A message to all peers is encoded once.

Ruled out: dropping the period, since a change between the first state and the entry in the list of peers would be lost.

Measured: go test ./internal/coordinator passes; a host whose runs were spoiled has the leader's again within a period (TestDigest).

Conclusion: what the leader sends in a calm minute no longer grows with hosts times targets; fresh messages still grow with hosts.

--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"net"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -67,13 +67,10 @@
 }
 
 // tellLeaving tells the leader which targets told this host that they stop.
-func (c *Coordinator) tellLeaving(ctx context.Context, conn *jsonrpc2.Conn, limit func(time.Time) error) error {
+func (c *Coordinator) tellLeaving(ctx context.Context, nc net.Conn, conn *jsonrpc2.Conn) error {
 	runs := c.leavingTargets(true)
 	if len(runs) == 0 {
 		return nil
 	}
-	if err := limit(time.Now().Add(silentAfter)); err != nil {
-		return err
-	}
-	return conn.Notify(ctx, methodLeaving, leavingMessage{Runs: runs})
+	return notify(ctx, nc, conn, methodLeaving, leavingMessage{Runs: runs})
 }
--- a/internal/coordinator/leaving_test.go
+++ b/internal/coordinator/leaving_test.go
@@ -118,7 +118,9 @@
 		for _, method := range []string{methodRelay, methodFresh, methodRanges, methodLeaving} {
 			for _, params := range []string{`null`, `[]`, `"x"`, `{"workload":1}`, `{"topic":"t","records":[null]}`, `{"runs":[{"f":9,"t":-3,"o":"x","r":true}]}`} {
 				p := json.RawMessage(params)
-				So(guard.Call("test", func() { _ = c.fromLeader(&jsonrpc2.Request{Method: method, Params: &p}) }), ShouldBeNil) // some are refused
+				So(guard.Call("test", func() {
+					_ = c.fromLeader(&jsonrpc2.Request{Method: method, Params: &p}, func(string) error { return nil })
+				}), ShouldBeNil) // some are refused
 			}
 		}
 		if r := c.Ranges(""); r != nil {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -28,6 +28,8 @@
 	methodFresh  = "fresh"
 	methodRanges = "ranges"
 	methodCounts = "counts"
+	// methodWant asks the leader for all runs of a workload.
+	methodWant = "want"
 	// methodLeaving goes both ways.
 	methodLeaving = "leaving"
 )
@@ -103,8 +105,16 @@
 // Full is set.
 type rangesMessage struct {
 	Workload string            `json:"workload"`
-	Full     bool              `json:"full"`
-	Runs     []lease.RangeView `json:"runs"`
+	Full     bool              `json:"full,omitempty"`
+	Runs     []lease.RangeView `json:"runs,omitempty"`
+	// Digest is that of all runs after the changes, 0 when the message does not say.
+	// A host whose runs have another one asks for all.
+	Digest uint64 `json:"digest,omitempty"`
+}
+
+// wantMessage asks for all runs of a workload.
+type wantMessage struct {
+	Workload string `json:"workload"`
 }
 
 // countsMessage reports the keyed requests of one host since its last report.
@@ -152,11 +162,19 @@
 
 func (p *peerSet) init() { p.conns = map[*peerConn]bool{} }
 
+// send queues a message for all peers. It is encoded once.
 func (p *peerSet) send(method string, params any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.conns) == 0 {
+		return
+	}
+	b, err := json.Marshal(params)
+	if err != nil {
+		panic("message " + method + ": " + err.Error()) // structs of plain values
+	}
 	for pc := range p.conns {
-		pc.post(method, params)
+		pc.post(method, json.RawMessage(b))
 	}
 }
 
@@ -236,6 +254,8 @@
 			return nil, nil
 		case methodLeaving:
 			return nil, c.heardLeaving(r)
+		case methodWant:
+			return nil, c.tellAll(pc, r)
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
@@ -249,10 +269,7 @@
 			_ = pc.conn.Close() // the host stops
 			return
 		case m := <-pc.outbox:
-			if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
-				return
-			}
-			if err := pc.conn.Notify(ctx, m.method, m.params); err != nil {
+			if err := notify(ctx, nc, pc.conn, m.method, m.params); err != nil {
 				_ = pc.conn.Close() // the peer is gone
 				return
 			}
@@ -270,6 +287,33 @@
 	return nil
 }
 
+// tellAll sends all runs of a workload to a peer that asked for them.
+func (c *Coordinator) tellAll(pc *peerConn, r *jsonrpc2.Request) error {
+	var m wantMessage
+	if err := unmarshalParams(r, &m); err != nil {
+		return err
+	}
+	if x := c.Ranges(m.Workload); x != nil {
+		pc.post(methodRanges, rangesMessage{Workload: m.Workload, Full: true, Runs: x.runs})
+	}
+	return nil
+}
+
+// takeRanges takes the leader's runs and reports whether it should be asked for all
+// of them.
+func (c *Coordinator) takeRanges(m rangesMessage) (want bool) {
+	old, now := c.Ranges(m.Workload), boottime.Now()
+	switch {
+	case m.Full:
+		c.setRanges(m.Workload, &Ranges{runs: m.Runs, at: now})
+	case old == nil:
+		return true
+	case len(m.Runs) > 0:
+		c.setRanges(m.Workload, old.overlay(now, m.Runs))
+	}
+	return m.Digest != 0 && c.Ranges(m.Workload).digest() != m.Digest
+}
+
 // heardLeaving takes another host's word about targets that stop.
 func (c *Coordinator) heardLeaving(r *jsonrpc2.Request) error {
 	var m leavingMessage
@@ -377,19 +421,27 @@
 		return lossDial
 	}
 	heard := make(chan struct{}, 1)
+	wanted := make(chan string, wantedSize)
+	want := func(workload string) error {
+		select {
+		case wanted <- workload:
+		default: // the next digest asks again
+		}
+		return nil
+	}
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		select {
 		case heard <- struct{}{}:
 		default:
 		}
-		return nil, c.fromLeader(r)
+		return nil, c.fromLeader(r, want)
 	})
 	conn := jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
 	defer func() { _ = conn.Close() }() // given up in any case
 	if reason := c.sayHello(ctx, conn, l); reason != "" {
 		return reason
 	}
-	if err := c.tellLeaving(ctx, conn, nc.SetWriteDeadline); err != nil {
+	if err := c.tellLeaving(ctx, nc, conn); err != nil {
 		return lossClosed
 	}
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
@@ -412,16 +464,17 @@
 			if c.lead.current().Term != l.Term {
 				return lossTerm
 			}
+		case workload := <-wanted:
+			if err := notify(ctx, nc, conn, methodWant, wantMessage{workload}); err != nil {
+				return lossClosed
+			}
 		case <-c.leavingHeard:
-			if err := c.tellLeaving(ctx, conn, nc.SetWriteDeadline); err != nil {
+			if err := c.tellLeaving(ctx, nc, conn); err != nil {
 				return lossClosed
 			}
 		case <-counts.C:
 			for _, m := range c.counts.take() {
-				if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
-					return lossClosed
-				}
-				if err := conn.Notify(ctx, methodCounts, m); err != nil {
+				if err := notify(ctx, nc, conn, methodCounts, m); err != nil {
 					return lossClosed
 				}
 			}
@@ -429,6 +482,17 @@
 	}
 }
 
+// wantedSize bounds the workloads whose runs are to be asked for.
+const wantedSize = 16
+
+// notify sends a message within the time after which a connection counts as silent.
+func notify(ctx context.Context, nc net.Conn, conn *jsonrpc2.Conn, method string, params any) error {
+	if err := nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
+		return err
+	}
+	return conn.Notify(ctx, method, params)
+}
+
 // sayHello asks a host whether it leads a term. It returns nothing when it does.
 func (c *Coordinator) sayHello(ctx context.Context, conn *jsonrpc2.Conn, l leaderRecord) lossReason {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
@@ -491,8 +555,9 @@
 	c.noteEnd(reply, former)
 }
 
-// fromLeader takes a notification of the leader.
-func (c *Coordinator) fromLeader(r *jsonrpc2.Request) error {
+// fromLeader takes a notification of the leader; want asks it for all runs of a
+// workload.
+func (c *Coordinator) fromLeader(r *jsonrpc2.Request, want func(workload string) error) error {
 	switch r.Method {
 	case methodRelay:
 		var m relayMessage
@@ -521,11 +586,8 @@
 		if err := unmarshalParams(r, &m); err != nil {
 			return err
 		}
-		old := c.Ranges(m.Workload)
-		if m.Full || old == nil {
-			c.setRanges(m.Workload, &Ranges{runs: m.Runs, at: boottime.Now()})
-		} else {
-			c.setRanges(m.Workload, old.overlay(boottime.Now(), m.Runs))
+		if c.takeRanges(m) {
+			return want(m.Workload)
 		}
 	}
 	return nil
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"slices"
 	"sort"
 	"sync"
@@ -65,6 +67,24 @@
 	return &Ranges{runs: out, at: now}
 }
 
+// digest returns a number that differs, but for chance, between ranges whose runs,
+// owners or readiness differ.
+func (r *Ranges) digest() uint64 {
+	h := fnv.New64a()
+	var b []byte
+	for _, x := range r.runs {
+		b = binary.BigEndian.AppendUint32(b[:0], uint32(x.From))
+		b = binary.BigEndian.AppendUint32(b, uint32(x.To))
+		b = append(b, x.Owner...)
+		if x.Ready {
+			b = append(b, 1)
+		}
+		b = append(b, 0)
+		_, _ = h.Write(b) // a hash takes everything
+	}
+	return max(h.Sum64(), 1) // 0 says nothing
+}
+
 // changes returns the runs that are not in the earlier ranges.
 func (r *Ranges) changes(earlier *Ranges) []lease.RangeView {
 	if earlier == nil {
--- a/internal/coordinator/ranges_test.go
+++ b/internal/coordinator/ranges_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/lease"
 )
 
@@ -71,3 +73,57 @@
 		base.overlay(0, changed)
 	}
 }
+
+// TestDigest guards against hosts that keep a run of which they missed the change.
+func TestDigest(t *testing.T) {
+	view := func(owner string) []lease.RangeView {
+		return []lease.RangeView{{From: 0, To: 9, Owner: "a", Ready: true}, {From: 10, To: 19, Owner: owner, Ready: true}}
+	}
+	Convey("Given a host that knows all runs", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("b")}), ShouldBeFalse)
+		Convey("a digest of the same runs asks for nothing", func() {
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: (&Ranges{runs: view("b")}).digest()}), ShouldBeFalse)
+		})
+		Convey("one of other runs asks for all, until they came", func() {
+			digest := (&Ranges{runs: view("c")}).digest()
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}), ShouldBeTrue)
+			So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("c")}), ShouldBeFalse)
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}), ShouldBeFalse)
+		})
+		Convey("a change and the digest after it agree", func() {
+			So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("c")[1:], Digest: (&Ranges{runs: view("c")}).digest()}), ShouldBeFalse)
+		})
+		Convey("readiness counts, the time until a run is back does not", func() {
+			x := view("b")
+			x[1].BackMS = 100
+			So((&Ranges{runs: x}).digest(), ShouldEqual, (&Ranges{runs: view("b")}).digest())
+			x[1].Ready = false
+			So((&Ranges{runs: x}).digest(), ShouldNotEqual, (&Ranges{runs: view("b")}).digest())
+		})
+	})
+	Convey("A host without runs asks for all", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("b")[1:]}), ShouldBeTrue)
+		So(c.Ranges("w"), ShouldBeNil)
+	})
+	if testing.Short() {
+		return
+	}
+	Convey("A host whose runs were spoiled has the leader's again within a period of the digest", t, func() {
+		k := newCluster(t, 3, 3)
+		So(eventually(8*time.Second, func() bool {
+			return k.leader() != nil && k.held() && k.hosts[0].c.Ready() && k.hosts[1].c.Ready() && k.hosts[2].c.Ready()
+		}), ShouldBeTrue)
+		var follower *Coordinator
+		for _, h := range k.hosts {
+			if h != k.leader() {
+				follower = h.c
+			}
+		}
+		follower.setRanges("w", &Ranges{runs: []lease.RangeView{{From: 0, To: 65535, Owner: "none", Ready: true}}, at: boottime.Now()})
+		So(eventually(digestEvery+2*time.Second, func() bool {
+			return follower.Ranges("w").digest() == k.leader().c.Ranges("w").digest()
+		}), ShouldBeTrue)
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -18,9 +18,9 @@
 const (
 	leadTick  = 50 * time.Millisecond
 	planEvery = 250 * time.Millisecond
-	// fullRangesEvery is the period in which peers get all ranges again, in case
-	// a change was lost.
-	fullRangesEvery = 5 * time.Second
+	// digestEvery is the period in which peers get a digest of all runs, in case a
+	// change was lost.
+	digestEvery = 5 * time.Second
 	// quietAfterMove is how long keys stay after a move for the sake of load.
 	quietAfterMove = 1 * time.Second
 	// gatherFor is the time without a further target after which a new workload's
@@ -63,11 +63,11 @@
 	appending bool
 	dirty     map[string]*ownership.RangeTable
 	// confirmed is when the store last accepted a record of this term.
-	confirmed           time.Duration
-	nextConfirm         time.Duration
-	nextPlan            time.Duration
-	nextFresh, nextFull time.Duration
-	over                string
+	confirmed             time.Duration
+	nextConfirm           time.Duration
+	nextPlan              time.Duration
+	nextFresh, nextDigest time.Duration
+	over                  string
 }
 
 // leadTerm leads until the term ends.
@@ -436,24 +436,27 @@
 	}
 }
 
-// publish makes granted ranges visible here and to the peers.
+// publish makes granted ranges visible here and to the peers, which get changes as
+// they come and a digest of all runs at times.
 func (t *term) publish(now time.Duration) {
-	full := now >= t.nextFull
-	if full {
-		t.nextFull = now + fullRangesEvery
+	due := now >= t.nextDigest
+	if due {
+		t.nextDigest = now + digestEvery
 	}
 	for name, g := range t.granters {
 		runs, changed := g.View(now)
-		if !changed && !full {
+		if !changed && !due {
 			continue
 		}
 		r := &Ranges{runs: runs, at: now}
 		if changed {
 			t.c.setRanges(name, r)
 		}
-		if m := (rangesMessage{Workload: name, Full: full, Runs: runs}); full {
-			t.c.peers.send(methodRanges, m)
-		} else if m.Runs = r.changes(t.sentView[name]); len(m.Runs) > 0 {
+		m := rangesMessage{Workload: name, Full: t.sentView[name] == nil, Runs: r.changes(t.sentView[name])}
+		if due {
+			m.Digest = r.digest()
+		}
+		if due || len(m.Runs) > 0 {
 			t.c.peers.send(methodRanges, m)
 		}
 		t.sentView[name] = r
