Encode all runs of a workload once for the hosts that ask for them

Cause: when the lead changes, hundreds of hosts connect at once and each of them was sent 80 kB that were encoded anew.

Change: the message is made once for each state of the runs.

Measured: tests of package coordinator pass; not measured at size.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -169,13 +169,19 @@
 	if len(p.conns) == 0 {
 		return
 	}
+	b := encode(method, params)
+	for pc := range p.conns {
+		pc.post(method, b)
+	}
+}
+
+// encode encodes the parameters of a message.
+func encode(method string, params any) json.RawMessage {
 	b, err := json.Marshal(params)
 	if err != nil {
 		panic("message " + method + ": " + err.Error()) // structs of plain values
 	}
-	for pc := range p.conns {
-		pc.post(method, json.RawMessage(b))
-	}
+	return b
 }
 
 func (p *peerSet) relay(m relayMessage) { p.send(methodRelay, m) }
@@ -294,7 +300,7 @@
 		return err
 	}
 	if x := c.Ranges(m.Workload); x != nil {
-		pc.post(methodRanges, rangesMessage{Workload: m.Workload, Full: true, Runs: x.runs})
+		pc.post(methodRanges, x.message(m.Workload))
 	}
 	return nil
 }
@@ -354,7 +360,7 @@
 	}
 	c.lead.heard(m)
 	for w, r := range *c.ranges.Load() {
-		pc.post(methodRanges, rangesMessage{Workload: w, Full: true, Runs: r.runs})
+		pc.post(methodRanges, r.message(w))
 	}
 	pc.post(methodFresh, c.freshness())
 	if runs := c.leavingTargets(false); len(runs) > 0 {
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -17,6 +18,16 @@
 	runs []lease.RangeView
 	// at is when the runs were told, on this host's clock.
 	at time.Duration
+	// encoded is the message with all runs, made when a host first asks for it.
+	encodeOnce sync.Once
+	encoded    json.RawMessage
+}
+
+// message returns the encoded message that tells a host all runs. Hundreds of hosts
+// ask for the same one when the lead changes.
+func (r *Ranges) message(workload string) json.RawMessage {
+	r.encodeOnce.Do(func() { r.encoded = encode(methodRanges, rangesMessage{Workload: workload, Full: true, Runs: r.runs}) })
+	return r.encoded
 }
 
 // Owner returns the target that holds a key, and whether it was granted. When it
