--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -250,7 +250,7 @@
 	c.g.m.sends.Add(e.reason, 1)
 	gone := ctx.Err() != nil
 	s := placement.Sample{Route: c.route.Name, Failed: !gone, Unreachable: !e.sent && !gone, Cold: -1, Full: e.reset()}
-	c.g.ended(id, s)
+	c.ended(id, s)
 	if !gone {
 		c.count(id, s)
 	}
@@ -279,6 +279,12 @@
 	return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: e}, false
 }
 
+// ended tells the board that the request has ended at a target.
+func (c *call) ended(id string, s placement.Sample) {
+	c.placed = ""
+	c.g.ended(id, s)
+}
+
 // count tells the leader what a keyed request saw of its target.
 func (c *call) count(id string, s placement.Sample) {
 	if !c.keyed {
@@ -331,7 +337,7 @@
 	if a.said.WrongTarget {
 		s.Took = 0
 	}
-	c.g.ended(id, s)
+	c.ended(id, s)
 	c.count(id, s)
 	c.g.m.target.add(took)
 	switch {
--- a/placement/hot_test.go
+++ b/placement/hot_test.go
@@ -301,3 +301,56 @@
 		So(b.targets["t"].shedPause, ShouldEqual, 30*time.Millisecond)
 	})
 }
+
+// TestPausedTargets replays targets that ask for a pause: what they are told to
+// callers must be true.
+func TestPausedTargets(t *testing.T) {
+	now := time.Minute
+	paused := func(targets int, pause time.Duration) *Board {
+		b := boardOf(Config{Domain: "d0"}, targets, 4)
+		for i := range targets {
+			b.Ended(now, fmt.Sprint("t", i), Sample{Route: "r", Shed: true, Load: &Load{Slots: 4, Pace: 1}, Cold: -1, Pause: pause + time.Duration(i)*time.Second})
+		}
+		return b
+	}
+	for _, objective := range []time.Duration{0, 400 * time.Millisecond} {
+		Convey(fmt.Sprintf("A request for the keys of a paused owner is refused with the end of the pause, objective %v", objective), t, func() {
+			r := req(now + 2*time.Second)
+			r.Target, r.Objective, r.Random = "t0", objective, 0.5
+			if objective > 0 {
+				r.Aim = now + objective
+			}
+			d := paused(1, 5*time.Second).Submit(now, r)
+			So(d.Verdict, ShouldEqual, Refuse)
+			So(d.RetryAfter, ShouldBeBetweenOrEqual, 5*time.Second, 6*time.Second)
+		})
+	}
+	Convey("It waits for a pause that ends in time", t, func() {
+		b := paused(1, 200*time.Millisecond)
+		r := req(now + 2*time.Second)
+		r.Target = "t0"
+		So(b.Submit(now, r).Verdict, ShouldEqual, Wait)
+		So(b.Dispatch(now+150*time.Millisecond), ShouldBeEmpty)
+		placed := b.Dispatch(now + 210*time.Millisecond)
+		So(placed, ShouldHaveLength, 1)
+		So(placed[0].Verdict, ShouldEqual, Send)
+	})
+	Convey("When all targets pause, callers are told the earliest end, spread", t, func() {
+		b := paused(3, 5*time.Second)
+		seen := map[time.Duration]bool{}
+		for i := range 10 {
+			r := req(now + 2*time.Second)
+			r.Random = float64(i) / 10
+			d := b.Submit(now, r)
+			So(d.Verdict, ShouldEqual, Refuse)
+			So(d.RetryAfter, ShouldBeBetweenOrEqual, 5*time.Second, 6*time.Second)
+			seen[d.RetryAfter] = true
+		}
+		So(len(seen), ShouldEqual, 10)
+	})
+	Convey("With one target that does not pause, requests go there", t, func() {
+		b := boardOf(Config{Domain: "d0"}, 2, 4)
+		b.Ended(now, "t0", Sample{Route: "r", Shed: true, Cold: -1, Pause: 5 * time.Second})
+		So(b.Submit(now, req(now+2*time.Second)).Target, ShouldEqual, "t1")
+	})
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -208,7 +208,7 @@
 	case full && leastPart*service <= left && max(soonest, 0) < left:
 		return Decision{Verdict: Wait}
 	case full:
-		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: seconds(max(soonest, service))}
+		return Decision{Verdict: Refuse, Reason: ReasonDeadline, RetryAfter: seconds(max(soonest, service) * (1 + returnSpread*r.Random))}
 	}
 	return Decision{Verdict: Refuse, Reason: ReasonNoTarget, RetryAfter: seconds(service)}
 }
@@ -226,9 +226,27 @@
 const aimPart = 0.7
 
 // relief returns the time until the work ahead is short enough for a request to
-// be in time.
+// be in time, or until the first target ends its pause. Callers who are refused
+// together are told different times.
 func (b *Board) relief(now time.Duration, r Request, service, soonest float64) time.Duration {
-	return seconds(max(service, soonest+service-r.Objective.Seconds()))
+	after := max(service, soonest+service-r.Objective.Seconds(), b.paused(now, r).Seconds())
+	return seconds(after * (1 + returnSpread*r.Random))
+}
+
+// returnSpread is the part of the time until a caller may return that is added by
+// chance.
+const returnSpread = 0.2
+
+// paused returns the time until the first target that may get a request ends the
+// pause that it asked for, 0 when one has none.
+func (b *Board) paused(now time.Duration, r Request) time.Duration {
+	least := time.Duration(-1)
+	for _, t := range b.candidates(r) {
+		if left := max(0, t.pausedUntil-now); t.Usable && (least < 0 || left < least) {
+			least = left
+		}
+	}
+	return max(0, least)
 }
 
 func (b *Board) candidates(r Request) []*target {
