Bound the grants that one tick of the leader starts

Cause: after a first table or a change of the lead the grants of all runs are due in the same tick.

Change: a tick starts at most 1.5 times the grants that are due in one on the mean, 32 at least, beginning with the first run that was left out. Holds are counted from the decision to send, as before, so that no rule of the grants changes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -104,6 +104,7 @@
 // New returns a coordinator.
 func New(cfg Config) *Coordinator {
 	cfg.Ranges.Holds = cfg.Ranges.Holds.WithDefaults()
+	cfg.Ranges.TickEvery = leadTick
 	c := &Coordinator{
 		cfg: cfg, dir: fleet.NewDirectory(), changed: make(chan struct{}),
 		leavingHeard: make(chan struct{}, 1),
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -20,6 +20,26 @@
 	// Failing is the time without an accepted grant after which a target counts
 	// as failing. Default: the renewal period and the limit of a call.
 	Failing time.Duration
+	// TickEvery is the period in which Tick is called. With it, a Tick starts not
+	// many more grants than are due in one on the mean: hundreds of calls at once, as
+	// after a first table or a change of the lead, all miss their time limits, and
+	// stay in step. Default: 0, no bound.
+	TickEvery time.Duration
+}
+
+// A Tick starts grantBurst times the grants that are due in one on the mean, and
+// leastGrants at least.
+const (
+	grantBurst  = 1.5
+	leastGrants = 32
+)
+
+// maxGrants returns the number of grants that a Tick may start with a number of runs.
+func (c RangeConfig) maxGrants(runs int) int {
+	if c.TickEvery <= 0 {
+		return runs
+	}
+	return max(leastGrants, int(grantBurst*float64(runs)*float64(c.TickEvery)/float64(c.Renew)))
 }
 
 func (c RangeConfig) withDefaults() RangeConfig {
@@ -101,6 +121,9 @@
 	lastOK map[string]time.Duration
 	// changed says that the set of granted runs differs from the last View.
 	changed bool
+	// next is the run at which the next Tick begins, the first one that was due and
+	// not granted in the last.
+	next int
 }
 
 // NewRangeGranter returns a granter of a table that was read from the store
@@ -175,7 +198,10 @@
 		return nil
 	}
 	var orders []Order
-	for _, r := range g.runs {
+	grants, first, skipped := g.cfg.maxGrants(len(g.runs)), g.next, false
+	for i := range g.runs {
+		n := (first + i) % len(g.runs)
+		r := g.runs[n]
 		if g.waits(now, r) {
 			orders = g.releases(now, r, reachable, orders)
 			continue
@@ -183,6 +209,13 @@
 		if r.busy || now < r.next || !reachable(r.Owner) {
 			continue
 		}
+		if grants == 0 {
+			if !skipped {
+				g.next, skipped = n, true
+			}
+			continue
+		}
+		grants--
 		r.busy, r.sent, r.before, r.fence = true, now, r.holding, g.term.Fence()
 		r.holding.Sent(g.cfg.Holds, now)
 		orders = append(orders, Order{
