Tell how late the leader's messages are, and what a leader sends by kind

The leader's clock now goes along with its messages; a host places it on its own with the replies to hello and to a question each 5 s (remoteClock, a lower bound), logs when messages become older than 1 s and which records came from the leader, and serves leader_lag_ms; the leader serves peer_bytes_total by kind.

Nothing acts on these times yet.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -187,7 +187,7 @@
 		relevant = f.fold(records, full)
 	}
 	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
-		f.c.peers.relay(relayMessage{Topic: f.topic, From: from, Next: b.Next, Records: relevant})
+		f.c.peers.relay(relayMessage{clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next, Records: relevant})
 	}
 	return true
 }
--- /dev/null
+++ b/internal/coordinator/late_test.go
@@ -0,0 +1,67 @@
+package coordinator
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/internal/faultproxy"
+	"github.com/boragelock/boragelock/platform"
+)
+
+// lateHost follows the leader of a cluster through a proxy that delays what the leader
+// sends. It reaches the store without delay.
+type lateHost struct {
+	c     *Coordinator
+	proxy *faultproxy.Proxy
+}
+
+// newLateHost starts a host that follows the leader as soon as it has one.
+func newLateHost(t *testing.T, k *cluster) *lateHost {
+	srv := httptest.NewServer(k.store)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	leader := k.leader().c
+	p, err := faultproxy.New(faultproxy.Options{Upstream: leader.cfg.Peer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &lateHost{proxy: p, c: New(Config{
+		Host: "late", Peer: "127.0.0.1:1", Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
+		Grants: platform.NewGrants(), Log: hclog.NewNullLogger(),
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	sup := suture.New("late", suture.Spec{EventHook: func(suture.Event) {}})
+	sup.Add(p)
+	for _, f := range []*follower{h.c.operator, h.c.targets, h.c.control} {
+		sup.Add(f)
+	}
+	sup.Add(&duty{"peer client", func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			l := leader.lead.current()
+			l.Address = p.Addr()
+			h.c.followLeader(ctx, l)
+		}
+		return ctx.Err()
+	}})
+	done := sup.ServeBackground(ctx)
+	t.Cleanup(func() { cancel(); <-done })
+	if !eventually(5*time.Second, func() bool { return h.c.lead.isConnected() && h.c.Ready() }) {
+		t.Fatal("the late host does not follow")
+	}
+	return h
+}
+
+// slowDown lets what the leader sends arrive more and more late, as over a link that
+// carries one part in stretch of it, until the delay has a length.
+func (h *lateHost) slowDown(stretch int, delay time.Duration) {
+	const step = 20 * time.Millisecond
+	for d := time.Duration(0); d < delay; d += step * time.Duration(stretch-1) {
+		h.proxy.SetFaults("", faultproxy.Faults{DownDelay: d})
+		time.Sleep(step * time.Duration(stretch))
+	}
+}
--- a/internal/coordinator/leaving_test.go
+++ b/internal/coordinator/leaving_test.go
@@ -119,7 +119,7 @@
 			for _, params := range []string{`null`, `[]`, `"x"`, `{"workload":1}`, `{"topic":"t","records":[null]}`, `{"runs":[{"f":9,"t":-3,"o":"x","r":true}]}`} {
 				p := json.RawMessage(params)
 				So(guard.Call("test", func() {
-					_ = c.fromLeader(&jsonrpc2.Request{Method: method, Params: &p}, func(string) error { return nil })
+					_ = (&leaderLink{c: c}).take(&jsonrpc2.Request{Method: method, Params: &p})
 				}), ShouldBeNil) // some are refused
 			}
 		}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -25,10 +25,15 @@
 	// granted and ungranted are the runs of keys that this leader has granted, or
 	// not.
 	granted, ungranted expvar.Int
+	// peerBytes counts the bytes that a leader sent to other hosts, by method.
+	peerBytes *expvar.Map
+	// leaderLag is how old the leader's latest message was on arrival, in
+	// milliseconds.
+	leaderLag expvar.Int
 }
 
 func newMetrics(c *Coordinator) *metrics {
-	m := &metrics{all: new(expvar.Map).Init(), store: new(expvar.Map).Init(), grants: new(expvar.Map).Init()}
+	m := &metrics{all: new(expvar.Map).Init(), store: new(expvar.Map).Init(), grants: new(expvar.Map).Init(), peerBytes: new(expvar.Map).Init()}
 	m.all.Set("store_calls_total", m.store)
 	m.all.Set("target_calls_total", m.grants)
 	m.all.Set("moves_total", &m.moves)
@@ -36,6 +41,8 @@
 	m.all.Set("hold_left_min_ms", &m.holdLeft)
 	m.all.Set("runs_granted", &m.granted)
 	m.all.Set("runs_ungranted", &m.ungranted)
+	m.all.Set("peer_bytes_total", m.peerBytes)
+	m.all.Set("leader_lag_ms", &m.leaderLag)
 	age := func(f *follower) expvar.Func {
 		return func() any { return f.age(boottime.Now()).Milliseconds() }
 	}
--- a/internal/coordinator/metrics_test.go
+++ b/internal/coordinator/metrics_test.go
@@ -51,3 +51,30 @@
 		}), ShouldBeTrue)
 	})
 }
+
+// TestLagMetrics guards against a leader whose messages arrive late without a trace,
+// and whose traffic is not told by kind.
+func TestLagMetrics(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("a host tells how late the leader's messages are, and the leader what it sends", t, func() {
+		k := newCluster(t, 1, 2)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		late := newLateHost(t, k)
+		late.slowDown(2, 3*time.Second)
+		var host struct {
+			Lag int `json:"leader_lag_ms"`
+		}
+		var leader struct {
+			Bytes map[string]int `json:"peer_bytes_total"`
+		}
+		So(eventually(5*time.Second, func() bool {
+			So(json.Unmarshal([]byte(late.c.Vars().String()), &host), ShouldBeNil)
+			return host.Lag >= 1000
+		}), ShouldBeTrue)
+		So(json.Unmarshal([]byte(k.hosts[0].c.Vars().String()), &leader), ShouldBeNil)
+		So(leader.Bytes["fresh"], ShouldBeGreaterThan, 0)
+		So(leader.Bytes["ranges"], ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -48,6 +49,22 @@
 	lossTerm    lossReason = "new term"
 )
 
+// leaderLink is a host's side of its connection to the leader.
+type leaderLink struct {
+	c    *Coordinator
+	nc   net.Conn
+	conn *jsonrpc2.Conn
+	// heard is signalled at each message of the leader, wanted holds the workloads
+	// whose runs are to be asked for.
+	heard  chan struct{}
+	wanted chan string
+
+	mu    sync.Mutex
+	clock remoteClock
+	// late says that the latest message was older than staleAfter on arrival.
+	late bool
+}
+
 // followLeader connects to the leader and returns when the connection ends.
 func (c *Coordinator) followLeader(ctx context.Context, l leaderRecord) lossReason {
 	ctx, cancel := context.WithCancel(ctx)
@@ -59,33 +76,31 @@
 		}
 		return lossDial
 	}
-	heard := make(chan struct{}, 1)
-	wanted := make(chan string, wantedSize)
-	want := func(workload string) error {
-		select {
-		case wanted <- workload:
-		default: // the next digest asks again
-		}
-		return nil
-	}
+	k := &leaderLink{c: c, nc: nc, heard: make(chan struct{}, 1), wanted: make(chan string, wantedSize)}
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		select {
-		case heard <- struct{}{}:
+		case k.heard <- struct{}{}:
 		default:
 		}
-		return nil, c.fromLeader(r, want)
+		return nil, k.take(r)
 	})
-	conn := jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
-	defer func() { _ = conn.Close() }() // given up in any case
-	if reason := c.sayHello(ctx, conn, l); reason != "" {
+	k.conn = jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
+	defer func() { _ = k.conn.Close() }() // given up in any case
+	if reason := k.sayHello(ctx, l); reason != "" {
 		return reason
 	}
-	if err := c.tellLeaving(ctx, nc, conn); err != nil {
+	if err := c.tellLeaving(ctx, nc, k.conn); err != nil {
 		return lossClosed
 	}
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
 	c.lead.connected(true)
 	defer c.lead.connected(false)
+	go k.askClock(ctx)
+	return k.serve(ctx, l)
+}
+
+// serve sends what the leader is to know until the connection ends.
+func (k *leaderLink) serve(ctx context.Context, l leaderRecord) lossReason {
 	silence := time.NewTimer(silentAfter)
 	counts := time.NewTicker(countsEvery)
 	defer silence.Stop()
@@ -94,26 +109,26 @@
 		select {
 		case <-ctx.Done():
 			return lossClosed
-		case <-conn.DisconnectNotify():
+		case <-k.conn.DisconnectNotify():
 			return lossClosed
 		case <-silence.C:
 			return lossSilent
-		case <-heard:
+		case <-k.heard:
 			silence.Reset(silentAfter)
-			if c.lead.current().Term != l.Term {
+			if k.c.lead.current().Term != l.Term {
 				return lossTerm
 			}
-		case workload := <-wanted:
-			if err := notify(ctx, nc, conn, methodWant, wantMessage{workload}); err != nil {
+		case workload := <-k.wanted:
+			if err := notify(ctx, k.nc, k.conn, methodWant, wantMessage{workload}); err != nil {
 				return lossClosed
 			}
-		case <-c.leavingHeard:
-			if err := c.tellLeaving(ctx, nc, conn); err != nil {
+		case <-k.c.leavingHeard:
+			if err := k.c.tellLeaving(ctx, k.nc, k.conn); err != nil {
 				return lossClosed
 			}
 		case <-counts.C:
-			for _, m := range c.counts.take() {
-				if err := notify(ctx, nc, conn, methodCounts, m); err != nil {
+			for _, m := range k.c.counts.take() {
+				if err := notify(ctx, k.nc, k.conn, methodCounts, m); err != nil {
 					return lossClosed
 				}
 			}
@@ -121,6 +136,61 @@
 	}
 }
 
+// want asks the leader for all runs of a workload.
+func (k *leaderLink) want(workload string) {
+	select {
+	case k.wanted <- workload:
+	default: // the next digest asks again
+	}
+}
+
+// clockEvery is the period in which a host asks the leader for its clock.
+const clockEvery = 5 * time.Second
+
+// askClock asks the leader for its clock until the connection ends.
+func (k *leaderLink) askClock(ctx context.Context) {
+	for sleep(ctx, clockEvery) {
+		callCtx, cancel := context.WithTimeout(ctx, clockEvery)
+		var reply clockReply
+		sent := boottime.Now()
+		err := k.conn.Call(callCtx, methodClock, struct{}{}, &reply)
+		cancel()
+		if err != nil {
+			k.c.cfg.Log.Debug("leader_clock_unknown", "err", err)
+			continue
+		}
+		k.learnClock(sent, reply)
+	}
+}
+
+// learnClock takes the leader's reply to a question that was sent at a time.
+func (k *leaderLink) learnClock(sent time.Duration, reply clockReply) {
+	if reply.ClockUS == 0 {
+		return // not told
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.clock.learn(sent, reply.time())
+}
+
+// made returns when the leader made a message, at the earliest, or false as long as
+// its clock is unknown. It notes how late messages are.
+func (k *leaderLink) made(now time.Duration, m clockReply) (time.Duration, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.clock.earliest(now, m.time())
+	if !ok {
+		return 0, false
+	}
+	lag := now - at
+	k.c.m.leaderLag.Set(lag.Milliseconds())
+	if late := lag > staleAfter; late != k.late {
+		k.late = late
+		k.c.cfg.Log.Info("leader_messages", "late", late, "lag_ms", lag.Milliseconds())
+	}
+	return at, true
+}
+
 // wantedSize bounds the workloads whose runs are to be asked for.
 const wantedSize = 16
 
@@ -133,15 +203,17 @@
 }
 
 // sayHello asks a host whether it leads a term. It returns nothing when it does.
-func (c *Coordinator) sayHello(ctx context.Context, conn *jsonrpc2.Conn, l leaderRecord) lossReason {
+func (k *leaderLink) sayHello(ctx context.Context, l leaderRecord) lossReason {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	var reply helloReply
-	err := conn.Call(ctx, methodHello, c.helloFor(l), &reply)
+	sent := boottime.Now()
+	err := k.conn.Call(ctx, methodHello, k.c.helloFor(l), &reply)
 	if err != nil {
 		return lossSilent
 	}
-	c.noteEnd(reply, l)
+	k.learnClock(sent, reply.clockReply)
+	k.c.noteEnd(reply, l)
 	return reply.reason(l)
 }
 
@@ -194,17 +266,24 @@
 	c.noteEnd(reply, former)
 }
 
-// fromLeader takes a notification of the leader; want asks it for all runs of a
-// workload.
-func (c *Coordinator) fromLeader(r *jsonrpc2.Request, want func(workload string) error) error {
+// take takes a notification of the leader.
+func (k *leaderLink) take(r *jsonrpc2.Request) error {
+	c := k.c
 	switch r.Method {
 	case methodRelay:
 		var m relayMessage
 		if err := unmarshalParams(r, &m); err != nil {
 			return err
 		}
-		if f := c.followerOf(m.Topic); f != nil && m.From != unknownOffset {
-			f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, boottime.Now()-followWait)
+		now := boottime.Now()
+		made, _ := k.made(now, m.clockReply)
+		f := c.followerOf(m.Topic)
+		if f == nil || m.From == unknownOffset {
+			return nil
+		}
+		taken := f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, now-followWait)
+		if taken && m.Topic == platform.TopicOperator {
+			c.cfg.Log.Info("operator_records_relayed", "next", m.Next, "records", len(m.Records), "lag_ms", (now - made).Milliseconds())
 		}
 	case methodFresh:
 		var m freshMessage
@@ -213,6 +292,7 @@
 		}
 		c.hosts.Store(int64(m.Hosts))
 		now := boottime.Now()
+		k.made(now, m.clockReply)
 		for topic, t := range m.Topics {
 			if f := c.followerOf(topic); f != nil {
 				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, now)
@@ -226,7 +306,7 @@
 			return err
 		}
 		if c.takeRanges(m) {
-			return want(m.Workload)
+			k.want(m.Workload)
 		}
 	}
 	return nil
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -19,13 +19,15 @@
 	"github.com/boragelock/boragelock/platform"
 )
 
-// Methods between hosts. All but hello are notifications.
+// Methods between hosts. All but hello and clock are notifications.
 const (
 	methodHello  = "hello"
 	methodRelay  = "relay"
 	methodFresh  = "fresh"
 	methodRanges = "ranges"
 	methodCounts = "counts"
+	// methodClock asks the leader what its clock shows.
+	methodClock = "clock"
 	// methodWant asks the leader for all runs of a workload.
 	methodWant = "want"
 	// methodLeaving goes both ways.
@@ -42,9 +44,22 @@
 // helloReply says whether the host leads, and which process answered.
 type helloReply struct {
 	Leads bool `json:"leads"`
+	clockReply
 	processState
 }
 
+// clockReply tells what the boot-time clock of the host that answers shows, in
+// microseconds.
+type clockReply struct {
+	ClockUS int64 `json:"clock_us"`
+}
+
+// readClock returns what this host's clock shows.
+func readClock() clockReply { return clockReply{ClockUS: boottime.Now().Microseconds()} }
+
+// time returns what the clock showed.
+func (r clockReply) time() time.Duration { return time.Duration(r.ClockUS) * time.Microsecond }
+
 // processState is what a process says of itself and of terms that it led.
 type processState struct {
 	Incarnation string `json:"incarnation"`
@@ -80,6 +95,8 @@
 
 // relayMessage passes on records of a topic between two offsets.
 type relayMessage struct {
+	// clockReply is the leader's clock when the message was made.
+	clockReply
 	Topic   string            `json:"topic"`
 	From    int64             `json:"from"`
 	Next    int64             `json:"next"`
@@ -89,6 +106,8 @@
 // freshMessage says up to which offset, and how long ago, the leader had read
 // each topic.
 type freshMessage struct {
+	// clockReply is the leader's clock when the message was made.
+	clockReply
 	Topics map[string]topicAge `json:"topics"`
 	// Hosts is the number of hosts that follow the leader, itself included.
 	Hosts int `json:"hosts"`
@@ -149,7 +168,7 @@
 
 type peerMessage struct {
 	method string
-	params any
+	params json.RawMessage
 }
 
 // peerSet is the set of hosts that follow this one.
@@ -185,7 +204,7 @@
 func (p *peerSet) relay(m relayMessage) { p.send(methodRelay, m) }
 
 // post queues a message; a peer whose queue is full is disconnected.
-func (pc *peerConn) post(method string, params any) {
+func (pc *peerConn) post(method string, params json.RawMessage) {
 	select {
 	case pc.outbox <- peerMessage{method, params}:
 	default:
@@ -260,6 +279,8 @@
 			return nil, c.heardLeaving(r)
 		case methodWant:
 			return nil, c.tellAll(pc, r)
+		case methodClock:
+			return readClock(), nil
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
@@ -277,6 +298,7 @@
 				_ = pc.conn.Close() // the peer is gone
 				return
 			}
+			c.m.peerBytes.Add(m.method, int64(len(m.params)))
 		}
 	}
 }
@@ -339,24 +361,24 @@
 		return nil, err
 	}
 	if !c.Leading() {
-		return helloReply{processState: c.state()}, nil
+		return helloReply{clockReply: readClock(), processState: c.state()}, nil
 	}
 	c.lead.heard(m)
 	for w, r := range *c.ranges.Load() {
 		pc.post(methodRanges, r.message(w))
 	}
-	pc.post(methodFresh, c.freshness())
+	pc.post(methodFresh, encode(methodFresh, c.freshness()))
 	if runs := c.leavingTargets(false); len(runs) > 0 {
-		pc.post(methodLeaving, leavingMessage{Runs: runs})
+		pc.post(methodLeaving, encode(methodLeaving, leavingMessage{Runs: runs}))
 	}
 	c.peers.add(pc)
-	return helloReply{Leads: true, processState: c.state()}, nil
+	return helloReply{Leads: true, clockReply: readClock(), processState: c.state()}, nil
 }
 
 // freshness says how old the leader's knowledge is.
 func (c *Coordinator) freshness() freshMessage {
 	now := boottime.Now()
-	m := freshMessage{Topics: map[string]topicAge{}, Hosts: c.peers.size() + 1}
+	m := freshMessage{clockReply: readClock(), Topics: map[string]topicAge{}, Hosts: c.peers.size() + 1}
 	c.hosts.Store(int64(m.Hosts))
 	for _, f := range []*follower{c.operator, c.targets, c.control} {
 		m.Topics[f.topic] = topicAge{Next: f.position(), AgeMS: f.age(now).Milliseconds()}
