Reproduce the desired state that was replaced: the leader's messages come late

A host follows the leader through a proxy that lets what the leader sends arrive later and later, up to 4 s, as over a link that is full. It reaches the store without delay.

--- a/internal/coordinator/late_test.go
+++ b/internal/coordinator/late_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/boragelock/boragelock/internal/faultproxy"
@@ -65,3 +67,22 @@
 		time.Sleep(step * time.Duration(stretch))
 	}
 }
+
+// TestLateMessagesAreNotFresh guards against a host that takes what the leader knew
+// seconds ago for the present: it went on using desired states that had been replaced.
+func TestLateMessagesAreNotFresh(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("a host to which the leader's messages come late reads a change from the store in time", t, func() {
+		k := newCluster(t, 1, 2)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		h := newLateHost(t, k)
+		h.slowDown(2, 4*time.Second)
+		k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 9)))
+		So(eventually(inForceWithin, func() bool { d := h.c.Snapshot().Desired; return d != nil && d.Version == 9 }), ShouldBeTrue)
+	})
+}
+
+// inForceWithin is the time within which a change is to be in force on all hosts.
+const inForceWithin = 2 * time.Second
