Count the age of relayed topics from when the leader knew them

A host counted the age that the leader told from the arrival of the message, and records that were relayed as 0.6 s old whatever had held them up. Messages wait in the leader's queue and on its full link, so a host took a view for fresh that was seconds old, and did not read the store.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -15,6 +15,9 @@
 // unknownOffset makes a follower read the newest record of each key.
 const unknownOffset = -1
 
+// neverFresh is a time before the start of any process.
+const neverFresh = -time.Hour
+
 // follower reads one topic of the store, or takes it from the leader's relay.
 type follower struct {
 	c     *Coordinator
@@ -33,7 +36,7 @@
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
-	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: -time.Hour}
+	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: neverFresh}
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -187,7 +190,10 @@
 		relevant = f.fold(records, full)
 	}
 	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
-		f.c.peers.relay(relayMessage{clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next, Records: relevant})
+		f.c.peers.relay(relayMessage{
+			clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next,
+			AgeMS: (boottime.Now() - fresh).Milliseconds(), Records: relevant,
+		})
 	}
 	return true
 }
@@ -211,11 +217,12 @@
 	return relevant
 }
 
-// confirm notes that another host knew, an age ago, that the topic ended at next.
-func (f *follower) confirm(next int64, age, now time.Duration) {
+// confirm notes that another host had known for an age, at a time on this host's
+// clock, that the topic ended at next.
+func (f *follower) confirm(next int64, age, at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next >= next {
-		f.refreshed(now - age)
+		f.refreshed(at - age)
 	}
 }
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -276,12 +276,16 @@
 			return err
 		}
 		now := boottime.Now()
-		made, _ := k.made(now, m.clockReply)
+		made, ok := k.made(now, m.clockReply)
 		f := c.followerOf(m.Topic)
 		if f == nil || m.From == unknownOffset {
 			return nil
 		}
-		taken := f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, now-followWait)
+		fresh := neverFresh
+		if ok {
+			fresh = made - time.Duration(m.AgeMS)*time.Millisecond
+		}
+		taken := f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, fresh)
 		if taken && m.Topic == platform.TopicOperator {
 			c.cfg.Log.Info("operator_records_relayed", "next", m.Next, "records", len(m.Records), "lag_ms", (now - made).Milliseconds())
 		}
@@ -291,11 +295,13 @@
 			return err
 		}
 		c.hosts.Store(int64(m.Hosts))
-		now := boottime.Now()
-		k.made(now, m.clockReply)
+		made, ok := k.made(boottime.Now(), m.clockReply)
+		if !ok {
+			return nil
+		}
 		for topic, t := range m.Topics {
 			if f := c.followerOf(topic); f != nil {
-				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, now)
+				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, made)
 			}
 		}
 	case methodLeaving:
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -97,9 +97,12 @@
 type relayMessage struct {
 	// clockReply is the leader's clock when the message was made.
 	clockReply
-	Topic   string            `json:"topic"`
-	From    int64             `json:"from"`
-	Next    int64             `json:"next"`
+	Topic string `json:"topic"`
+	From  int64  `json:"from"`
+	Next  int64  `json:"next"`
+	// AgeMS is how long before the message was made the topic ended at Next, in
+	// milliseconds.
+	AgeMS   int64             `json:"age_ms"`
 	Records []platform.Record `json:"records"`
 }
 
