Relay large values as patches of the ones before

It sent each desired state (200 kB with 1,100 routes) and each table of owners whole, in base64, to each of 85 hosts; a change each 0.8 s is 27 MB/s. Values of 1 KiB and more go as a zstd patch of the record before now, with that record's offset; a host that does not have it reads the store. Records of a topic are also applied one batch after the other, and count as read only when they are in force.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -25,6 +25,11 @@
 	// apply folds records and returns those that peers need.
 	apply func(records []platform.Record, full bool) []platform.Record
 
+	// taking is held while records are applied, so that they come into force in the
+	// order of the topic; large is used only then.
+	taking sync.Mutex
+	large  largeValues
+
 	mu   sync.Mutex
 	next int64
 	// fresh is when the records before next were last known to be all.
@@ -36,7 +41,7 @@
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
-	return &follower{c: c, topic: topic, apply: apply, next: unknownOffset, fresh: neverFresh}
+	return &follower{c: c, topic: topic, apply: apply, large: largeValues{}, next: unknownOffset, fresh: neverFresh}
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -175,27 +180,66 @@
 // take applies records that were read from offset from on, unless they leave a
 // gap, and relays them. Records that were applied before are left out.
 func (f *follower) take(from int64, b platform.Batch, full bool, fresh time.Duration) bool {
-	f.mu.Lock()
-	if f.next != from && (full || f.next == unknownOffset || f.next < from || f.next >= b.Next) {
-		f.mu.Unlock()
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	applied, ok := f.fits(from, b.Next, full)
+	if !ok {
+		return false
+	}
+	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
+	f.accept(from, platform.Batch{Records: records, Next: b.Next}, full, fresh)
+	return true
+}
+
+// takeRelayed applies what the leader passed on, as take does. After a patch that
+// cannot be applied the topic is read from the store.
+func (f *follower) takeRelayed(m relayMessage, fresh time.Duration) bool {
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	applied, ok := f.fits(m.From, m.Next, false)
+	if !ok || m.From == unknownOffset {
+		return false
+	}
+	records, err := f.large.unpack(m.Records, applied)
+	if err != nil {
+		f.c.cfg.Log.Warn("relay_unusable", "topic", f.topic, "err", err)
+		f.forget()
 		return false
 	}
-	applied := f.next
+	f.accept(m.From, platform.Batch{Records: records, Next: m.Next}, false, fresh)
+	return true
+}
+
+// fits reports whether records between two offsets go on from what was applied, and
+// up to where that was. f.taking is held.
+func (f *follower) fits(from, next int64, full bool) (applied int64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ok = f.next == from || !full && f.next != unknownOffset && from < f.next && f.next < next
+	return f.next, ok
+}
+
+// accept applies records and relays them; f.taking is held. The topic counts as read
+// only when they are in force.
+func (f *follower) accept(from int64, b platform.Batch, full bool, fresh time.Duration) {
+	relevant := b.Records
+	if len(b.Records) > 0 || full {
+		relevant = f.fold(b.Records, full)
+	}
+	f.mu.Lock()
 	f.next = b.Next
 	f.refreshed(fresh)
 	f.mu.Unlock()
-	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
-	relevant := records
-	if len(records) > 0 || full {
-		relevant = f.fold(records, full)
+	if full {
+		clear(f.large)
 	}
-	if f.c.Leading() && (len(relevant) > 0 || b.Next != from) {
-		f.c.peers.relay(relayMessage{
+	packed := f.large.pack(relevant, f.c.Leading())
+	if f.c.Leading() && from != unknownOffset && (len(relevant) > 0 || b.Next != from) {
+		f.c.peers.send(methodRelay, relayMessage{
 			clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next,
-			AgeMS: (boottime.Now() - fresh).Milliseconds(), Records: relevant,
+			AgeMS: (boottime.Now() - fresh).Milliseconds(), Records: packed,
 		})
 	}
-	return true
 }
 
 // fold applies records. After a panic it applies each by itself, so that only the
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -275,20 +275,7 @@
 		if err := unmarshalParams(r, &m); err != nil {
 			return err
 		}
-		now := boottime.Now()
-		made, ok := k.made(now, m.clockReply)
-		f := c.followerOf(m.Topic)
-		if f == nil || m.From == unknownOffset {
-			return nil
-		}
-		fresh := neverFresh
-		if ok {
-			fresh = made - time.Duration(m.AgeMS)*time.Millisecond
-		}
-		taken := f.take(m.From, platform.Batch{Records: m.Records, Next: m.Next}, false, fresh)
-		if taken && m.Topic == platform.TopicOperator {
-			c.cfg.Log.Info("operator_records_relayed", "next", m.Next, "records", len(m.Records), "lag_ms", (now - made).Milliseconds())
-		}
+		k.takeRelay(m)
 	case methodFresh:
 		var m freshMessage
 		if err := unmarshalParams(r, &m); err != nil {
@@ -330,6 +317,24 @@
 	return nil
 }
 
+// takeRelay takes records of a topic.
+func (k *leaderLink) takeRelay(m relayMessage) {
+	f := k.c.followerOf(m.Topic)
+	if f == nil {
+		return
+	}
+	now := boottime.Now()
+	made, ok := k.made(now, m.clockReply)
+	fresh := neverFresh
+	if ok {
+		fresh = made - time.Duration(m.AgeMS)*time.Millisecond
+	}
+	if f.takeRelayed(m, fresh) && m.Topic == platform.TopicOperator {
+		k.c.cfg.Log.Info("operator_records_relayed", "next", m.Next, "records", len(m.Records),
+			"clock_known", ok, "lag_ms", (now - made).Milliseconds())
+	}
+}
+
 // takeRanges takes the leader's runs and reports whether it should be asked for all
 // of them.
 func (c *Coordinator) takeRanges(m rangesMessage) (want bool) {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -16,7 +16,6 @@
 	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/lease"
-	"github.com/boragelock/boragelock/platform"
 )
 
 // Methods between hosts. All but hello and clock are notifications.
@@ -102,8 +101,8 @@
 	Next  int64  `json:"next"`
 	// AgeMS is how long before the message was made the topic ended at Next, in
 	// milliseconds.
-	AgeMS   int64             `json:"age_ms"`
-	Records []platform.Record `json:"records"`
+	AgeMS   int64           `json:"age_ms"`
+	Records []relayedRecord `json:"records"`
 }
 
 // freshMessage says up to which offset, and how long ago, the leader had read
@@ -204,8 +203,6 @@
 	return b
 }
 
-func (p *peerSet) relay(m relayMessage) { p.send(methodRelay, m) }
-
 // post queues a message; a peer whose queue is full is disconnected.
 func (pc *peerConn) post(method string, params json.RawMessage) {
 	select {
