Let the leader tell a returning host what it missed

A host says in hello up to which offset it has applied each topic; the leader posts the records since that still count, large values as zstd frames, and ends reads that are no longer needed. Long messages are packed as a whole (runs of keys, 71 kB). A read of the newest state no longer drops the position first, so that a relay can close the gap meanwhile. Messages to all are posted to a new host before its first state is read, so that no change of runs is missed in between.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -125,11 +125,14 @@
 	return c
 }
 
+// followers returns the followers of all topics.
+func (c *Coordinator) followers() []*follower { return []*follower{c.operator, c.targets, c.control} }
+
 // AddTo adds the duties to a supervisor.
 func (c *Coordinator) AddTo(s *suture.Supervisor) {
-	s.Add(c.operator)
-	s.Add(c.targets)
-	s.Add(c.control)
+	for _, f := range c.followers() {
+		s.Add(f)
+	}
 	s.Add(&duty{"expire", c.serveExpire})
 	s.Add(&duty{"peer server", c.servePeers})
 	s.Add(&duty{"peer client", c.servePeerClient})
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -26,9 +26,9 @@
 	apply func(records []platform.Record, full bool) []platform.Record
 
 	// taking is held while records are applied, so that they come into force in the
-	// order of the topic; large is used only then.
+	// order of the topic; state is used only then.
 	taking sync.Mutex
-	large  largeValues
+	state  topicState
 
 	mu   sync.Mutex
 	next int64
@@ -41,7 +41,7 @@
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
-	return &follower{c: c, topic: topic, apply: apply, large: largeValues{}, next: unknownOffset, fresh: neverFresh}
+	return &follower{c: c, topic: topic, apply: apply, state: newTopicState(), next: unknownOffset, fresh: neverFresh}
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -113,11 +113,10 @@
 }
 
 // forget makes the follower read the newest record of each key next.
-func (f *follower) forget() int64 {
+func (f *follower) forget() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next = unknownOffset
-	return f.next
 }
 
 func (f *follower) failed(err error) {
@@ -138,7 +137,7 @@
 	from := f.position()
 	if f.topic == platform.TopicOperator && f.age(boottime.Now()) > awayFor {
 		// Each desired state replaces the one before, and may be large.
-		from = f.forget()
+		from = unknownOffset
 	}
 	if from == unknownOffset {
 		sent := boottime.Now()
@@ -164,7 +163,7 @@
 // whole time limit after it.
 func (c *Coordinator) wakeFollowers(answered *follower) {
 	now := boottime.Now()
-	for _, f := range []*follower{c.operator, c.targets, c.control} {
+	for _, f := range c.followers() {
 		if f == answered || f.age(now) <= awayFor {
 			continue
 		}
@@ -200,7 +199,7 @@
 	if !ok || m.From == unknownOffset {
 		return false
 	}
-	records, err := f.large.unpack(m.Records, applied)
+	records, err := f.state.unpack(m.Records, applied)
 	if err != nil {
 		f.c.cfg.Log.Warn("relay_unusable", "topic", f.topic, "err", err)
 		f.forget()
@@ -210,13 +209,28 @@
 	return true
 }
 
+// endRead ends a read under way that is no longer needed. It may be large.
+func (f *follower) endRead() {
+	if f.needed(boottime.Now()) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.abort != nil {
+		f.abort()
+		f.abort = nil
+	}
+}
+
 // fits reports whether records between two offsets go on from what was applied, and
-// up to where that was. f.taking is held.
+// up to where that was; a full state does unless it is older. f.taking is held.
 func (f *follower) fits(from, next int64, full bool) (applied int64, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ok = f.next == from || !full && f.next != unknownOffset && from < f.next && f.next < next
-	return f.next, ok
+	if full {
+		return f.next, f.next <= next
+	}
+	return f.next, f.next == from || f.next != unknownOffset && from < f.next && f.next < next
 }
 
 // accept applies records and relays them; f.taking is held. The topic counts as read
@@ -231,14 +245,24 @@
 	f.refreshed(fresh)
 	f.mu.Unlock()
 	if full {
-		clear(f.large)
+		f.state.reset(b.Next)
+		for _, r := range b.Records {
+			f.state.put(r)
+		}
+		return // hosts that lack these records read them from the store
+	}
+	relays := f.c.Leading()
+	m := relayMessage{
+		clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next, AgeMS: (boottime.Now() - fresh).Milliseconds(),
+	}
+	for _, r := range relevant {
+		if relays {
+			m.Records = append(m.Records, f.state.pack(r))
+		}
+		f.state.put(r)
 	}
-	packed := f.large.pack(relevant, f.c.Leading())
-	if f.c.Leading() && from != unknownOffset && (len(relevant) > 0 || b.Next != from) {
-		f.c.peers.send(methodRelay, relayMessage{
-			clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next,
-			AgeMS: (boottime.Now() - fresh).Milliseconds(), Records: packed,
-		})
+	if relays && (len(relevant) > 0 || b.Next != from) {
+		f.c.peers.send(methodRelay, m)
 	}
 }
 
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/delta"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -61,6 +63,8 @@
 
 	mu    sync.Mutex
 	clock remoteClock
+	// early is a message that came before the leader's clock was known.
+	early *freshMessage
 	// late says that the latest message was older than staleAfter on arrival.
 	late bool
 }
@@ -213,6 +217,7 @@
 		return lossSilent
 	}
 	k.learnClock(sent, reply.clockReply)
+	k.takeEarly()
 	k.c.noteEnd(reply, l)
 	return reply.reason(l)
 }
@@ -237,7 +242,13 @@
 
 // helloFor returns the question whether a host leads a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	return helloMessage{Host: c.cfg.Host, Term: l.Term, processState: c.state()}
+	m := helloMessage{Host: c.cfg.Host, Term: l.Term, Protocol: protocol, Next: map[string]int64{}, processState: c.state()}
+	for _, f := range c.followers() {
+		if next := f.position(); next != unknownOffset {
+			m.Next[f.topic] = next
+		}
+	}
+	return m
 }
 
 // askFormerEvery is the period in which a new leader asks the former one whether
@@ -266,10 +277,24 @@
 	c.noteEnd(reply, former)
 }
 
+// maxUnpacked bounds the parameters of a message in bytes.
+const maxUnpacked = 16 << 20
+
 // take takes a notification of the leader.
 func (k *leaderLink) take(r *jsonrpc2.Request) error {
 	c := k.c
 	switch r.Method {
+	case methodPacked:
+		var m packedMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		params, err := delta.Apply(nil, m.Params, maxUnpacked)
+		if err != nil || m.Method == methodPacked {
+			return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "not unpacked"}
+		}
+		raw := json.RawMessage(params)
+		return k.take(&jsonrpc2.Request{Method: m.Method, Params: &raw})
 	case methodRelay:
 		var m relayMessage
 		if err := unmarshalParams(r, &m); err != nil {
@@ -281,16 +306,7 @@
 		if err := unmarshalParams(r, &m); err != nil {
 			return err
 		}
-		c.hosts.Store(int64(m.Hosts))
-		made, ok := k.made(boottime.Now(), m.clockReply)
-		if !ok {
-			return nil
-		}
-		for topic, t := range m.Topics {
-			if f := c.followerOf(topic); f != nil {
-				f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, made)
-			}
-		}
+		k.takeFresh(m)
 	case methodLeaving:
 		return c.heardLeaving(r)
 	case methodRanges:
@@ -317,6 +333,35 @@
 	return nil
 }
 
+// takeFresh takes up to where, and when, the leader had read the topics.
+func (k *leaderLink) takeFresh(m freshMessage) {
+	k.c.hosts.Store(int64(m.Hosts))
+	made, ok := k.made(boottime.Now(), m.clockReply)
+	if !ok {
+		k.mu.Lock()
+		k.early = &m
+		k.mu.Unlock()
+		return
+	}
+	for topic, t := range m.Topics {
+		if f := k.c.followerOf(topic); f != nil {
+			f.confirm(t.Next, time.Duration(t.AgeMS)*time.Millisecond, made)
+			f.endRead()
+		}
+	}
+}
+
+// takeEarly takes the message that came before the leader's clock was known.
+func (k *leaderLink) takeEarly() {
+	k.mu.Lock()
+	early := k.early
+	k.early = nil
+	k.mu.Unlock()
+	if early != nil {
+		k.takeFresh(*early)
+	}
+}
+
 // takeRelay takes records of a topic.
 func (k *leaderLink) takeRelay(m relayMessage) {
 	f := k.c.followerOf(m.Topic)
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/delta"
 	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/lease"
@@ -29,14 +30,25 @@
 	methodClock = "clock"
 	// methodWant asks the leader for all runs of a workload.
 	methodWant = "want"
+	// methodPacked holds one of the others that is long.
+	methodPacked = "packed"
 	// methodLeaving goes both ways.
 	methodLeaving = "leaving"
 )
 
+// protocol is the version of the messages between hosts. A leader does not serve hosts
+// of earlier ones, which read the store by themselves.
+const protocol = 2
+
 // helloMessage asks a host whether it leads the given term.
 type helloMessage struct {
 	Host string `json:"host"`
 	Term uint64 `json:"term"`
+	// Protocol is the version of the messages that the host understands.
+	Protocol int `json:"protocol"`
+	// Next is the offset of the next record of each topic; a topic of which nothing is
+	// known is left out.
+	Next map[string]int64 `json:"next,omitempty"`
 	processState
 }
 
@@ -168,9 +180,10 @@
 	outbox chan peerMessage
 }
 
+// peerMessage is an encoded message. kind is its method before it was packed.
 type peerMessage struct {
-	method string
-	params json.RawMessage
+	kind, method string
+	params       json.RawMessage
 }
 
 // peerSet is the set of hosts that follow this one.
@@ -188,14 +201,37 @@
 	if len(p.conns) == 0 {
 		return
 	}
-	b := encode(method, params)
+	m := encode(method, params)
 	for pc := range p.conns {
-		pc.post(method, b)
+		pc.post(m)
 	}
 }
 
-// encode encodes the parameters of a message.
-func encode(method string, params any) json.RawMessage {
+// packFrom is the least size in bytes of the parameters that go packed.
+const packFrom = 4 << 10
+
+// packedMessage holds a message with long parameters.
+type packedMessage struct {
+	Method string `json:"method"`
+	// Params is a zstd frame.
+	Params []byte `json:"params"`
+}
+
+// encode encodes a message, packed when it is long.
+func encode(method string, params any) peerMessage {
+	m := peerMessage{kind: method, method: method, params: marshal(method, params)}
+	if len(m.params) < packFrom {
+		return m
+	}
+	packed, err := delta.Make(nil, m.params)
+	if err != nil {
+		return m // it only saves bytes
+	}
+	return peerMessage{kind: method, method: methodPacked, params: marshal(method, packedMessage{Method: method, Params: packed})}
+}
+
+// marshal encodes parameters.
+func marshal(method string, params any) json.RawMessage {
 	b, err := json.Marshal(params)
 	if err != nil {
 		panic("message " + method + ": " + err.Error()) // structs of plain values
@@ -204,9 +240,9 @@
 }
 
 // post queues a message; a peer whose queue is full is disconnected.
-func (pc *peerConn) post(method string, params json.RawMessage) {
+func (pc *peerConn) post(m peerMessage) {
 	select {
-	case pc.outbox <- peerMessage{method, params}:
+	case pc.outbox <- m:
 	default:
 		_ = pc.conn.Close() // the peer does not read; it will see the end
 	}
@@ -298,7 +334,7 @@
 				_ = pc.conn.Close() // the peer is gone
 				return
 			}
-			c.m.peerBytes.Add(m.method, int64(len(m.params)))
+			c.m.peerBytes.Add(m.kind, int64(len(m.params)))
 		}
 	}
 }
@@ -320,7 +356,7 @@
 		return err
 	}
 	if x := c.Ranges(m.Workload); x != nil {
-		pc.post(methodRanges, x.message(m.Workload))
+		pc.post(x.message(m.Workload))
 	}
 	return nil
 }
@@ -360,18 +396,25 @@
 	if err := unmarshalParams(r, &m); err != nil {
 		return nil, err
 	}
-	if !c.Leading() {
+	if !c.Leading() || m.Protocol < protocol {
 		return helloReply{clockReply: readClock(), processState: c.state()}, nil
 	}
 	c.lead.heard(m)
+	// Messages to all are posted from here on, so that nothing is missed between them
+	// and what follows.
+	c.peers.add(pc)
+	for _, f := range c.followers() {
+		if next, ok := m.Next[f.topic]; ok {
+			f.catchUp(pc, next)
+		}
+	}
 	for w, r := range *c.ranges.Load() {
-		pc.post(methodRanges, r.message(w))
+		pc.post(r.message(w))
 	}
-	pc.post(methodFresh, encode(methodFresh, c.freshness()))
+	pc.post(encode(methodFresh, c.freshness()))
 	if runs := c.leavingTargets(false); len(runs) > 0 {
-		pc.post(methodLeaving, encode(methodLeaving, leavingMessage{Runs: runs}))
+		pc.post(encode(methodLeaving, leavingMessage{Runs: runs}))
 	}
-	c.peers.add(pc)
 	return helloReply{Leads: true, clockReply: readClock(), processState: c.state()}, nil
 }
 
@@ -380,7 +423,7 @@
 	now := boottime.Now()
 	m := freshMessage{clockReply: readClock(), Topics: map[string]topicAge{}, Hosts: c.peers.size() + 1}
 	c.hosts.Store(int64(m.Hosts))
-	for _, f := range []*follower{c.operator, c.targets, c.control} {
+	for _, f := range c.followers() {
 		m.Topics[f.topic] = topicAge{Next: f.position(), AgeMS: f.age(now).Milliseconds()}
 	}
 	return m
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -20,12 +19,12 @@
 	at time.Duration
 	// encoded is the message with all runs, made when a host first asks for it.
 	encodeOnce sync.Once
-	encoded    json.RawMessage
+	encoded    peerMessage
 }
 
 // message returns the encoded message that tells a host all runs. Hundreds of hosts
 // ask for the same one when the lead changes.
-func (r *Ranges) message(workload string) json.RawMessage {
+func (r *Ranges) message(workload string) peerMessage {
 	r.encodeOnce.Do(func() { r.encoded = encode(methodRanges, rangesMessage{Workload: workload, Full: true, Runs: r.runs}) })
 	return r.encoded
 }
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -1,8 +1,11 @@
 package coordinator
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/delta"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -22,44 +25,99 @@
 	Base   int64  `json:"base,omitempty"`
 }
 
-// largeValues are the newest records of the keys with large values of a topic.
-type largeValues map[string]platform.Record
+// noBase is the base of a patch that makes the whole value.
+const noBase = -1
+
+// maxDropped bounds the dropped keys that a topicState remembers.
+const maxDropped = 4096
+
+// topicState is what a topic's records have come to: enough to pass on changes as
+// patches, and to tell a host that was away what it missed.
+type topicState struct {
+	// newest holds the last record of each key that changed something, without a value
+	// for dropped keys.
+	newest map[string]platform.Record
+	// since is the offset from which on newest misses nothing.
+	since   int64
+	dropped int
+}
+
+func newTopicState() topicState { return topicState{newest: map[string]platform.Record{}} }
+
+// reset forgets what came before the newest records of all keys, which were read when
+// the topic ended at an offset.
+func (s *topicState) reset(next int64) {
+	clear(s.newest)
+	s.since, s.dropped = next, 0
+}
 
 // put takes a record that was applied.
-func (l largeValues) put(r platform.Record) {
-	switch old, ok := l[r.Key]; {
-	case ok && old.Offset >= r.Offset:
-	case len(r.Value) < patchFrom:
-		delete(l, r.Key)
-	default:
-		l[r.Key] = r
+func (s *topicState) put(r platform.Record) {
+	old, ok := s.newest[r.Key]
+	if ok && old.Offset >= r.Offset {
+		return
+	}
+	if ok && len(old.Value) == 0 {
+		s.dropped--
+	}
+	s.newest[r.Key] = r
+	if len(r.Value) == 0 {
+		if s.dropped++; s.dropped > maxDropped {
+			s.forgetDropped()
+		}
 	}
 }
 
-// pack returns records in the form in which they are relayed, or nothing when they
-// are not, and takes them.
-func (l largeValues) pack(records []platform.Record, relayed bool) []relayedRecord {
-	var out []relayedRecord
-	for _, r := range records {
-		if relayed {
-			out = append(out, l.packOne(r))
+// forgetDropped forgets all dropped keys. Hosts that were away when they were dropped
+// have to read the store.
+func (s *topicState) forgetDropped() {
+	for key, r := range s.newest {
+		if len(r.Value) == 0 {
+			delete(s.newest, key)
+			s.since = max(s.since, r.Offset+1)
+		}
+	}
+	s.dropped = 0
+}
+
+// changes returns the records from an offset on that still count, in their order, or
+// false when some may be missing.
+func (s *topicState) changes(from int64) ([]platform.Record, bool) {
+	if from < s.since {
+		return nil, false
+	}
+	var out []platform.Record
+	for _, r := range s.newest {
+		if r.Offset >= from {
+			out = append(out, r)
 		}
-		l.put(r)
 	}
-	return out
+	slices.SortFunc(out, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out, true
+}
+
+// pack returns a record in the form in which it is relayed to hosts that have what
+// this state holds.
+func (s *topicState) pack(r platform.Record) relayedRecord {
+	if base, ok := s.newest[r.Key]; ok && len(base.Value) >= patchFrom {
+		return patched(r, base.Value, base.Offset)
+	}
+	return packWhole(r)
 }
 
-func (l largeValues) packOne(r platform.Record) relayedRecord {
+// packWhole returns a record in the form in which it is relayed to any host.
+func packWhole(r platform.Record) relayedRecord { return patched(r, nil, noBase) }
+
+func patched(r platform.Record, base []byte, offset int64) relayedRecord {
 	whole := relayedRecord{Offset: r.Offset, Key: r.Key, Value: r.Value}
-	base, ok := l[r.Key]
-	if !ok || len(r.Value) < patchFrom {
+	if len(r.Value) < patchFrom {
 		return whole
 	}
-	patch, err := delta.Make(base.Value, r.Value)
+	patch, err := delta.Make(base, r.Value)
 	if err != nil || len(patch) >= len(r.Value) {
 		return whole // a patch only saves bytes
 	}
-	return relayedRecord{Offset: r.Offset, Key: r.Key, Patch: patch, Base: base.Offset}
+	return relayedRecord{Offset: r.Offset, Key: r.Key, Patch: patch, Base: offset}
 }
 
 // baseError says that a patch cannot be applied here.
@@ -76,18 +134,26 @@
 
 func (e *baseError) Unwrap() error { return e.Err }
 
-// unpack returns the records from an offset on that were relayed, and takes them. It
-// fails with *baseError.
-func (l largeValues) unpack(relayed []relayedRecord, from int64) ([]platform.Record, error) {
+// unpack returns the records from an offset on that were relayed. It fails with
+// *baseError.
+func (s *topicState) unpack(relayed []relayedRecord, from int64) ([]platform.Record, error) {
 	out := make([]platform.Record, 0, len(relayed))
+	// latest are the values of this message, on which its later records may build.
+	latest := map[string]platform.Record{}
 	for _, m := range relayed {
 		if m.Offset < from {
 			continue
 		}
 		r := platform.Record{Offset: m.Offset, Key: m.Key, Value: m.Value}
 		if len(m.Patch) > 0 {
-			base, ok := l[m.Key]
-			if !ok || base.Offset != m.Base {
+			base, ok := latest[m.Key]
+			if !ok {
+				base = s.newest[m.Key]
+			}
+			if m.Base == noBase {
+				base = platform.Record{Offset: noBase}
+			}
+			if base.Offset != m.Base {
 				return nil, &baseError{Key: m.Key, Offset: m.Offset, Base: m.Base}
 			}
 			var err error
@@ -95,8 +161,31 @@
 				return nil, &baseError{Key: m.Key, Offset: m.Offset, Base: m.Base, Err: err}
 			}
 		}
-		l.put(r)
+		latest[m.Key] = r
 		out = append(out, r)
 	}
 	return out, nil
 }
+
+// catchUp posts to a host that has applied the records before an offset what it has
+// missed since, unless some of it is forgotten here. Relays that are posted later go on
+// from there.
+func (f *follower) catchUp(pc *peerConn, from int64) {
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	next := f.position()
+	if from < 0 || from >= next {
+		return
+	}
+	records, ok := f.state.changes(from)
+	if !ok {
+		return
+	}
+	m := relayMessage{
+		clockReply: readClock(), Topic: f.topic, From: from, Next: next, AgeMS: f.age(boottime.Now()).Milliseconds(),
+	}
+	for _, r := range records {
+		m.Records = append(m.Records, packWhole(r))
+	}
+	pc.post(encode(methodRelay, m))
+}
