Count the time until keys are back from when the leader stated it

The message with all runs is encoded once and goes to each host that connects later, and every message may come late, so that callers were told to come back later than they could. The message now carries the leader's clock as of that statement.

Looked at and left: the time since the leader's latest record (a late one delays an election, which a conditional append decides), ages in replies (count from the question, internal/control) and the end of a former term (a late reply makes the wait longer, which is safe).

TestTimesOfRunsThatWereToldLate fails with the time of arrival and passes.

--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -177,17 +177,25 @@
 	k.clock.learn(sent, reply.time())
 }
 
-// made returns when the leader made a message, at the earliest, or false as long as
-// its clock is unknown. It notes how late messages are.
-func (k *leaderLink) made(now time.Duration, m clockReply) (time.Duration, bool) {
+// placed returns the earliest time on this host's clock at which the leader's clock can
+// have shown a time, or false as long as its clock is unknown.
+func (k *leaderLink) placed(now time.Duration, m clockReply) (time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	at, ok := k.clock.earliest(now, m.time())
+	return k.clock.earliest(now, m.time())
+}
+
+// made returns when the leader made a message, as placed does. It notes how late
+// messages are.
+func (k *leaderLink) made(now time.Duration, m clockReply) (time.Duration, bool) {
+	at, ok := k.placed(now, m)
 	if !ok {
 		return 0, false
 	}
 	lag := now - at
 	k.c.m.leaderLag.Set(lag.Milliseconds())
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if late := lag > staleAfter; late != k.late {
 		k.late = late
 		k.c.cfg.Log.Info("leader_messages", "late", late, "lag_ms", lag.Milliseconds())
@@ -314,7 +322,12 @@
 		if err := unmarshalParams(r, &m); err != nil {
 			return err
 		}
-		if c.takeRanges(m) {
+		now := boottime.Now()
+		at, ok := k.placed(now, m.clockReply)
+		if !ok {
+			at = now
+		}
+		if c.takeRanges(m, at) {
 			k.want(m.Workload)
 		}
 	}
@@ -380,17 +393,17 @@
 	}
 }
 
-// takeRanges takes the leader's runs and reports whether it should be asked for all
-// of them.
-func (c *Coordinator) takeRanges(m rangesMessage) (want bool) {
-	old, now := c.Ranges(m.Workload), boottime.Now()
+// takeRanges takes runs that the leader stated at a time and reports whether it should
+// be asked for all of them.
+func (c *Coordinator) takeRanges(m rangesMessage, at time.Duration) (want bool) {
+	old := c.Ranges(m.Workload)
 	switch {
 	case m.Full:
-		c.setRanges(m.Workload, &Ranges{runs: m.Runs, at: now})
+		c.setRanges(m.Workload, &Ranges{runs: m.Runs, at: at})
 	case old == nil:
 		return true
 	case len(m.Runs) > 0:
-		c.setRanges(m.Workload, old.overlay(now, m.Runs))
+		c.setRanges(m.Workload, old.overlay(at, m.Runs))
 	}
 	return m.Digest != 0 && c.Ranges(m.Workload).digest() != m.Digest
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -66,7 +66,10 @@
 }
 
 // readClock returns what this host's clock shows.
-func readClock() clockReply { return clockReply{ClockUS: boottime.Now().Microseconds()} }
+func readClock() clockReply { return clockAt(boottime.Now()) }
+
+// clockAt returns what this host's clock showed at a time.
+func clockAt(at time.Duration) clockReply { return clockReply{ClockUS: at.Microseconds()} }
 
 // time returns what the clock showed.
 func (r clockReply) time() time.Duration { return time.Duration(r.ClockUS) * time.Microsecond }
@@ -135,6 +138,8 @@
 // rangesMessage says who holds keys. Changes replace what they cover unless
 // Full is set.
 type rangesMessage struct {
+	// clockReply is the leader's clock when the runs were so; their times count from it.
+	clockReply
 	Workload string            `json:"workload"`
 	Full     bool              `json:"full,omitempty"`
 	Runs     []lease.RangeView `json:"runs,omitempty"`
--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -25,7 +25,9 @@
 // message returns the encoded message that tells a host all runs. Hundreds of hosts
 // ask for the same one when the lead changes.
 func (r *Ranges) message(workload string) peerMessage {
-	r.encodeOnce.Do(func() { r.encoded = encode(methodRanges, rangesMessage{Workload: workload, Full: true, Runs: r.runs}) })
+	r.encodeOnce.Do(func() {
+		r.encoded = encode(methodRanges, rangesMessage{clockReply: clockAt(r.at), Workload: workload, Full: true, Runs: r.runs})
+	})
 	return r.encoded
 }
 
--- a/internal/coordinator/ranges_test.go
+++ b/internal/coordinator/ranges_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/lease"
@@ -81,18 +82,18 @@
 	}
 	Convey("Given a host that knows all runs", t, func() {
 		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
-		So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("b")}), ShouldBeFalse)
+		So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("b")}, 0), ShouldBeFalse)
 		Convey("a digest of the same runs asks for nothing", func() {
-			So(c.takeRanges(rangesMessage{Workload: "w", Digest: (&Ranges{runs: view("b")}).digest()}), ShouldBeFalse)
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: (&Ranges{runs: view("b")}).digest()}, 0), ShouldBeFalse)
 		})
 		Convey("one of other runs asks for all, until they came", func() {
 			digest := (&Ranges{runs: view("c")}).digest()
-			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}), ShouldBeTrue)
-			So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("c")}), ShouldBeFalse)
-			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}), ShouldBeFalse)
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}, 0), ShouldBeTrue)
+			So(c.takeRanges(rangesMessage{Workload: "w", Full: true, Runs: view("c")}, 0), ShouldBeFalse)
+			So(c.takeRanges(rangesMessage{Workload: "w", Digest: digest}, 0), ShouldBeFalse)
 		})
 		Convey("a change and the digest after it agree", func() {
-			So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("c")[1:], Digest: (&Ranges{runs: view("c")}).digest()}), ShouldBeFalse)
+			So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("c")[1:], Digest: (&Ranges{runs: view("c")}).digest()}, 0), ShouldBeFalse)
 		})
 		Convey("readiness counts, the time until a run is back does not", func() {
 			x := view("b")
@@ -104,7 +105,7 @@
 	})
 	Convey("A host without runs asks for all", t, func() {
 		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
-		So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("b")[1:]}), ShouldBeTrue)
+		So(c.takeRanges(rangesMessage{Workload: "w", Runs: view("b")[1:]}, 0), ShouldBeTrue)
 		So(c.Ranges("w"), ShouldBeNil)
 	})
 	if testing.Short() {
@@ -127,3 +128,20 @@
 		}), ShouldBeTrue)
 	})
 }
+
+// TestTimesOfRunsThatWereToldLate guards against a host that counts the time until keys
+// are back from the arrival of a message that the leader made long before: callers were
+// told to come back later than they could.
+func TestTimesOfRunsThatWereToldLate(t *testing.T) {
+	Convey("the time until keys are back counts from when the leader stated it", t, func() {
+		leader := &Ranges{runs: []lease.RangeView{{From: 0, To: 65535, Owner: "a", BackMS: 3000}}, at: boottime.Now() - 2*time.Second}
+		m := leader.message("w")
+		c := New(Config{Log: hclog.NewNullLogger()})
+		k := &leaderLink{c: c}
+		now := boottime.Now()
+		k.learnClock(now, clockAt(now))
+		So(k.take(&jsonrpc2.Request{Method: m.method, Params: &m.params}), ShouldBeNil)
+		_, _, back := c.Ranges("w").Owner(5)
+		So(back, ShouldAlmostEqual, now+time.Second, 100*time.Millisecond)
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -452,7 +452,7 @@
 		if changed {
 			t.c.setRanges(name, r)
 		}
-		m := rangesMessage{Workload: name, Full: t.sentView[name] == nil, Runs: r.changes(t.sentView[name])}
+		m := rangesMessage{clockReply: clockAt(now), Workload: name, Full: t.sentView[name] == nil, Runs: r.changes(t.sentView[name])}
 		if due {
 			m.Digest = r.digest()
 		}
