Give connections of peers up by their socket

The end of a term closes the connections of all peers by their JSON-RPC connection, which is set after its reader has begun: a hello that is served at once puts the peer into the set before, so that the leader's loop may read a nil connection, outside of the guard, which would end the process. The socket is known from the start and ends the connection as well.

TestLeadEndsWhileHostsConnect reports a data race on the code before (race detector) and passes.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -181,7 +181,8 @@
 
 // peerConn is the leader's side of a connection.
 type peerConn struct {
-	conn   *jsonrpc2.Conn
+	// nc is closed to give the connection up.
+	nc     net.Conn
 	outbox chan peerMessage
 }
 
@@ -249,7 +250,7 @@
 	select {
 	case pc.outbox <- m:
 	default:
-		_ = pc.conn.Close() // the peer does not read; it will see the end
+		_ = pc.nc.Close() // the peer does not read; it will see the end
 	}
 }
 
@@ -270,7 +271,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for pc := range p.conns {
-		_ = pc.conn.Close() // the connection is given up
+		_ = pc.nc.Close() // the connection is given up
 	}
 }
 
@@ -304,7 +305,7 @@
 func (c *Coordinator) servePeer(ctx context.Context, nc net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pc := &peerConn{outbox: make(chan peerMessage, outboxSize)}
+	pc := &peerConn{nc: nc, outbox: make(chan peerMessage, outboxSize)}
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		switch r.Method {
 		case methodHello:
@@ -325,18 +326,18 @@
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
-	pc.conn = jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
+	conn := jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.bounded(handler), quiet)
 	defer c.peers.remove(pc)
 	for {
 		select {
-		case <-pc.conn.DisconnectNotify():
+		case <-conn.DisconnectNotify():
 			return
 		case <-ctx.Done():
-			_ = pc.conn.Close() // the host stops
+			_ = conn.Close() // the host stops
 			return
 		case m := <-pc.outbox:
-			if err := notify(ctx, nc, pc.conn, m.method, m.params); err != nil {
-				_ = pc.conn.Close() // the peer is gone
+			if err := notify(ctx, nc, conn, m.method, m.params); err != nil {
+				_ = conn.Close() // the peer is gone
 				return
 			}
 			c.m.peerBytes.Add(m.kind, int64(len(m.params)))
