Wait on the control topic while a host has no leader

A planned stop of the leader was learned by the other hosts only when their views were older than 1 s: nobody led for 0.75 s, and then each host read all topics of the store.

TestWaitForTheNextLeader fails on the code before; TestPlannedStopOfTheLeader failed 1 of 5 times there.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -80,11 +80,16 @@
 }
 
 // needed reports whether the host must read the topic by itself. The leader
-// reads all topics but the control topic, which only it writes.
+// reads all topics but the control topic, which only it writes. A host without a
+// leader waits on the control topic for the next one, so that it finds it before it
+// has to read the others.
 func (f *follower) needed(now time.Duration) bool {
 	if f.c.Leading() {
 		return f.topic != platform.TopicControl
 	}
+	if f.topic == platform.TopicControl && !f.c.lead.isConnected() {
+		return true
+	}
 	return f.position() == unknownOffset || f.age(now) > staleAfter
 }
 
--- /dev/null
+++ b/internal/coordinator/succession_test.go
@@ -0,0 +1,54 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+)
+
+// TestPlannedStopOfTheLeader guards against hosts that learn of a planned stop of the
+// leader only when their views are stale: all of them then read all topics.
+func TestPlannedStopOfTheLeader(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("all hosts follow the next leader before their views are stale", t, func() {
+		k := newCluster(t, 5, 2)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		first := k.leader()
+		following := func() int {
+			n := 0
+			for _, h := range k.hosts {
+				if h.c.Leading() || h.c.lead.isConnected() {
+					n++
+				}
+			}
+			return n
+		}
+		So(eventually(3*time.Second, func() bool { return following() == len(k.hosts) }), ShouldBeTrue)
+		first.c.Retire()
+		So(eventually(2*time.Second, func() bool { return !first.c.Leading() }), ShouldBeTrue)
+		So(eventually(staleAfter, func() bool { return k.leader() != nil && following() == len(k.hosts) }), ShouldBeTrue)
+	})
+}
+
+// TestWaitForTheNextLeader guards against a host that learns of the next leader only when
+// its views are stale.
+func TestWaitForTheNextLeader(t *testing.T) {
+	Convey("a host without a leader waits on the control topic, and on no other", t, func() {
+		c := New(Config{Log: hclog.NewNullLogger()})
+		now := boottime.Now()
+		for _, f := range c.followers() {
+			f.next, f.fresh = 5, now
+		}
+		So(c.control.needed(now), ShouldBeTrue)
+		So(c.operator.needed(now), ShouldBeFalse)
+		So(c.targets.needed(now), ShouldBeFalse)
+		c.lead.connected(true)
+		So(c.control.needed(now), ShouldBeFalse)
+	})
+}
