Repair two races of tests of package gateway

The races are mended. TestCallerWhoLeft waits for the first arrival before the caller leaves, in place of 100 ms.

No bound or check is changed.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
@@ -211,10 +212,11 @@
 	)
 	Convey("Given a host of 184 MiB and 100 targets whose answers never end", t, func() {
 		r := newRig(t, 1)
-		d := *r.source.dir.Snapshot().Desired
+		d := *r.source.Snapshot().Desired
 		d.Version++
 		d.Routes = append(d.Routes, fleet.Route{Name: "bad", Host: "h", Prefix: "/bad/", Kind: fleet.Safe, MaxAttempts: 1,
 			Parts: []fleet.Part{{Workload: "bad", Weight: 1}}, Timeout: 1500 * time.Millisecond, Objective: time.Second})
+		d.Workloads = maps.Clone(d.Workloads) // the gateway reads the former one
 		d.Workloads["bad"] = &fleet.Workload{Name: "bad", MaxConns: 100}
 		d.Index()
 		r.source.mu.Lock()
@@ -257,10 +259,13 @@
 		}
 		served := 0
 		for i := range 20 {
+			start := time.Now()
 			resp, _, err := r.do("GET", "/s/x", fmt.Sprint("g", i), "", 1500)
 			if err == nil && resp.StatusCode == http.StatusOK {
 				served++
+				continue
 			}
+			t.Logf("request %d after %v: %v, %v", i, time.Since(start), resp, err)
 		}
 		wg.Wait()
 		close(stop)
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -44,7 +44,14 @@
 		So(err, ShouldBeNil)
 		_, err = fmt.Fprintf(nc, "POST /o/1 HTTP/1.1\r\nHost: h\r\n%s: a1\r\n%s: 2000\r\nContent-Length: 1\r\n\r\nx", standin.HeaderID, standin.HeaderDeadline)
 		So(err, ShouldBeNil)
-		time.Sleep(100 * time.Millisecond)
+		arrived := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(arrivals)
+		}
+		for end := time.Now().Add(5 * time.Second); arrived() == 0 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
 		So(nc.Close(), ShouldBeNil)
 		left := time.Now()
 		time.Sleep(1500 * time.Millisecond)
