Relay all keys when the leader reads them anew

Hosts that are cut off from the store follow the leader; once it reads all keys of a topic anew, after a change of the lead or since records were deleted, its relays leave a gap that such a host can only close from the store.

The leader now relays the newest records of all keys, and sends them to a host that connects with an offset before those that it has.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -200,17 +200,20 @@
 func (f *follower) takeRelayed(m relayMessage, fresh time.Duration) bool {
 	f.taking.Lock()
 	defer f.taking.Unlock()
-	applied, ok := f.fits(m.From, m.Next, false)
-	if !ok || m.From == unknownOffset {
+	applied, ok := f.fits(m.From, m.Next, m.Full)
+	if !ok || m.From == unknownOffset && !m.Full {
 		return false
 	}
+	if m.Full {
+		applied = 0
+	}
 	records, err := f.state.unpack(m.Records, applied)
 	if err != nil {
 		f.c.cfg.Log.Warn("relay_unusable", "topic", f.topic, "err", err)
 		f.forget()
 		return false
 	}
-	f.accept(m.From, platform.Batch{Records: records, Next: m.Next}, false, fresh)
+	f.accept(m.From, platform.Batch{Records: records, Next: m.Next}, m.Full, fresh)
 	return true
 }
 
@@ -249,17 +252,18 @@
 	f.next = b.Next
 	f.refreshed(fresh)
 	f.mu.Unlock()
+	relays := f.c.Leading()
 	if full {
 		f.state.reset(b.Next)
 		for _, r := range b.Records {
 			f.state.put(r)
 		}
-		return // hosts that lack these records read them from the store
-	}
-	relays := f.c.Leading()
-	m := relayMessage{
-		clockReply: readClock(), Topic: f.topic, From: from, Next: b.Next, AgeMS: (boottime.Now() - fresh).Milliseconds(),
+		if relays {
+			f.c.peers.send(methodRelay, f.fullRelay())
+		}
+		return
 	}
+	m := f.relay(from, b.Next)
 	for _, r := range relevant {
 		if relays {
 			m.Records = append(m.Records, f.state.pack(r))
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -116,7 +116,9 @@
 	Next  int64  `json:"next"`
 	// AgeMS is how long before the message was made the topic ended at Next, in
 	// milliseconds.
-	AgeMS   int64           `json:"age_ms"`
+	AgeMS int64 `json:"age_ms"`
+	// Full says that the records are those of all keys; From has no meaning then.
+	Full    bool            `json:"full,omitempty"`
 	Records []relayedRecord `json:"records"`
 }
 
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -96,6 +96,18 @@
 	return out, true
 }
 
+// all returns the records of all keys that were not dropped, in their order.
+func (s *topicState) all() []platform.Record {
+	var out []platform.Record
+	for _, r := range s.newest {
+		if len(r.Value) > 0 {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out
+}
+
 // pack returns a record in the form in which it is relayed to hosts that have what
 // this state holds.
 func (s *topicState) pack(r platform.Record) relayedRecord {
@@ -167,9 +179,25 @@
 	return out, nil
 }
 
+// relay returns a message without records that leads from one offset to another, as of
+// now.
+func (f *follower) relay(from, next int64) relayMessage {
+	now := boottime.Now()
+	return relayMessage{clockReply: clockAt(now), Topic: f.topic, From: from, Next: next, AgeMS: f.age(now).Milliseconds()}
+}
+
+// fullRelay returns a message with all keys. f.taking is held.
+func (f *follower) fullRelay() relayMessage {
+	m := f.relay(unknownOffset, f.position())
+	m.Full = true
+	for _, r := range f.state.all() {
+		m.Records = append(m.Records, packWhole(r))
+	}
+	return m
+}
+
 // catchUp posts to a host that has applied the records before an offset what it has
-// missed since, unless some of it is forgotten here. Relays that are posted later go on
-// from there.
+// missed since. Relays that are posted later go on from there.
 func (f *follower) catchUp(pc *peerConn, from int64) {
 	f.taking.Lock()
 	defer f.taking.Unlock()
@@ -179,11 +207,10 @@
 	}
 	records, ok := f.state.changes(from)
 	if !ok {
+		pc.post(encode(methodRelay, f.fullRelay()))
 		return
 	}
-	m := relayMessage{
-		clockReply: readClock(), Topic: f.topic, From: from, Next: next, AgeMS: f.age(boottime.Now()).Milliseconds(),
-	}
+	m := f.relay(from, next)
 	for _, r := range records {
 		m.Records = append(m.Records, packWhole(r))
 	}
--- a/internal/coordinator/relay_test.go
+++ b/internal/coordinator/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/faultproxy"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -226,3 +227,36 @@
 		So(k.hosts[0].relayed(t)-before, ShouldBeLessThan, 10*controlBudget)
 	})
 }
+
+// TestHostsThatOnlyTheLeaderReaches guards against a host that the store turns away and
+// that hears nothing more of targets that left, once the leader has read all keys anew:
+// its requests went to a target 12 s after that had left.
+func TestHostsThatOnlyTheLeaderReaches(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a host that follows the leader and cannot read the store", t, func() {
+		k := newCluster(t, 1, 3)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		h := newLateHost(t, k)
+		time.Sleep(fleet.Grace) // removals are held back after a start
+		h.door.closed.Store(true)
+		gone := func() bool { return h.c.Snapshot().Targets["t0"] == nil }
+
+		Convey("it follows a leader that has read all keys anew after records were deleted", func() {
+			k.hosts[0].c.targets.forget()
+			time.Sleep(followWait)
+			k.store.Put(platform.TopicTargets, "t0", nil)
+			So(eventually(inForceWithin, gone), ShouldBeTrue)
+		})
+		Convey("it catches up with a leader that has read all keys since the host's offset", func() {
+			h.proxy.SetFaults("", faultproxy.Faults{Cut: faultproxy.CutReset})
+			k.store.Put(platform.TopicTargets, "t0", nil)
+			So(eventually(followWait, func() bool { return k.hosts[0].c.Snapshot().Targets["t0"] == nil }), ShouldBeTrue)
+			k.hosts[0].c.targets.forget()
+			So(eventually(2*followWait, func() bool { return k.hosts[0].c.targets.position() != unknownOffset }), ShouldBeTrue)
+			h.proxy.SetFaults("", faultproxy.Faults{})
+			So(eventually(inForceWithin, gone), ShouldBeTrue)
+		})
+	})
+}
