--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -69,7 +69,7 @@
 }
 
 // forgetDropped forgets all dropped keys. Hosts that were away when they were dropped
-// have to read the store.
+// need the records of all keys.
 func (s *topicState) forgetDropped() {
 	for key, r := range s.newest {
 		if len(r.Value) == 0 {
@@ -86,21 +86,19 @@
 	if from < s.since {
 		return nil, false
 	}
-	var out []platform.Record
-	for _, r := range s.newest {
-		if r.Offset >= from {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return out, true
+	return s.inOrder(func(r platform.Record) bool { return r.Offset >= from }), true
 }
 
 // all returns the records of all keys that were not dropped, in their order.
 func (s *topicState) all() []platform.Record {
+	return s.inOrder(func(r platform.Record) bool { return len(r.Value) > 0 })
+}
+
+// inOrder returns the newest records that are wanted in the order of the topic.
+func (s *topicState) inOrder(wanted func(platform.Record) bool) []platform.Record {
 	var out []platform.Record
 	for _, r := range s.newest {
-		if len(r.Value) > 0 {
+		if wanted(r) {
 			out = append(out, r)
 		}
 	}
@@ -140,10 +138,16 @@
 	Err error
 }
 
+// Error implements error.
 func (e *baseError) Error() string {
-	return fmt.Sprintf("coordinator: patch of %s at offset %d, base %d: %v", e.Key, e.Offset, e.Base, e.Err)
+	reason := "the base is not the record that is known here"
+	if e.Err != nil {
+		reason = e.Err.Error()
+	}
+	return fmt.Sprintf("coordinator: patch of %s at offset %d, base %d: %s", e.Key, e.Offset, e.Base, reason)
 }
 
+// Unwrap returns the cause.
 func (e *baseError) Unwrap() error { return e.Err }
 
 // unpack returns the records from an offset on that were relayed. It fails with
--- a/internal/coordinator/relay_test.go
+++ b/internal/coordinator/relay_test.go
@@ -62,11 +62,18 @@
 			follower = k.hosts[1]
 		}
 		So(eventually(3*time.Second, follower.c.lead.isConnected), ShouldBeTrue)
+		start := k.leader().relayed(t)
 		k.store.Put(platform.TopicOperator, "config", largeDesired(10, 1000))
 		So(eventually(inForceWithin, func() bool { return follower.knows(10) }), ShouldBeTrue)
+		// Bytes count once they are written, which may be after the host has taken them.
+		counted := func(from int) bool {
+			return eventually(inForceWithin, func() bool { return k.leader().relayed(t) > from })
+		}
+		So(counted(start+controlBudget), ShouldBeTrue) // the first one goes whole
 		before := k.leader().relayed(t)
 		k.store.Put(platform.TopicOperator, "config", largeDesired(11, 1000))
 		So(eventually(inForceWithin, func() bool { return follower.knows(11) }), ShouldBeTrue)
+		So(counted(before), ShouldBeTrue)
 		So(len(follower.c.Snapshot().Desired.Routes), ShouldEqual, 1001)
 		So(follower.c.Snapshot().Desired.Routes[11].Parts[0].Workload, ShouldEqual, "other")
 		So(k.leader().relayed(t)-before, ShouldBeLessThan, controlBudget)
