Let hosts learn of the next leader from the former one

The new leader asks the former one whether it has stopped. It now names itself with that question, and each reply to a host's hello names the latest leader that is known, so that hosts which keep asking the former leader follow the new one. A record that was heard counts only when its term is higher than the one that was read; elections are decided by the store as before.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -224,12 +224,27 @@
 	}
 	c.lead.mu.Lock()
 	defer c.lead.mu.Unlock()
-	if l.Term < c.lead.record.Term {
-		return
+	if l.Term >= c.lead.record.Term {
+		c.setLeader(l, r.Offset)
+	}
+}
+
+// hearOfLeader takes what another host says of the leader. A host that the store turns
+// away learns only so whom to follow.
+func (c *Coordinator) hearOfLeader(l leaderRecord) {
+	c.lead.mu.Lock()
+	defer c.lead.mu.Unlock()
+	if l.Term > c.lead.record.Term && l.Address != "" {
+		c.setLeader(l, unknownOffset)
 	}
+}
+
+// setLeader puts a record of the leader, not older than the present one, in its place;
+// c.lead.mu is held.
+func (c *Coordinator) setLeader(l leaderRecord, offset int64) {
 	if l.Term != c.lead.record.Term || l.Host != c.lead.record.Host {
 		c.lead.refused = 0
-		c.cfg.Log.Info("leader", "leader", l.Host, "term", l.Term, "offset", r.Offset)
+		c.cfg.Log.Info("leader", "leader", l.Host, "term", l.Term, "offset", offset)
 	}
 	if l.Term != c.lead.record.Term {
 		c.lead.former = c.lead.record
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -227,6 +227,7 @@
 	k.learnClock(sent, reply.clockReply)
 	k.takeEarly()
 	k.c.noteEnd(reply, l)
+	k.c.hearOfLeader(reply.Leader)
 	return reply.reason(l)
 }
 
@@ -250,7 +251,7 @@
 
 // helloFor returns the question whether a host leads a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	m := helloMessage{Host: c.cfg.Host, Term: l.Term, Protocol: protocol, Next: map[string]int64{}, processState: c.state()}
+	m := helloMessage{Host: c.cfg.Host, Term: l.Term, Protocol: protocol, Next: map[string]int64{}, Leader: c.lead.current(), processState: c.state()}
 	for _, f := range c.followers() {
 		if next := f.position(); next != unknownOffset {
 			m.Next[f.topic] = next
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -49,12 +49,16 @@
 	// Next is the offset of the next record of each topic; a topic of which nothing is
 	// known is left out.
 	Next map[string]int64 `json:"next,omitempty"`
+	// Leader is the latest leader that the host knows.
+	Leader leaderRecord `json:"leader"`
 	processState
 }
 
 // helloReply says whether the host leads, and which process answered.
 type helloReply struct {
 	Leads bool `json:"leads"`
+	// Leader is the latest leader that the host that answers knows.
+	Leader leaderRecord `json:"leader"`
 	clockReply
 	processState
 }
@@ -404,8 +408,9 @@
 	if err := unmarshalParams(r, &m); err != nil {
 		return nil, err
 	}
+	c.hearOfLeader(m.Leader)
 	if !c.Leading() || m.Protocol < protocol {
-		return helloReply{clockReply: readClock(), processState: c.state()}, nil
+		return helloReply{Leader: c.lead.current(), clockReply: readClock(), processState: c.state()}, nil
 	}
 	c.lead.heard(m)
 	// Messages to all are posted from here on, so that nothing is missed between them
@@ -423,7 +428,7 @@
 	if runs := c.leavingTargets(false); len(runs) > 0 {
 		pc.post(encode(methodLeaving, leavingMessage{Runs: runs}))
 	}
-	return helloReply{Leads: true, clockReply: readClock(), processState: c.state()}, nil
+	return helloReply{Leads: true, Leader: c.lead.current(), clockReply: readClock(), processState: c.state()}, nil
 }
 
 // freshness says how old the leader's knowledge is.
--- a/internal/coordinator/succession_test.go
+++ b/internal/coordinator/succession_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/platform"
 )
 
 // TestPlannedStopOfTheLeader guards against hosts that learn of a planned stop of the
@@ -52,3 +54,41 @@
 		So(c.control.needed(now), ShouldBeFalse)
 	})
 }
+
+// TestHostsThatTheStoreTurnsAwayFollowTheNextLeader guards against hosts that cannot read
+// who leads: when the leader was turned away as well they followed nobody for as long,
+// and used targets that had left.
+func TestHostsThatTheStoreTurnsAwayFollowTheNextLeader(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a leader and a host that the store turns away", t, func() {
+		k := newCluster(t, 4, 2)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.held() }), ShouldBeTrue)
+		first := k.leader()
+		var host *testHost
+		for _, h := range k.hosts {
+			if h != first {
+				host = h
+			}
+		}
+		So(eventually(3*time.Second, host.c.lead.isConnected), ShouldBeTrue)
+		first.door.closed.Store(true)
+		host.door.closed.Store(true)
+
+		Convey("the host follows the next leader, and a change is in force there in time", func() {
+			next := func() *testHost {
+				if l := k.leader(); l != nil && l != first {
+					return l
+				}
+				return nil
+			}
+			So(eventually(6*time.Second, func() bool { return next() != nil }), ShouldBeTrue)
+			So(eventually(inForceWithin, func() bool {
+				return host.c.lead.isConnected() && host.c.lead.current().Host == next().c.cfg.Host
+			}), ShouldBeTrue)
+			k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 9)))
+			So(eventually(inForceWithin, func() bool { return host.knows(9) }), ShouldBeTrue)
+		})
+	})
+}
