--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -365,7 +365,7 @@
 	c.g.metrics.sends.Add("answered", 1)
 	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", id,
 		"status", res.status, "sends", c.attempts+1, "refusals", c.refusals, "target_ms", took.Milliseconds(),
-		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "load", res.metadata.Load)
+		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "load", res.metadata.Load, "limit_per_s", res.metadata.RequestLimit)
 	return res, nil, false
 }
 
@@ -382,6 +382,12 @@
 		c.g.metrics.sends.Add("pause", 1)
 		c.g.cfg.Log.Request("target_pauses", c.req.ID, "target", t.ID, "pause_ms", res.metadata.Pause.Milliseconds())
 	}
+	if res.metadata.InvalidRequestLimit {
+		c.g.metrics.sends.Add("bad_limit", 1)
+	}
+	if res.metadata.RequestLimit > 0 {
+		c.g.metrics.sends.Add("limited", 1)
+	}
 }
 
 // handleNotRun decides how a request continues after a target refused it.
