Add a test that fails: targets get more than the limit that they state

TestTargetsGetTheLimitTheyState runs 3 and 10 complete hosts in front of stand-in targets, two of which state a limit for all hosts together.

--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/internal/coordinator"
+	"github.com/boragelock/boragelock/internal/eventlog"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+const limitDesired = `{"version":"00000001","routes":[
+{"name":"keys","host":"h","path-prefix":"/k/","kind":"safe","timeout-s":1.5,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2},
+{"name":"any","host":"h","path-prefix":"/u/","kind":"safe","timeout-s":1.5,"target-latency-s":0.5,"priority":1,"service":"u","max-attempts":2}],
+"services":[{"name":"w","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":true,"warmup-s":3},
+{"name":"u","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":false,"warmup-s":3}],
+"limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-s":1,"idle-timeout-s":2}}`
+
+// limitFleet is a set of complete hosts with keyed targets and targets without keys.
+type limitFleet struct {
+	t         *testing.T
+	store     *standin.Store
+	keyed     []*standin.Target
+	unkeyed   []*standin.Target
+	coords    []*coordinator.Coordinator
+	stops     []context.CancelFunc
+	addresses []string
+
+	mu      sync.Mutex
+	results []limitResult
+}
+
+// limitResult is the result of one caller's request.
+type limitResult struct {
+	at         time.Time
+	keyed      bool
+	status     int
+	took       time.Duration
+	retryAfter time.Duration
+}
+
+func newLimitFleet(t *testing.T, hosts, targets int) *limitFleet {
+	t.Helper()
+	f := &limitFleet{t: t, store: standin.NewStore()}
+	f.store.Put(platform.TopicOperator, "config", []byte(limitDesired))
+	for i := range targets {
+		f.keyed = append(f.keyed, f.addTarget(fmt.Sprint("t", i), "w", true))
+		f.unkeyed = append(f.unkeyed, f.addTarget(fmt.Sprint("u", i), "u", false))
+	}
+	storeServer := httptest.NewServer(f.store)
+	t.Cleanup(func() { storeServer.CloseClientConnections(); storeServer.Close() })
+	for i := range hosts {
+		f.addHost(i, strings.TrimPrefix(storeServer.URL, "http://"))
+	}
+	for end := time.Now().Add(10 * time.Second); !f.ready(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not all hosts are ready after 10 s")
+		}
+	}
+	return f
+}
+
+func (f *limitFleet) ready() bool {
+	for _, c := range f.coords {
+		if !c.Ready() || c.HostCount() < len(f.coords) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *limitFleet) addTarget(id, workload string, keyed bool) *standin.Target {
+	x := standin.NewTarget(id, 4, keyed)
+	x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime})
+	srv := httptest.NewServer(x)
+	f.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	f.store.Put(platform.TopicTargets, id, map[string]any{
+		"service": workload, "address": strings.TrimPrefix(srv.URL, "http://"), "zone": "d", "slots": 4, "state": "ready",
+		"cold-left-s": 0, "seq": 1, "born": 1,
+	})
+	return x
+}
+
+func (f *limitFleet) addHost(i int, store string) {
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	peer := peers.Addr().String()
+	if err := peers.Close(); err != nil {
+		f.t.Fatal(err)
+	}
+	log := eventlog.New(io.Discard, "info")
+	coord := coordinator.New(coordinator.Config{
+		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(store), Grants: platform.NewGrants(), Log: log, Cores: 1, LinkMbps: 1000,
+	})
+	gw := New(Config{Domain: "d", Deployment: coord, Log: log, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	sup := suture.New("test", suture.Spec{EventHook: func(suture.Event) {}})
+	sup.Add(gw)
+	coord.AddTo(sup)
+	done := sup.ServeBackground(ctx)
+	go func() { _ = gw.ServeCallers(ctx, l) }() // ends with the context
+	f.t.Cleanup(func() { cancel(); <-done; log.Close() })
+	f.coords, f.stops, f.addresses = append(f.coords, coord), append(f.stops, cancel), append(f.addresses, l.Addr().String())
+}
+
+const (
+	limitServiceTime = 20 * time.Millisecond
+	// callInterval is the time between two requests of callers, half of them for keys.
+	callInterval = 8 * time.Millisecond
+)
+
+// call sends requests at a steady rate to random hosts until the context ends.
+func (f *limitFleet) call(ctx context.Context) {
+	client := &http.Transport{MaxIdleConnsPerHost: 64}
+	var wg sync.WaitGroup
+	tick := time.NewTicker(callInterval)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			client.CloseIdleConnections()
+			return
+		case <-tick.C:
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f.sendOne(client, n)
+			}()
+		}
+	}
+}
+
+func (f *limitFleet) sendOne(client *http.Transport, n int) {
+	r := limitResult{at: time.Now(), keyed: n%2 == 0}
+	path := "/u/x"
+	if r.keyed {
+		path = "/k/x"
+	}
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.addresses[rand.IntN(len(f.addresses))]+path, nil)
+	if err != nil {
+		return
+	}
+	req.Host = "h"
+	req.Header.Set(standin.HeaderRequestID, fmt.Sprint("r", n))
+	req.Header.Set(standin.HeaderDeadline, "1500")
+	req.Header.Set(standin.HeaderKey, fmt.Sprint(rand.IntN(65536)))
+	if resp, err := client.RoundTrip(req); err == nil {
+		r.status = resp.StatusCode
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+			r.retryAfter = time.Duration(s * float64(time.Second))
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // the status is known
+		_ = resp.Body.Close()                 // read whole
+	}
+	r.took = time.Since(r.at)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, r)
+}
+
+// resultsSince returns the results of requests that were sent from a time on.
+func (f *limitFleet) resultsSince(from time.Time) (out []limitResult) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.results {
+		if !r.at.Before(from) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// arrivalsBetween returns how many requests arrived at a target between two times.
+func arrivalsBetween(x *standin.Target, from, to time.Time) int {
+	n := 0
+	for _, at := range x.Arrivals() {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// mostInWindow returns the most requests that arrived at a target from a time on
+// within limitWindow.
+func mostInWindow(x *standin.Target, from time.Time) int {
+	most := 0
+	for _, at := range x.Arrivals() {
+		if !at.Before(from) {
+			most = max(most, arrivalsBetween(x, at, at.Add(limitWindow)))
+		}
+	}
+	return most
+}
+
+// The users' rule: from limitSettled after a target first stated its limit, it gets at
+// most allowedInWindow requests in each limitWindow.
+const (
+	limitWindow  = 4 * time.Second
+	limitSettled = 3 * time.Second
+)
+
+func allowedInWindow(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
+
+// TestTargetsGetTheLimitTheyState guards against hosts that each send a target what it
+// states as its limit for all hosts together, or that do not read it.
+func TestTargetsGetTheLimitTheyState(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	for _, hosts := range []int{3, 10} {
+		Convey(fmt.Sprintf("Given %d hosts, and a keyed target and one without keys that state a limit", hosts), t, func() {
+			f := newLimitFleet(t, hosts, 3)
+			ctx, stop := context.WithCancel(context.Background())
+			var calls sync.WaitGroup
+			calls.Add(1)
+			go func() { defer calls.Done(); f.call(ctx) }()
+			defer calls.Wait()
+			defer stop()
+			limited := map[*standin.Target]float64{f.keyed[0]: 2, f.unkeyed[0]: 0.8}
+			before := map[*standin.Target]float64{}
+			time.Sleep(limitSettled)
+			for x, limit := range limited {
+				before[x] = float64(arrivalsBetween(x, time.Now().Add(-2*time.Second), time.Now())) / 2
+				So(before[x], ShouldBeGreaterThan, 4*limit)
+				x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: fmt.Sprint(limit)})
+			}
+			time.Sleep(limitSettled)
+			settled := time.Now()
+			time.Sleep(2 * limitWindow)
+			ended := time.Now()
+			for x, limit := range limited {
+				So(float64(mostInWindow(x, settled)), ShouldBeLessThanOrEqualTo, allowedInWindow(limit))
+				So(float64(arrivalsBetween(x, settled, ended)), ShouldBeGreaterThanOrEqualTo, 0.8*limit*ended.Sub(settled).Seconds())
+				x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime})
+			}
+			for _, r := range f.resultsSince(settled) {
+				if !r.keyed {
+					So(r.status, ShouldEqual, http.StatusOK) // another target has room
+				} else if r.status != http.StatusOK {
+					So(r.status, ShouldEqual, http.StatusServiceUnavailable)
+					So(r.took, ShouldBeLessThan, 500*time.Millisecond)
+					So(r.retryAfter, ShouldBeBetween, 0, 10*time.Second)
+				}
+			}
+			time.Sleep(limitSettled)
+			for x := range limited {
+				So(float64(arrivalsBetween(x, time.Now().Add(-time.Second), time.Now())), ShouldBeGreaterThanOrEqualTo, 0.6*before[x])
+			}
+		})
+	}
+}
