Share one token bucket between retry and limits

Packages retry and limits each had a token bucket and a function for the wait until the next token. No behaviour changes; go test ./limits ./retry passes.

--- a/limits/gate.go
+++ b/limits/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/contract"
+	"github.com/boragelock/boragelock/internal/tokenbucket"
 )
 
 // Enforcer enforces contracts on one entry host. It is not safe for concurrent use.
@@ -29,9 +30,8 @@
 	loan   loan
 	// previousLoan is a loan of an earlier lender.
 	previousLoan loan
-	// tokens is the content of the token bucket, in requests, at refilledAt.
-	tokens     float64
-	refilledAt time.Duration
+	// bucket holds the requests that may be admitted now.
+	bucket tokenbucket.Bucket
 	// nextRenewal is when the next borrow request is due.
 	lastArrival, nextRenewal time.Duration
 	// lastResponse is when a lender last responded, or when the account was
@@ -110,17 +110,17 @@
 	for name, c := range contracts {
 		a, ok := e.customers[name]
 		if !ok {
-			a = &account{refilledAt: now, lastResponse: now, lender: LenderOf(name, e.hosts.Live)}
+			a = &account{bucket: tokenbucket.Bucket{RefilledAt: now}, lastResponse: now, lender: LenderOf(name, e.hosts.Live)}
 			e.customers[name] = a
 			a.contract = c
 			a.evenShare = EvenShare(c, len(e.hosts.Configured))
-			a.tokens = a.bucketSize(now)
+			a.bucket.Tokens = a.bucketSize(now)
 			continue
 		}
 		a.refill(now)
 		a.contract = c
 		a.evenShare = EvenShare(c, len(e.hosts.Configured))
-		a.tokens = min(a.tokens, a.bucketSize(now))
+		a.bucket.Tokens = min(a.bucket.Tokens, a.bucketSize(now))
 	}
 	for name, a := range e.customers {
 		if _, ok := contracts[name]; ok {
@@ -140,7 +140,7 @@
 	for name, a := range e.customers {
 		a.refill(now)
 		a.evenShare = EvenShare(a.contract, len(hosts.Configured))
-		a.tokens = min(a.tokens, a.bucketSize(now))
+		a.bucket.Tokens = min(a.bucket.Tokens, a.bucketSize(now))
 		if l := LenderOf(name, hosts.Live); l != a.lender {
 			a.changeLender(l)
 			a.nextRenewal = now
@@ -181,17 +181,16 @@
 
 // refill adds the tokens since the last call. A loan counts until it expires.
 func (a *account) refill(now time.Duration) {
-	if now <= a.refilledAt {
+	if now <= a.bucket.RefilledAt {
 		return
 	}
-	add := a.evenShare.Rate * (now - a.refilledAt).Seconds()
+	add := a.evenShare.Rate * (now - a.bucket.RefilledAt).Seconds()
 	for _, l := range []*loan{&a.loan, &a.previousLoan} {
-		if end := min(now, l.expiresAt); end > a.refilledAt {
-			add += l.share.Rate * (end - a.refilledAt).Seconds()
+		if end := min(now, l.expiresAt); end > a.bucket.RefilledAt {
+			add += l.share.Rate * (end - a.bucket.RefilledAt).Seconds()
 		}
 	}
-	a.tokens = min(a.bucketSize(now), a.tokens+add)
-	a.refilledAt = now
+	a.bucket.Credit(now, add, a.bucketSize(now))
 }
 
 // Admit decides whether to admit a request. The caller ends an admitted one with
@@ -216,10 +215,10 @@
 	switch {
 	case a.stats.InFlight >= limit:
 		return e.refuse(now, a, CodeConcurrencyLimited, e.cfg.MinRetryAfter)
-	case a.tokens < 1:
-		return e.refuse(now, a, CodeRateLimited, tokenWait(1-a.tokens, share.Rate))
+	case a.bucket.Tokens < 1:
+		return e.refuse(now, a, CodeRateLimited, tokenbucket.Wait(1-a.bucket.Tokens, share.Rate))
 	}
-	a.tokens--
+	a.bucket.Tokens--
 	a.stats.InFlight++
 	a.stats.Admitted++
 	return Decision{Admitted: true}
@@ -267,14 +266,6 @@
 // minBorrowInterval is the shortest time between two borrow requests of a customer.
 const minBorrowInterval = 50 * time.Millisecond
 
-// tokenWait returns how long it takes to gain tokens at the given rate.
-func tokenWait(tokens, rate float64) time.Duration {
-	if !(rate > 0) {
-		return math.MaxInt64
-	}
-	return time.Duration(min(tokens/rate, 1e6) * float64(time.Second))
-}
-
 // Done ends an admitted request.
 func (e *Enforcer) Done(customer string) {
 	if a, ok := e.customers[customer]; ok && a.stats.InFlight > 0 {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/boragelock/boragelock/internal/tokenbucket"
 )
 
 // BudgetConfig holds the settings of a Budget. A zero field takes its default.
@@ -28,21 +30,8 @@
 // for each customer. It is not safe for concurrent use.
 type Budget struct {
 	cfg       BudgetConfig
-	host      bucket
-	customers map[string]*bucket
-}
-
-// bucket is a token bucket of permitted retries.
-type bucket struct {
-	tokens     float64
-	refilledAt time.Duration
-}
-
-func (b *bucket) refill(now time.Duration, perSecond, limit float64) {
-	if now > b.refilledAt {
-		b.tokens = min(limit, b.tokens+perSecond*(now-b.refilledAt).Seconds())
-		b.refilledAt = now
-	}
+	host      tokenbucket.Bucket
+	customers map[string]*tokenbucket.Bucket
 }
 
 // NewBudget returns a budget that holds the minimum retries of one second.
@@ -60,16 +49,16 @@
 	if cfg.MaxCustomers <= 0 {
 		cfg.MaxCustomers = 4096
 	}
-	return &Budget{cfg: cfg, host: bucket{tokens: cfg.HostMinRate, refilledAt: now}, customers: map[string]*bucket{}}
+	return &Budget{cfg: cfg, host: tokenbucket.Bucket{Tokens: cfg.HostMinRate, RefilledAt: now}, customers: map[string]*tokenbucket.Bucket{}}
 }
 
-func (b *Budget) customer(now time.Duration, name string) *bucket {
+func (b *Budget) customer(now time.Duration, name string) *tokenbucket.Bucket {
 	c, ok := b.customers[name]
 	if !ok {
 		if len(b.customers) >= b.cfg.MaxCustomers {
 			b.evictCustomers(now)
 		}
-		c = &bucket{tokens: b.cfg.CustomerMinRate, refilledAt: now}
+		c = &tokenbucket.Bucket{Tokens: b.cfg.CustomerMinRate, RefilledAt: now}
 		b.customers[name] = c
 	}
 	return c
@@ -79,7 +68,7 @@
 // drops all.
 func (b *Budget) evictCustomers(now time.Duration) {
 	for name, c := range b.customers {
-		if now-c.refilledAt > time.Minute {
+		if now-c.RefilledAt > time.Minute {
 			delete(b.customers, name)
 		}
 	}
@@ -93,28 +82,25 @@
 func (b *Budget) RecordSuccess(now time.Duration, customer string) {
 	c := b.customer(now, customer)
 	b.refill(now, c)
-	b.host.tokens = min(b.cfg.HostBurst, b.host.tokens+b.cfg.Ratio)
-	c.tokens = min(b.cfg.CustomerBurst, c.tokens+b.cfg.Ratio)
+	b.host.Tokens = min(b.cfg.HostBurst, b.host.Tokens+b.cfg.Ratio)
+	c.Tokens = min(b.cfg.CustomerBurst, c.Tokens+b.cfg.Ratio)
 }
 
-func (b *Budget) refill(now time.Duration, c *bucket) {
-	b.host.refill(now, b.cfg.HostMinRate, b.cfg.HostBurst)
-	c.refill(now, b.cfg.CustomerMinRate, b.cfg.CustomerBurst)
+func (b *Budget) refill(now time.Duration, c *tokenbucket.Bucket) {
+	b.host.Refill(now, b.cfg.HostMinRate, b.cfg.HostBurst)
+	c.Refill(now, b.cfg.CustomerMinRate, b.cfg.CustomerBurst)
 }
 
-// wholeToken is one retry or hedge, less the rounding error of adding fractions.
-const wholeToken = 1 - 1e-9
-
 // Take takes one retry from the budgets of the host and the customer, or from
 // neither when one of them is empty.
 func (b *Budget) Take(now time.Duration, customer string) bool {
 	c := b.customer(now, customer)
 	b.refill(now, c)
-	if b.host.tokens < wholeToken || c.tokens < wholeToken {
+	if b.host.Tokens < tokenbucket.Whole || c.Tokens < tokenbucket.Whole {
 		return false
 	}
-	b.host.tokens--
-	c.tokens--
+	b.host.Tokens--
+	c.Tokens--
 	return true
 }
 
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/boragelock/boragelock/internal/tokenbucket"
 )
 
 // HedgeConfig holds the settings of a Hedger. A zero field takes its default.
@@ -115,7 +117,7 @@
 // Take takes one hedge from the budget and reports whether one was left. Call it
 // when the delay has passed and the hedge is about to be sent.
 func (h *Hedger) Take() bool {
-	if h.tokens < wholeToken {
+	if h.tokens < tokenbucket.Whole {
 		return false
 	}
 	h.tokens--
