Count permits for targets that state a limit for all hosts together

One counter keeps the limit and uses it; it costs a message for each request to a limited target that does not know of a refusal, at most the demand.

--- a/limits/doc.go
+++ b/limits/doc.go
@@ -33,6 +33,20 @@
 // for LeaseDuration+D after the lender changed. An admitted request stays in flight
 // until it ends, even if its share has expired.
 //
+// # Limits that targets state
+//
+// A target may state the requests per second that it accepts from all hosts together.
+// TargetLimits orders the statements that hosts receive. A PermitCounter on one host
+// grants a permit for each request; with most hosts sending a target less than one
+// request a second, shares by demand exceed such a limit (TestWaysToKeepALimitOfATarget).
+// A host that reaches no counter uses its turn by EvenShares, and the counter leaves the
+// part of hosts that it lost within the last minute (HostCount).
+//
+// Worst overshoot: all hosts together send at most L·T + max(2, L/2) requests to a
+// target with limit L in a period T. While hosts reach no counter, their part is at
+// most L·(T + 1 s) + 3. A host that stays cut off for longer than HostCount remembers
+// it adds its even share to the limit.
+//
 // The package performs no I/O. All times are durations on the host's boot-time
 // clock, which the caller passes in. Enforcer and Lender are not safe for
 // concurrent use. Credentials is immutable and safe for concurrent use.
