Give calls to the leader their own write deadline

A host that sent the leader nothing for 0.9 s could not read the leader's clock: each notification sets an absolute deadline for writes on the connection, and calls used what was left of it, so that they failed with a timeout without having been sent. Hosts with keyed requests send counts 4 times a second, which hid it; the clock estimate of a host without them aged by its drift bound.

Found by a test of permits, which are calls too: after 0.9 s all followers got no answer any more. Ruled out: the leader's handler (the leader got no message). TestCallsAfterAQuietTime fails without the deadline (i/o timeout) and passes with it.

--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -157,7 +157,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, clockEvery)
 		var reply clockReading
 		sent := boottime.Now()
-		err := k.conn.Call(callCtx, methodClock, struct{}{}, &reply)
+		err := k.call(callCtx, methodClock, struct{}{}, &reply)
 		cancel()
 		if err != nil {
 			k.c.cfg.Log.Debug("leader_clock_unknown", "err", err)
@@ -214,13 +214,22 @@
 	return conn.Notify(ctx, method, params)
 }
 
+// call calls a method of the leader and waits for the reply until the context ends. The
+// write has its own deadline: the one of an earlier notification may have passed.
+func (k *leaderLink) call(ctx context.Context, method string, params, reply any) error {
+	if err := k.nc.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
+		return err
+	}
+	return k.conn.Call(ctx, method, params, reply)
+}
+
 // sendHello asks a host whether it leads a term. It returns "" when it does.
 func (k *leaderLink) sendHello(ctx context.Context, l leaderRecord) lossReason {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	var reply helloReply
 	sent := boottime.Now()
-	err := k.conn.Call(ctx, methodHello, k.c.helloFor(l), &reply)
+	err := k.call(ctx, methodHello, k.c.helloFor(l), &reply)
 	if err != nil {
 		return lossSilent
 	}
--- a/internal/coordinator/remoteclock_test.go
+++ b/internal/coordinator/remoteclock_test.go
@@ -1,11 +1,16 @@
 package coordinator
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/boragelock/boragelock/internal/peer"
 )
 
 // TestRemoteClock guards against times of another host that look younger than they are.
@@ -44,3 +49,21 @@
 		So(wrong, ShouldEqual, 0)
 	})
 }
+
+// TestCallsAfterAQuietTime guards against calls to the leader that fail on a host that has
+// sent nothing for a while, because the deadline of its last notification has passed.
+func TestCallsAfterAQuietTime(t *testing.T) {
+	Convey("a host that sent a notification long ago can still read the leader's clock", t, func() {
+		near, far := net.Pipe()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		reply := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return readClock(), nil })
+		jsonrpc2.NewConn(ctx, peer.NewStream(far), reply, discardLog)
+		k := &leaderLink{nc: near, conn: jsonrpc2.NewConn(ctx, peer.NewStream(near), reply, discardLog)}
+		So(notify(ctx, k.nc, k.conn, methodLeaving, leavingMessage{}), ShouldBeNil)
+		time.Sleep(silentAfter + 100*time.Millisecond)
+		var clock clockReading
+		So(k.call(ctx, methodClock, struct{}{}, &clock), ShouldBeNil)
+		So(clock.ClockUS, ShouldBeGreaterThan, 0)
+	})
+}
