Keep the limit that a target states for all hosts together

Cause: no host decoded the statement, and a host's own limits (slots, refusals, cold rate) know only its own requests. Class of fault: a bound on the sum of all hosts that each host keeps, or misses, by itself. With 11 hosts and 0.6 requests a second from each, a limit kept by each host for itself would not have bound either.

The leader counts: a host asks it for a permit for each send to a limited target (retries too), on the connection that it has, and one message carries all requests that came while the last was in flight. What the target stated goes to the leader and from there to all hosts, and along with each question, so that the next leader knows it. Statements are ordered by when the request left and the response came; one that may be older does not undo another. A request without a permit goes to another target; one that may not is refused at once with the time of a permit that nobody else was told of.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -45,8 +45,13 @@
 	Targets map[string]*Target
 
 	targetsByWorkload map[string][]*Target
+	requestLimits     map[Incarnation]float64
 }
 
+// RequestLimit returns the requests per second that a target accepts from all hosts
+// together, or 0 if it states no limit.
+func (s *Snapshot) RequestLimit(t *Target) float64 { return s.requestLimits[t.Ident()] }
+
 // TargetsOf returns the targets of a workload in the order of their IDs.
 func (s *Snapshot) TargetsOf(workload string) []*Target { return s.targetsByWorkload[workload] }
 
@@ -70,6 +75,8 @@
 	// leavingIncarnations holds the incarnations that reported that they stop; the
 	// value is true if this host received the report from the target.
 	leavingIncarnations map[Incarnation]bool
+	// requestLimits holds the limits that targets state, in requests per second.
+	requestLimits map[Incarnation]float64
 	// storeUnreachable is set during an outage of the store, storeReturnedAt is the
 	// end of the last one.
 	storeUnreachable bool
@@ -82,8 +89,8 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		evacuatedDomains: map[string]bool{}, targets: map[string]*Target{}, removalDeadlines: map[string]time.Duration{},
-		leavingIncarnations: map[Incarnation]bool{},
-		storeReturnedAt:     -RemovalGrace, changed: true,
+		leavingIncarnations: map[Incarnation]bool{}, requestLimits: map[Incarnation]float64{},
+		storeReturnedAt: -RemovalGrace, changed: true,
 	}
 }
 
@@ -152,6 +159,20 @@
 	return true
 }
 
+// SetRequestLimit sets the requests per second that a target accepts from all hosts
+// together; 0 removes the limit. The target need not be announced yet.
+func (d *Directory) SetRequestLimit(incarnation Incarnation, perSecond float64) {
+	if d.requestLimits[incarnation] == perSecond {
+		return
+	}
+	d.changed = true
+	if perSecond > 0 {
+		d.requestLimits[incarnation] = perSecond
+	} else {
+		delete(d.requestLimits, incarnation)
+	}
+}
+
 // pruneLeaving drops the leaving incarnations that are not announced.
 func (d *Directory) pruneLeaving() {
 	maps.DeleteFunc(d.leavingIncarnations, func(r Incarnation, _ bool) bool {
@@ -249,7 +270,7 @@
 	d.changed = false
 	s := &Snapshot{
 		DesiredState: d.desiredState, Evacuated: maps.Clone(d.evacuatedDomains), Targets: maps.Clone(d.targets),
-		targetsByWorkload: map[string][]*Target{},
+		targetsByWorkload: map[string][]*Target{}, requestLimits: maps.Clone(d.requestLimits),
 	}
 	for _, t := range s.Targets {
 		s.targetsByWorkload[t.Workload] = append(s.targetsByWorkload[t.Workload], t)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -90,6 +90,12 @@
 	// leavingReported wakes the connection to the leader when a target reports to this
 	// host that it is stopping.
 	leavingReported chan struct{}
+	// limits holds the request limits that targets state; limitReported wakes the
+	// connection to the leader when this host has heard one.
+	limits        requestLimits
+	limitReported chan struct{}
+	// permitAsks holds the requests for permits that wait for the leader.
+	permitAsks chan *permitAsk
 	// retired is set when the host must not campaign any more.
 	retired atomic.Bool
 	metrics *metrics
@@ -107,8 +113,9 @@
 	cfg.Ranges.TickEvery = leadTick
 	c := &Coordinator{
 		cfg: cfg, dir: fleet.NewDirectory(), changed: make(chan struct{}),
-		leavingReported: make(chan struct{}, 1),
-		incarnation:     fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
+		leavingReported: make(chan struct{}, 1), limitReported: make(chan struct{}, 1),
+		permitAsks:  make(chan *permitAsk, permitAskQueue),
+		incarnation: fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
 	}
 	c.snapshot.Store(c.dir.Snapshot())
 	c.rangeMaps.Store(&map[string]*RangeMap{})
@@ -118,6 +125,7 @@
 	c.targets = newFollower(c, platform.TopicTargets, c.applyTargets)
 	c.control = newFollower(c, platform.TopicControl, c.applyControl)
 	c.leadership.init()
+	c.limits.init(c.startedAt)
 	c.metrics = newMetrics(c)
 	if cfg.Grants != nil {
 		cfg.Grants.OnResponse(c.handleGrantResponse)
@@ -303,6 +311,7 @@
 		}
 		c.publish()
 		c.mu.Unlock()
+		c.dropLimitsOfGoneTargets(now)
 	}
 	return ctx.Err()
 }
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -96,10 +96,12 @@
 	if err := c.sendLeaving(ctx, nc, k.conn); err != nil {
 		return lossClosed
 	}
+	c.reportAllLimits()
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
 	c.leadership.setConnected(true)
 	defer c.leadership.setConnected(false)
 	go k.pollClock(ctx)
+	go k.askPermits(ctx)
 	return k.serve(ctx, l)
 }
 
@@ -130,6 +132,10 @@
 			if err := k.c.sendLeaving(ctx, k.nc, k.conn); err != nil {
 				return lossClosed
 			}
+		case <-k.c.limitReported:
+			if err := k.sendLimits(ctx); err != nil {
+				return lossClosed
+			}
 		case <-counts.C:
 			for _, m := range k.c.counts.drain() {
 				if err := notify(ctx, k.nc, k.conn, methodCounts, m); err != nil {
@@ -327,6 +333,12 @@
 		k.applyPositions(m)
 	case methodLeaving:
 		return c.handleLeaving(r)
+	case methodLimits:
+		var m limitsMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		k.applyLimits(m.Limits)
 	case methodRanges:
 		var m rangesMessage
 		if err := unmarshalParams(r, &m); err != nil {
@@ -358,8 +370,9 @@
 
 // applyPositions records at which offsets the topics ended, and when the leader knew it.
 func (k *leaderLink) applyPositions(m positionsMessage) {
-	k.c.hostCount.Store(int64(m.Hosts))
-	made, ok := k.madeAt(boottime.Now(), m.clockReading)
+	now := boottime.Now()
+	k.c.setHostCount(now, m.Hosts)
+	made, ok := k.madeAt(now, m.clockReading)
 	if !ok {
 		k.mu.Lock()
 		k.deferred = &m
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -19,7 +19,7 @@
 	"github.com/boragelock/boragelock/lease"
 )
 
-// RPC methods between hosts. All but hello and clock are notifications.
+// RPC methods between hosts. All but hello, clock and permits are notifications.
 const (
 	methodHello     = "hello"
 	methodRelay     = "relay"
@@ -34,6 +34,11 @@
 	methodPacked = "packed"
 	// methodLeaving is sent in both directions.
 	methodLeaving = "leaving"
+	// methodLimits reports request limits that targets state; it is sent in both
+	// directions.
+	methodLimits = "limits"
+	// methodPermits asks the leader for permits for requests to limited targets.
+	methodPermits = "permits"
 )
 
 // protocolVersion is the version of the messages between hosts. A leader does not serve
@@ -325,6 +330,10 @@
 			return nil, nil
 		case methodLeaving:
 			return nil, c.handleLeaving(r)
+		case methodLimits:
+			return nil, c.handleLimits(r)
+		case methodPermits:
+			return c.handlePermits(r)
 		case methodRequestRanges:
 			return nil, c.sendAllRanges(pc, r)
 		case methodClock:
@@ -428,6 +437,9 @@
 	if incarnations := c.leavingTargets(false); len(incarnations) > 0 {
 		pc.enqueue(encode(methodLeaving, leavingMessage{Targets: incarnations}))
 	}
+	if stated := c.limits.all(); len(stated) > 0 {
+		pc.enqueue(encode(methodLimits, newLimitsMessage(stated)))
+	}
 	return helloReply{Leading: true, Leader: c.leadership.current(), clockReading: readClock(), processState: c.processState()}, nil
 }
 
@@ -435,7 +447,7 @@
 func (c *Coordinator) topicPositions() positionsMessage {
 	now := boottime.Now()
 	m := positionsMessage{clockReading: readClock(), Topics: map[string]topicPosition{}, Hosts: c.peers.size() + 1}
-	c.hostCount.Store(int64(m.Hosts))
+	c.setHostCount(now, m.Hosts)
 	for _, f := range c.followers() {
 		m.Topics[f.topic] = topicPosition{Next: f.position(), AgeMS: f.age(now).Milliseconds()}
 	}
--- a/internal/coordinator/remoteclock.go
+++ b/internal/coordinator/remoteclock.go
@@ -29,6 +29,12 @@
 	return remote + r.offset - r.drift(now), r.known
 }
 
+// latestRemote returns the latest time that the other clock can have shown at a time on
+// this host's clock, or false before the first observation.
+func (r *remoteClock) latestRemote(local time.Duration) (time.Duration, bool) {
+	return local - r.offset + r.drift(local), r.known
+}
+
 // drift returns how far the clocks may have drifted since the offset was observed.
 func (r *remoteClock) drift(now time.Duration) time.Duration {
 	return time.Duration(maxClockDrift * float64(max(0, now-r.offsetAt)))
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -82,6 +82,7 @@
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
 		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
+	c.limits.beginTerm()
 	c.leading.Store(true)
 	c.metrics.terms.Add(1)
 	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.earlier.PreviousStopped, "clear_ms", w.earlier.OlderLeasesLeft.Milliseconds())
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -20,6 +20,7 @@
 	CodeNoOwner     Code = "no_owner"     // no target may serve the key now
 	CodeNoTarget    Code = "no_target"    // no target may receive the request
 	CodeOverload    Code = "overload"     // the request could not finish in time
+	CodeLimit       Code = "limit"        // the targets that may run it state limits that are used up
 	CodeShed        Code = "shed"         // targets refused it without running it
 	CodeMayHaveRun  Code = "may_have_run" // it was sent and no response arrived
 	CodeTimeout     Code = "timeout"      // the deadline passed after it was sent, or the caller left
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -10,6 +10,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/guard"
+	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -158,8 +159,11 @@
 	}
 	if d.Action == placement.Refuse {
 		code := CodeOverload
-		if d.Reason == placement.ReasonNoTarget {
+		switch d.Reason {
+		case placement.ReasonNoTarget:
 			code = CodeNoTarget
+		case placement.ReasonLimit:
+			code = CodeLimit
 		}
 		c.g.metrics.refusals.Add(string(d.Reason), 1)
 		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
@@ -332,7 +336,7 @@
 // handleResponse decides how a request continues after a response.
 func (c *call) handleResponse(ctx context.Context, t *fleet.Target, res *response, took time.Duration) (*response, *Failure, bool) {
 	id := t.ID
-	c.applyTargetReport(t, res)
+	c.applyTargetReport(t, res, took)
 	outcome := placement.Outcome{Route: c.route.Name, ResponseTime: took, ColdRemaining: res.metadata.ColdRemaining, ResponseBytes: len(res.body), Pause: res.metadata.Pause}
 	if l := res.metadata.Load; l != nil {
 		outcome.Load = &placement.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowdown: l.Slowdown}
@@ -370,7 +374,8 @@
 }
 
 // applyTargetReport applies what a response reports of the target itself.
-func (c *call) applyTargetReport(t *fleet.Target, res *response) {
+func (c *call) applyTargetReport(t *fleet.Target, res *response, took time.Duration) {
+	c.applyRequestLimit(t, res, took)
 	if res.metadata.Leaving {
 		c.g.cfg.Deployment.MarkTargetLeaving(t.Ident())
 		c.g.syncSnapshot()
@@ -382,12 +387,23 @@
 		c.g.metrics.sends.Add("pause", 1)
 		c.g.cfg.Log.Request("target_pauses", c.req.ID, "target", t.ID, "pause_ms", res.metadata.Pause.Milliseconds())
 	}
-	if res.metadata.InvalidRequestLimit {
+}
+
+// applyRequestLimit applies the limit that a response states. One without a limit ends
+// an earlier one only if it is certainly the target's.
+func (c *call) applyRequestLimit(t *fleet.Target, res *response, took time.Duration) {
+	m := res.metadata
+	if m.InvalidRequestLimit {
 		c.g.metrics.sends.Add("bad_limit", 1)
 	}
-	if res.metadata.RequestLimit > 0 {
+	if m.RequestLimit > 0 {
 		c.g.metrics.sends.Add("limited", 1)
 	}
+	if m.InvalidRequestLimit || m.WrongTarget || m.RequestLimit == 0 && !m.Signed && !m.NotRun {
+		return
+	}
+	now := boottime.Now()
+	c.g.cfg.Deployment.RecordRequestLimit(limits.LimitStatement{Target: t.Ident(), PerSecond: m.RequestLimit, SentAt: now - took, ReceivedAt: now})
 }
 
 // handleNotRun decides how a request continues after a target refused it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/eventlog"
+	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/retry"
 )
@@ -27,6 +28,11 @@
 	AddTargetStats(workload string, t coordinator.TargetStats)
 	// MarkTargetLeaving records that a target itself reported that it stops.
 	MarkTargetLeaving(incarnation fleet.Incarnation)
+	// RecordRequestLimit records the limit that a target stated in a response, or that
+	// it stated none.
+	RecordRequestLimit(s limits.LimitStatement)
+	// TakePermit asks for permission to send a request to a target that states a limit.
+	TakePermit(ctx context.Context, incarnation fleet.Incarnation) limits.Permit
 	Ready() bool
 	// HostCount returns the number of hosts that share budgets, at least 1.
 	HostCount() int
@@ -148,6 +154,7 @@
 	for _, t := range snap.Targets {
 		x := placement.Target{
 			ID: t.ID, Incarnation: t.Ident(), Workload: t.Workload, Domain: t.Domain, Slots: t.Slots, Usable: snap.Usable(t), ColdUntil: t.ColdUntil,
+			RequestLimit: snap.RequestLimit(t),
 		}
 		if snap.DesiredState != nil {
 			if w := snap.DesiredState.Workloads[t.Workload]; w != nil {
@@ -180,9 +187,39 @@
 	}
 }
 
-// place asks the scheduler for a target and waits for its decision. It returns
-// false when the context ended first.
+// place finds a target for a request, with a permit if the target states a limit. It
+// returns false when the context ended first.
 func (g *Gateway) place(ctx context.Context, r placement.Request) (placement.Decision, bool) {
+	for {
+		d, ok := g.schedule(ctx, r)
+		if !ok || !d.NeedsPermit || g.takePermit(ctx, d.Target) {
+			return d, ok
+		}
+	}
+}
+
+// takePermit takes a permit for a request that is placed on a target. Without one it
+// tells the scheduler until when there is none.
+func (g *Gateway) takePermit(ctx context.Context, id string) bool {
+	g.mu.Lock()
+	t := g.snapshot.Targets[id]
+	g.mu.Unlock()
+	if t == nil {
+		return true // the send finds out that the target is gone
+	}
+	p := g.cfg.Deployment.TakePermit(ctx, t.Ident())
+	if p.Granted {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.RecordPermitRefused(boottime.Now(), id, p)
+	return false
+}
+
+// schedule asks the scheduler for a target and waits for its decision. It returns
+// false when the context ended first.
+func (g *Gateway) schedule(ctx context.Context, r placement.Request) (placement.Decision, bool) {
 	r.Random = rand.Float64()
 	g.mu.Lock()
 	d := g.scheduler.Submit(boottime.Now(), r)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/eventlog"
+	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/platform/standin"
 )
 
@@ -46,6 +47,10 @@
 	defer s.mu.Unlock()
 	s.directory.MarkLeaving(incarnation, true)
 }
+func (s *fakeDeployment) RecordRequestLimit(limits.LimitStatement) {}
+func (s *fakeDeployment) TakePermit(context.Context, fleet.Incarnation) limits.Permit {
+	return limits.Permit{Granted: true}
+}
 func (s *fakeDeployment) Ready() bool    { return true }
 func (s *fakeDeployment) HostCount() int { return 1 }
 func (s *fakeDeployment) UpToDate() bool { return !s.stale }
--- a/placement/board.go
+++ b/placement/board.go
@@ -7,6 +7,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/health"
+	"github.com/boragelock/boragelock/limits"
 )
 
 // Config holds the settings of a Scheduler. A zero field takes its default.
@@ -85,6 +86,9 @@
 	ColdUntil time.Duration
 	// ColdRate is its capacity in requests per second while it is cold.
 	ColdRate float64
+	// RequestLimit is the number of requests per second that the target accepts from
+	// all hosts together, or 0 if it states none. Each request to it needs a permit.
+	RequestLimit float64
 }
 
 // Load is the load that a target reports.
@@ -123,6 +127,10 @@
 	wasCold      bool
 	coldTokens   float64
 	coldTokensAt time.Duration
+	// permitRefused is the last refusal of a permit, permitRefusedAt when it came. It
+	// holds until the time at which the next permit is available.
+	permitRefused   limits.Permit
+	permitRefusedAt time.Duration
 }
 
 // Scheduler places the requests of one host on targets.
@@ -408,6 +416,28 @@
 	return t.stats.Condition(), t.stats.FailureRate(now), t.stats.LastSlowdown()
 }
 
+// minPermitWait is the least time for which the refusal of a permit holds.
+const minPermitWait = 5 * time.Millisecond
+
+// RecordPermitRefused releases a request that Submit or Dispatch placed on a target and
+// that got no permit. The target receives no request until the next permit is available.
+func (s *Scheduler) RecordPermitRefused(now time.Duration, id string, refused limits.Permit) {
+	s.ReleaseUnsent(id)
+	if t := s.targets[id]; t != nil {
+		refused.NextAfter = max(refused.NextAfter, minPermitWait)
+		t.permitRefused, t.permitRefusedAt = refused, now
+	}
+}
+
+// withoutPermit reports whether a target states a limit and no permit is available, and
+// after which time a caller should come back.
+func (t *target) withoutPermit(now time.Duration) (comeBackAfter time.Duration, refused bool) {
+	if t.RequestLimit <= 0 || now >= t.permitRefusedAt+t.permitRefused.NextAfter {
+		return 0, false
+	}
+	return t.permitRefusedAt + max(t.permitRefused.ComeBackAfter, t.permitRefused.NextAfter) - now, true
+}
+
 // ReleaseUnsent releases a request that Submit or Dispatch placed on a target and
 // that was not sent.
 func (s *Scheduler) ReleaseUnsent(id string) {
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -15,6 +15,9 @@
 //     each consecutive refusal. The limit rises slowly while the target sheds none.
 //   - A target that asks this host for a pause receives no request until the pause
 //     ends.
+//   - A target that states a limit for all hosts together receives a request only with
+//     a permit. After the refusal of one it receives none from this host until the next
+//     permit is available; a request that no other target may serve is refused.
 //   - A target that is cold receives requests at no more than its cold rate.
 //
 // The load of a target is the number of this scheduler's requests in flight plus
--- a/placement/place.go
+++ b/placement/place.go
@@ -51,6 +51,9 @@
 	// ReasonObjective means that the work ahead would make the request miss its
 	// latency objective.
 	ReasonObjective Reason = "objective"
+	// ReasonLimit means that the targets that may receive the request state limits and
+	// no permit is available.
+	ReasonLimit Reason = "limit"
 	// ReasonQueueFull means that too many requests wait.
 	ReasonQueueFull Reason = "queue_full"
 )
@@ -60,6 +63,10 @@
 	Action Action
 	// Target is the ID of the target to send to.
 	Target string
+	// NeedsPermit means that the target states a limit: the request may be sent only
+	// with a permit. Without one, the caller reports RecordPermitRefused and submits the
+	// request again.
+	NeedsPermit bool
 	// Ticket identifies a waiting request.
 	Ticket uint64
 	Reason Reason
@@ -179,10 +186,17 @@
 	bestCost := 0.0
 	anyBusy := false
 	shortestWait := -1.0
+	permitAfter := time.Duration(-1)
 	for _, t := range s.candidates(r) {
 		if !t.Usable || slices.Contains(r.TriedTargets, t.ID) {
 			continue
 		}
+		if after, refused := t.withoutPermit(now); refused {
+			if permitAfter < 0 || after < permitAfter {
+				permitAfter = after
+			}
+			continue
+		}
 		if !s.hasColdToken(now, t, r.Random) {
 			anyBusy = anyBusy || r.Target != ""
 			continue
@@ -209,12 +223,15 @@
 	case best != nil:
 		best.inFlight++
 		best.coldTokens--
-		return Decision{Action: Send, Target: best.ID}
+		return Decision{Action: Send, Target: best.ID, NeedsPermit: best.RequestLimit > 0}
 	case anyBusy && minServiceFraction*serviceTime <= timeLeft && max(shortestWait, 0) < timeLeft:
 		return Decision{Action: Wait}
 	case anyBusy:
 		return Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: toDuration(max(shortestWait, serviceTime) * (1 + retryJitter*r.Random))}
 	}
+	if permitAfter >= 0 {
+		return Decision{Action: Refuse, Reason: ReasonLimit, RetryAfter: permitAfter}
+	}
 	return Decision{Action: Refuse, Reason: ReasonNoTarget, RetryAfter: toDuration(serviceTime)}
 }
 
