Plan no moves of keys to or from targets that state a limit

Cause: a target that a limit keeps idle is fast, and the plan takes the time of its requests for its room: hot keys move to the target that refuses most of them.

A limited target now neither takes nor gives keys for balance, and does not count in the mean; it takes keys of targets that are gone if there is no other. So it uses up its limit, and has its traffic back when the limit ends.

TestLimitedTargetsGetNoKeys failed before (a limited target had 16 of its 21,845 keys left after 2 s of one hot range elsewhere) and passes.

--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -231,3 +231,51 @@
 		So(c.Snapshot().RequestLimit(&fleet.Target{ID: "t", Address: "a"}), ShouldEqual, 0)
 	})
 }
+
+// keysOf returns how many keys of the workload a target owns in the leader's table.
+func (k *cluster) keysOf(id string) int {
+	return k.leader().c.leadership.table("w").KeyCounts()[id]
+}
+
+// loadKeys reports a steady rate of requests for keys, and the service times of targets,
+// until the context ends.
+func (h *testHost) loadKeys(ctx context.Context, from, to, perSecond int, service map[string]time.Duration) {
+	for n := 0; sleep(ctx, time.Second/time.Duration(perSecond)); n++ {
+		h.c.CountKey("w", from+n%(to-from+1))
+		for id, d := range service {
+			h.c.AddTargetStats("w", TargetStats{ID: id, Responses: 1, ServiceMS: d.Milliseconds()})
+		}
+	}
+}
+
+// TestLimitedTargetsGetNoKeys guards against keys that move to a target which has room
+// only because its limit keeps requests away from it.
+func TestLimitedTargetsGetNoKeys(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a hot target, an idle one that states a limit and a slower one without", t, func() {
+		k := newCluster(t, 1, 3)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
+		h := k.leader()
+		table := h.c.leadership.table("w")
+		hot := table.Ranges[0]
+		for _, r := range table.Ranges {
+			if r.Owner == "t0" {
+				hot = r
+			}
+		}
+		h.stateLimit("t1", 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		limited, slow := k.keysOf("t1"), k.keysOf("t2")
+		go h.loadKeys(ctx, hot.From, hot.From+99, 40, map[string]time.Duration{
+			"t0": 100 * time.Millisecond, "t1": 20 * time.Millisecond, "t2": 60 * time.Millisecond,
+		})
+		So(eventually(6*time.Second, func() bool { return k.keysOf("t2") > slow || k.keysOf("t1") > limited }), ShouldBeTrue)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			So(k.keysOf("t1"), ShouldEqual, limited)
+		}
+		So(k.keysOf("t2"), ShouldBeGreaterThan, slow)
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -344,7 +344,7 @@
 			continue
 		}
 		service := t.loads[w.Name].serviceTime(x.ID)
-		r := ownership.RangeTarget{ID: x.ID, Capacity: float64(x.Slots), ServiceSeconds: service, AcceptsKeys: true}
+		r := ownership.RangeTarget{ID: x.ID, Capacity: float64(x.Slots), ServiceSeconds: service, AcceptsKeys: true, Limited: snap.RequestLimit(x) > 0}
 		if now < x.ColdUntil && w.ColdRate > 0 {
 			r.Capacity = min(r.Capacity, w.ColdRate*service)
 		}
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -15,8 +15,14 @@
 	// AcceptsKeys says that keys may be moved to it. Targets that are leaving or
 	// whose domain is evacuated keep no keys and are not listed.
 	AcceptsKeys bool
+	// Limited says that the target states a limit on its requests. Its load tells
+	// nothing about its room, so that it neither takes nor gives keys for balance.
+	Limited bool
 }
 
+// takesKeys reports whether keys may be moved to the target for balance.
+func (t *RangeTarget) takesKeys() bool { return t.AcceptsKeys && !t.Limited }
+
 // RangePlanConfig holds the settings of PlanRanges. A zero field takes its
 // default.
 type RangePlanConfig struct {
@@ -140,28 +146,47 @@
 // utilization returns the share of its capacity that a target uses.
 func (p *rangePlan) utilization(t *RangeTarget) float64 { return p.load[t.ID] / t.Capacity }
 
-// meanUtilization returns the share of the total capacity that is used.
+// meanUtilization returns the share of the total capacity that is used, over the
+// targets that are not limited.
 func (p *rangePlan) meanUtilization() float64 {
 	load, capacity := 0.0, 0.0
 	for i := range p.in.Targets {
-		load += p.load[p.in.Targets[i].ID]
-		capacity += p.in.Targets[i].Capacity
+		if t := &p.in.Targets[i]; !t.Limited {
+			load += p.load[t.ID]
+			capacity += t.Capacity
+		}
+	}
+	if capacity == 0 {
+		return 0
 	}
 	return load / capacity
 }
 
-// leastUtilized returns the least utilized target that accepts keys, or nil.
+// leastUtilized returns the least utilized target that takes keys, or nil.
 func (p *rangePlan) leastUtilized() *RangeTarget {
+	return p.leastUtilizedOf((*RangeTarget).takesKeys)
+}
+
+func (p *rangePlan) leastUtilizedOf(include func(*RangeTarget) bool) *RangeTarget {
 	var best *RangeTarget
 	for i := range p.in.Targets {
 		t := &p.in.Targets[i]
-		if t.AcceptsKeys && (best == nil || p.utilization(t) < p.utilization(best)) {
+		if include(t) && (best == nil || p.utilization(t) < p.utilization(best)) {
 			best = t
 		}
 	}
 	return best
 }
 
+// leastUtilizedForOrphans returns the least utilized target that takes keys or, if
+// there is none, the least utilized limited one: it serves some of the requests.
+func (p *rangePlan) leastUtilizedForOrphans() *RangeTarget {
+	if t := p.leastUtilized(); t != nil {
+		return t
+	}
+	return p.leastUtilizedOf(func(t *RangeTarget) bool { return t.AcceptsKeys })
+}
+
 // mostSpare returns the target that accepts keys and can take the most further
 // requests up to urgentFillShare of the hot level, or nil.
 func (p *rangePlan) mostSpare() *RangeTarget {
@@ -170,7 +195,7 @@
 	for i := range p.in.Targets {
 		t := &p.in.Targets[i]
 		spare := (p.cfg.HotUtilization*urgentFillShare*t.Capacity - p.load[t.ID]) / t.ServiceSeconds
-		if t.AcceptsKeys && (best == nil || spare > maxSpare) {
+		if t.takesKeys() && (best == nil || spare > maxSpare) {
 			best, maxSpare = t, spare
 		}
 	}
@@ -201,7 +226,7 @@
 			continue
 		}
 		for from := s.From; from <= s.To; {
-			t := p.leastUtilized()
+			t := p.leastUtilizedForOrphans()
 			if t == nil {
 				return
 			}
@@ -225,7 +250,7 @@
 	keyCounts := p.table.KeyCounts()
 	for i := range p.in.Targets {
 		t := &p.in.Targets[i]
-		if !t.AcceptsKeys || keyCounts[t.ID] > 0 {
+		if !t.takesKeys() || keyCounts[t.ID] > 0 {
 			continue
 		}
 		if from := p.mostUtilizedExcept(t); from != nil {
@@ -235,12 +260,13 @@
 	}
 }
 
-// mostUtilizedExcept returns the most utilized target other than t, or nil.
+// mostUtilizedExcept returns the most utilized target other than t that is not
+// limited, or nil.
 func (p *rangePlan) mostUtilizedExcept(t *RangeTarget) *RangeTarget {
 	var best *RangeTarget
 	for i := range p.in.Targets {
 		x := &p.in.Targets[i]
-		if x != t && (best == nil || p.utilization(x) > p.utilization(best)) {
+		if x != t && !x.Limited && (best == nil || p.utilization(x) > p.utilization(best)) {
 			best = x
 		}
 	}
@@ -255,7 +281,7 @@
 		var hot *RangeTarget
 		for i := range p.in.Targets {
 			t := &p.in.Targets[i]
-			if !skipped[t.ID] && (hot == nil || p.utilization(t) > p.utilization(hot)) {
+			if !skipped[t.ID] && !t.Limited && (hot == nil || p.utilization(t) > p.utilization(hot)) {
 				hot = t
 			}
 		}
@@ -327,7 +353,7 @@
 // merged with a neighbouring one, and the target that would own it, or nil.
 func (p *rangePlan) smallestQuietRange() (best KeyRange, owner *RangeTarget) {
 	for i, s := range p.table.Ranges {
-		if owner != nil && s.Len() >= best.Len() || p.rate(s.From, s.To) > p.cfg.QuietRate || !p.movable(s) {
+		if owner != nil && s.Len() >= best.Len() || p.rate(s.From, s.To) > p.cfg.QuietRate || !p.movable(s) || p.targets[s.Owner].Limited {
 			continue
 		}
 		if to := p.mergeReceiver(i); to != nil {
@@ -349,7 +375,7 @@
 			continue
 		}
 		t := p.targets[p.table.Ranges[j].Owner]
-		if t.AcceptsKeys && p.utilization(t) < p.cfg.HotUtilization && (best == nil || p.utilization(t) < p.utilization(best)) {
+		if t.takesKeys() && p.utilization(t) < p.cfg.HotUtilization && (best == nil || p.utilization(t) < p.utilization(best)) {
 			best = t
 		}
 	}
