Soak: let targets state limits, and give each port once

Two targets at a time state limits of 0.5, 2 or 10 requests a second for all hosts, beside the other faults and from random streams of their own, so that the faults of earlier seeds stay as they are. The users' rule is checked in each 4 s from 3 s after the first statement. Beyond it one request of each caller is allowed for each host that started or was resumed in the window, since it does not know the limit until an answer or the leader tells it. Times in which a proxy held requests of the target back are left out, as in the users' rule. TestLimitCheckFindsBreaks guards the check.

freePort gave two hosts that start together the same port when the first did not listen yet; it now remembers what it gave. That had been suspected as the cause of a host that served nothing for 30 s (1 of 29 starts of 24 hosts); it was not seen again or shown.

--- a/cmd/boragelock-soak/main.go
+++ b/cmd/boragelock-soak/main.go
@@ -105,7 +105,7 @@
 		fmt.Printf("seed %d: %v\n", cfg.Seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d faults, %d of %d requests answered, %d broken\n", cfg.Seed, r.Faults, r.Answered, r.Requests, len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d of %d requests answered, %d checks of limits, %d broken\n", cfg.Seed, r.Faults, r.Answered, r.Requests, r.LimitWindows, len(r.Violations))
 	for _, b := range r.Violations {
 		fmt.Printf("  %s\n", b)
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -52,3 +52,34 @@
 		}
 	}
 }
+
+// TestLimitCheckFindsBreaks guards against a check of limits that never reports a
+// violation, or that reports requests which are allowed.
+func TestLimitCheckFindsBreaks(t *testing.T) {
+	w := &testbed{cfg: Config{Callers: 3}, startedAt: time.Now()}
+	x := &target{id: "t0"}
+	x.startIncarnation(0)
+	serve := func(n int) {
+		for range n {
+			if status := serveRequest(x.current(), "/order/x", "x", ""); status != http.StatusMisdirectedRequest && status != http.StatusOK {
+				t.Fatalf("request: status %d", status)
+			}
+		}
+	}
+	if status := serveRequest(x.current(), standin.GrantPath, "g", `{"from":0,"to":100,"fence":1,"hold-s":5}`); status != http.StatusOK {
+		t.Fatalf("grant: status %d", status)
+	}
+	e := limitEpisode{target: x, incarnation: x.current(), perSecond: 0.5, from: time.Now()}
+	serve(1)
+	time.Sleep(limitSettleTime + 2*targetServiceTime)
+	serve(8)
+	e.to = time.Now()
+	if n := w.checkLimit(e); n != 8 || len(w.violations) > 0 {
+		t.Errorf("8 requests in a moment are allowed at 0.5 a second: %d checks, %v", n, w.violations)
+	}
+	serve(1)
+	e.to = time.Now()
+	if w.checkLimit(e); len(w.violations) != 1 {
+		t.Errorf("9 requests in a moment at 0.5 a second were not found: %v", w.violations)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,7 @@
 		h.signal(syscall.SIGSTOP)
 		sleep(ctx, d.duration)
 		h.signal(syscall.SIGCONT)
+		w.disturbances.noteHostBegan()
 	}},
 	{"kill host", func(w *testbed, ctx context.Context, d faultParams) {
 		w.replaceProcess(ctx, w.hosts[d.host], syscall.SIGKILL, d.duration/2)
@@ -49,11 +50,11 @@
 		w.store.SetFault(standin.NoFault)
 	}},
 	{"cut target", func(w *testbed, ctx context.Context, d faultParams) {
-		withFaults(ctx, w.targets[d.target].proxy, cutFault(d.variant), d.duration)
+		w.holdRequests(ctx, w.targets[d.target].proxy, cutFault(d.variant), d.duration)
 	}},
 	{"delay target", func(w *testbed, ctx context.Context, d faultParams) {
 		// The delay is within the transit time that key leases allow for.
-		withFaults(ctx, w.targets[d.target].proxy, faultproxy.Faults{UpDelay: 120 * time.Millisecond, DownDelay: 120 * time.Millisecond}, d.duration)
+		w.holdRequests(ctx, w.targets[d.target].proxy, faultproxy.Faults{UpDelay: 120 * time.Millisecond, DownDelay: 120 * time.Millisecond}, d.duration)
 	}},
 	{"lose responses of target", func(w *testbed, ctx context.Context, d faultParams) {
 		withFaults(ctx, w.targets[d.target].proxy, faultproxy.Faults{LoseAnswers: 5 + d.variant}, d.duration)
@@ -74,6 +75,13 @@
 	p.SetFaults("", faultproxy.Faults{})
 }
 
+// holdRequests sets faults of the proxy of a target that delay requests to it.
+func (w *testbed) holdRequests(ctx context.Context, p *faultproxy.Proxy, f faultproxy.Faults, d time.Duration) {
+	from := time.Now()
+	withFaults(ctx, p, f, d)
+	w.disturbances.noteHeld(p, from, time.Now())
+}
+
 // replaceProcess stops the process of a host with a signal and starts another one
 // after a pause. Concurrent replacements of the same host run one after the other.
 func (w *testbed) replaceProcess(ctx context.Context, h *host, s syscall.Signal, pause time.Duration) {
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -49,10 +49,14 @@
 func (w *testbed) freePort() (int, error) {
 	for range 100 {
 		port := firstPort + w.portRand.IntN(lastPort-firstPort)
+		if w.givenPorts[port] {
+			continue
+		}
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
 			continue // in use
 		}
+		w.givenPorts[port] = true
 		return port, l.Close()
 	}
 	return 0, &PortError{}
@@ -116,6 +120,7 @@
 	h.cmd, h.exited, h.exitExpected, h.stopSentAt, h.killed = cmd, done, false, time.Time{}, false
 	h.startCount++
 	h.mu.Unlock()
+	w.disturbances.noteHostBegan()
 	go func() {
 		err := cmd.Wait()
 		h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,8 +37,15 @@
 	// Faults, Requests and Answered are the numbers of injected faults, requests
 	// and requests answered with 200.
 	Faults, Requests, Answered int
+	// LimitWindows is the number of times at which the requests to a target with a
+	// limit were checked.
+	LimitWindows int
 }
 
+// limitStream is the first random stream of the limits of targets. Streams of their own
+// leave the faults of a seed as they are.
+const limitStream = 10
+
 // recoveryTimeout limits the time from the last fault until all hosts and keys are
 // served: key leases and the term of an unreachable leader end within 14 s.
 const recoveryTimeout = 16 * time.Second
@@ -70,17 +77,23 @@
 	// runs.
 	faultCount int
 
+	disturbances disturbances
+
 	mu           sync.Mutex
 	stateVersion int
 	events       []string
 	violations   []string
+	// limitEpisodes are the times in which targets stated limits.
+	limitEpisodes []limitEpisode
+	// givenPorts are the ports that were given to hosts, which may not listen yet.
+	givenPorts map[int]bool
 }
 
 // Run executes one run. It stops only the processes that it started.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
 	w := &testbed{
 		cfg: cfg.withDefaults(), faultRand: rand.New(rand.NewPCG(cfg.Seed, 1)), portRand: rand.New(rand.NewPCG(cfg.Seed, 2)), startedAt: time.Now(), store: standin.NewStore(),
-		replaceLocks: map[*host]*sync.Mutex{},
+		replaceLocks: map[*host]*sync.Mutex{}, givenPorts: map[int]bool{},
 	}
 	defer func() {
 		for i := len(w.closers) - 1; i >= 0; i-- {
@@ -111,15 +124,22 @@
 		}
 	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, w.cfg.FaultTime)
+	var limitsEnded sync.WaitGroup
+	for i, targets := range [][]*target{w.targets[:len(w.targets)/2], w.targets[len(w.targets)/2:]} {
+		rnd := rand.New(rand.NewPCG(cfg.Seed, limitStream+uint64(i)))
+		limitsEnded.Add(1)
+		go func() { defer limitsEnded.Done(); w.limitTargets(faultCtx, targets, rnd) }()
+	}
 	w.injectFaults(faultCtx)
 	stopFaults()
+	limitsEnded.Wait()
 	w.clearFaults()
 	if !w.waitUntilServing(ctx, recoveryTimeout) {
 		w.reportViolation("some keys or hosts are not served %v after the last fault", recoveryTimeout)
 	}
 	stopWatch()
 	wg.Wait()
-	r := &Result{Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests()}
+	r := &Result{Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests(), LimitWindows: w.checkLimits()}
 	r.Violations = w.violations
 	return r, w.writeEvents()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,7 +49,7 @@
 			if r.Faults < 5 || r.Answered < 500 {
 				t.Errorf("%d faults and %d answered requests are too few for a meaningful check", r.Faults, r.Answered)
 			}
-			t.Logf("%d faults, %d requests, %d answered", r.Faults, r.Requests, r.Answered)
+			t.Logf("%d faults, %d requests, %d answered, %d checks of limits", r.Faults, r.Requests, r.Answered, r.LimitWindows)
 		})
 	}
 }
