Take a limit also from the response to a grant

A target may state its limit in a response to the leader's grant before any host sends it a request. Such a response does not end a limit, since it is not known that targets state it there; its time is taken as unknown within the longest call, so that it does not undo a later response to a request.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -46,7 +46,7 @@
 
 // cluster is a set of coordinators with a stand-in store and targets.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Store
 	hosts   []*testHost
 	targets map[string]*standin.Target
@@ -56,11 +56,11 @@
 const desiredJSON = `{"version":"%08x","routes":[{"name":"r","host":"h","path-prefix":"/","kind":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2}],
 "services":[{"name":"w","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":true,"warmup-s":3}],"limits":{}}`
 
-func newCluster(t *testing.T, hosts, targets int) *cluster {
+func newCluster(t testing.TB, hosts, targets int) *cluster {
 	return newLoggedCluster(t, hosts, targets, hclog.NewNullLogger())
 }
 
-func newLoggedCluster(t *testing.T, hosts, targets int, log hclog.Logger) *cluster {
+func newLoggedCluster(t testing.TB, hosts, targets int, log hclog.Logger) *cluster {
 	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, log: log}
 	k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 1)))
 	for i := range targets {
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -7,6 +7,8 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -28,14 +30,22 @@
 }
 
 // handleGrantResponse handles what a target reports about itself in the response to
-// a grant.
+// a grant or a release.
 func (c *Coordinator) handleGrantResponse(target, address string, response platform.ResponseMetadata) {
-	if !response.Leaving {
+	t := c.Snapshot().Targets[target]
+	if t == nil || t.Address != address {
 		return
 	}
-	if t := c.Snapshot().Targets[target]; t != nil && t.Address == address {
+	if response.Leaving {
 		c.MarkTargetLeaving(t.Ident())
 	}
+	// Only responses to requests end a limit: targets need not state it in others.
+	if response.RequestLimit > 0 && !response.WrongTarget {
+		now := boottime.Now()
+		c.RecordRequestLimit(limits.LimitStatement{
+			Target: t.Ident(), PerSecond: response.RequestLimit, SentAt: now - releaseTimeout, ReceivedAt: now,
+		})
+	}
 }
 
 // markTargetsLeaving marks incarnations of targets as leaving and reports whether any was
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -279,3 +279,46 @@
 		So(k.keysOf("t2"), ShouldBeGreaterThan, slow)
 	})
 }
+
+// TestLimitInTheResponseToAGrant guards against a limit that a target states to the
+// leader only, and against one that ends because such a response does not state it.
+func TestLimitInTheResponseToAGrant(t *testing.T) {
+	Convey("a grant's response states a limit and does not end one", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		x := &fleet.Target{ID: "t", Address: "a", Workload: "w"}
+		c.mu.Lock()
+		c.dir.PutTarget(x)
+		c.publish()
+		c.mu.Unlock()
+		limit := func() float64 { return c.Snapshot().RequestLimit(x) }
+		c.handleGrantResponse("t", "another", platform.ResponseMetadata{RequestLimit: 3})
+		c.handleGrantResponse("t", "a", platform.ResponseMetadata{RequestLimit: 3, WrongTarget: true})
+		So(limit(), ShouldEqual, 0)
+		c.handleGrantResponse("t", "a", platform.ResponseMetadata{RequestLimit: 3})
+		So(limit(), ShouldEqual, 3)
+		c.handleGrantResponse("t", "a", platform.ResponseMetadata{})
+		So(limit(), ShouldEqual, 3)
+		now := boottime.Now()
+		c.RecordRequestLimit(limits.LimitStatement{Target: x.Ident(), SentAt: now, ReceivedAt: now + 1})
+		So(limit(), ShouldEqual, 0)
+	})
+}
+
+// BenchmarkPermits measures permits for one target that a follower gets from the leader,
+// with the processor time of both hosts.
+func BenchmarkPermits(b *testing.B) {
+	k := newCluster(b, 2, 1)
+	if !eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() && k.follower() != nil }) {
+		b.Fatal("no follower")
+	}
+	h := k.follower()
+	h.stateLimit("t0", 1e6)
+	target := h.target("t0")
+	b.SetParallelism(4)
+	b.ResetTimer()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			h.c.TakePermit(context.Background(), target)
+		}
+	})
+}
