--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -277,3 +277,53 @@
 		})
 	}
 }
+
+// TestLimitsThroughChanges guards against targets over their limits, or far below them,
+// when the leader stops and when limits fall, rise and come as garbage.
+func TestLimitsThroughChanges(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given four hosts and three targets that state limits", t, func() {
+		f := newLimitFleet(t, 4, 4)
+		ctx, stop := context.WithCancel(context.Background())
+		var calls sync.WaitGroup
+		calls.Add(1)
+		go func() { defer calls.Done(); f.call(ctx) }()
+		defer calls.Wait()
+		defer stop()
+		state := func(x *standin.Target, limit string) {
+			x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: limit})
+		}
+		falls, rises, free := f.keyed[0], f.keyed[1], f.unkeyed[0]
+		state(falls, "2")
+		state(rises, "4")
+		state(free, "1.6")
+		time.Sleep(limitSettled)
+		settled := time.Now()
+		for i, c := range f.coords {
+			if c.Leading() {
+				f.stops[i]()
+			}
+		}
+		time.Sleep(limitWindow)
+		So(float64(mostInWindow(falls, settled)), ShouldBeLessThanOrEqualTo, allowedInWindow(2))
+		So(float64(mostInWindow(rises, settled)), ShouldBeLessThanOrEqualTo, allowedInWindow(4))
+		state(falls, "0.5")
+		state(rises, "10")
+		time.Sleep(limitSettled)
+		changed := time.Now()
+		time.Sleep(limitWindow)
+		So(float64(mostInWindow(falls, changed)), ShouldBeLessThanOrEqualTo, allowedInWindow(0.5))
+		So(float64(mostInWindow(rises, changed)), ShouldBeLessThanOrEqualTo, allowedInWindow(10))
+		So(arrivalsBetween(falls, changed, time.Now()), ShouldBeGreaterThanOrEqualTo, 1)
+		// The share of the host that stopped is left to it for a while.
+		So(float64(arrivalsBetween(rises, changed, time.Now())), ShouldBeGreaterThanOrEqualTo, 0.8*0.75*10*limitWindow.Seconds())
+		for _, garbage := range []string{"soon", "-5", "NaN", "1e9"} {
+			state(falls, garbage)
+			time.Sleep(limitWindow / 4)
+		}
+		So(float64(mostInWindow(falls, changed)), ShouldBeLessThanOrEqualTo, allowedInWindow(0.5))
+		So(float64(mostInWindow(free, settled)), ShouldBeLessThanOrEqualTo, allowedInWindow(1.6))
+	})
+}
