Ask for a permit again soon after a leader returns or a limit changes

Refusals without a leader now hold for 100 ms on the host and tell callers 3 s at most, and a change of the limit ends a refusal.

TestLeaderIsAskedSoonAfterItReturns and TestTargetsWithALimit failed before (38m15s; refused) and pass.

--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -203,6 +203,24 @@
 	})
 }
 
+// TestLeaderIsAskedSoonAfterItReturns guards against hosts that refuse requests until
+// their next turn, minutes later in a large fleet, although the leader is back.
+func TestLeaderIsAskedSoonAfterItReturns(t *testing.T) {
+	Convey("a refusal without a leader holds for a short time", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		now := boottime.Now()
+		c.setHostCount(now, 295)
+		target := fleet.Incarnation{ID: "t", Address: "a"}
+		c.applyLimit(limits.LimitStatement{Target: target, PerSecond: 0.1, SentAt: now, ReceivedAt: now})
+		for range 5 {
+			if p := c.TakePermit(context.Background(), target); !p.Granted {
+				So(p.NextAfter, ShouldBeLessThanOrEqualTo, 200*time.Millisecond)
+				So(p.ComeBackAfter, ShouldBeLessThanOrEqualTo, 5*time.Second)
+			}
+		}
+	})
+}
+
 // TestStatementsOfTheFuture guards against a statement with a wrong time that outlasts
 // all later ones.
 func TestStatementsOfTheFuture(t *testing.T) {
--- a/internal/coordinator/permits.go
+++ b/internal/coordinator/permits.go
@@ -19,6 +19,11 @@
 	permitTimeout = 250 * time.Millisecond
 	// askPause is how long the host uses its even share after the leader did not answer.
 	askPause = time.Second
+	// leaderCheckEvery is how long a refusal without a leader holds on this host, and
+	// maxLeaderWait the longest time after which a caller is told to come back then: a
+	// leader is replaced within 2 s, and has found its peers soon after.
+	leaderCheckEvery = 100 * time.Millisecond
+	maxLeaderWait    = 3 * time.Second
 	// permitAskQueue bounds the requests for permits that wait for the leader.
 	permitAskQueue = 512
 	// maxAsksPerMessage bounds the requests for permits in one message.
@@ -180,7 +185,10 @@
 	if hosts == 0 {
 		hosts = assumedHosts
 	}
-	return l.shares.Take(now, s.Target, s.PerSecond, hosts, rand.Float64())
+	p := l.shares.Take(now, s.Target, s.PerSecond, hosts, rand.Float64())
+	// A leader is usually found before the next turn of a host in a large fleet.
+	p.NextAfter, p.ComeBackAfter = min(p.NextAfter, leaderCheckEvery), min(p.ComeBackAfter, maxLeaderWait)
+	return p
 }
 
 // assumedHosts is the number of hosts that a host assumes before it has heard of any
--- a/placement/board.go
+++ b/placement/board.go
@@ -163,6 +163,9 @@
 		if t == nil || t.Incarnation != x.Incarnation {
 			t = &target{slowdown: 1}
 		}
+		if x.RequestLimit != t.RequestLimit {
+			t.permitRefused = limits.Permit{} // the next permit may be available sooner
+		}
 		t.Target = x
 		s.targets[x.ID] = t
 		s.targetsByWorkload[x.Workload] = append(s.targetsByWorkload[x.Workload], t)
--- a/placement/permit_test.go
+++ b/placement/permit_test.go
@@ -55,6 +55,14 @@
 			set(0, 0)
 			So(s.Submit(now, toA), ShouldResemble, Decision{Action: Send, Target: "a"})
 		})
+		Convey("it is asked again at once when its limit changes", func() {
+			s.Submit(now, toA)
+			s.RecordPermitRefused(now, "a", limits.Permit{NextAfter: 10 * time.Second, ComeBackAfter: 10 * time.Second})
+			set(2, 4)
+			So(s.Submit(now, toA).Action, ShouldEqual, Refuse)
+			set(200, 4)
+			So(s.Submit(now, toA).NeedsPermit, ShouldBeTrue)
+		})
 		Convey("with no permit at any target a request is refused until the first is available", func() {
 			set(2, 4)
 			s.Submit(now, toA)
