--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -129,6 +129,14 @@
 	callInterval = 8 * time.Millisecond
 )
 
+// startCalls starts the callers and returns a function that ends them.
+func (f *limitFleet) startCalls() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.call(ctx) }()
+	return func() { cancel(); <-done }
+}
+
 // call sends requests at a steady rate to random hosts until the context ends.
 func (f *limitFleet) call(ctx context.Context) {
 	client := &http.Transport{MaxIdleConnsPerHost: 64}
@@ -232,12 +240,7 @@
 	for _, hosts := range []int{3, 10} {
 		Convey(fmt.Sprintf("Given %d hosts, and a keyed target and one without keys that state a limit", hosts), t, func() {
 			f := newLimitFleet(t, hosts, 3)
-			ctx, stop := context.WithCancel(context.Background())
-			var calls sync.WaitGroup
-			calls.Add(1)
-			go func() { defer calls.Done(); f.call(ctx) }()
-			defer calls.Wait()
-			defer stop()
+			defer f.startCalls()()
 			limited := map[*standin.Target]float64{f.keyed[0]: 2, f.unkeyed[0]: 1.6}
 			before := map[*standin.Target]float64{}
 			time.Sleep(limitSettled)
@@ -286,12 +289,7 @@
 	}
 	Convey("Given four hosts and three targets that state limits", t, func() {
 		f := newLimitFleet(t, 4, 4)
-		ctx, stop := context.WithCancel(context.Background())
-		var calls sync.WaitGroup
-		calls.Add(1)
-		go func() { defer calls.Done(); f.call(ctx) }()
-		defer calls.Wait()
-		defer stop()
+		defer f.startCalls()()
 		state := func(x *standin.Target, limit string) {
 			x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: limit})
 		}
