--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -325,3 +325,38 @@
 		So(float64(mostInWindow(free, settled)), ShouldBeLessThanOrEqualTo, allowedInWindow(1.6))
 	})
 }
+
+// TestKeysLeaveATargetWhoseLimitLasts guards against requests for the keys of a limited
+// target that are refused for as long as the limit lasts, while other targets have room,
+// and against a target that does not get its keys back.
+func TestKeysLeaveATargetWhoseLimitLasts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given three hosts and a keyed target whose limit lasts", t, func() {
+		f := newLimitFleet(t, 3, 3)
+		defer f.startCalls()()
+		x := f.keyed[0]
+		time.Sleep(limitSettled)
+		before := float64(arrivalsBetween(x, time.Now().Add(-2*time.Second), time.Now())) / 2
+		x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: "4"})
+		time.Sleep(limitSettled + limitWindow)
+		from := time.Now()
+		time.Sleep(limitWindow)
+		keyed, served := 0, 0
+		for _, r := range f.resultsSince(from) {
+			if r.keyed {
+				keyed++
+				if r.status == http.StatusOK {
+					served++
+				}
+			}
+		}
+		So(float64(served), ShouldBeGreaterThanOrEqualTo, 0.9*float64(keyed))
+		So(float64(arrivalsBetween(x, from, time.Now())), ShouldBeBetween, 0.7*4*limitWindow.Seconds(), allowedInWindow(4))
+		x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime})
+		time.Sleep(limitSettled)
+		back := float64(arrivalsBetween(x, time.Now().Add(-time.Second), time.Now()))
+		So(back, ShouldBeGreaterThanOrEqualTo, 0.6*before)
+	})
+}
