Move keys away from a target whose limit lasts, and back when it ends

Cause: the plan of key ranges left limited targets as they were.

The capacity of a limited target is now its limit. Once the limit has lasted for 3 s, keys leave it from 1.6 times the limit on until 1.25 times is left, so that what it named is used up, and the leader remembers where they were. They return up to the limit while it lasts, and all when it ends, as far as the target has room.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -53,6 +53,10 @@
 	startTimes  map[string]int64
 	// addresses keeps the addresses of targets that are no longer announced.
 	addresses map[string]string
+	// limitedKeys has, for each workload, the keys that were moved from targets with a
+	// limit, with these targets as owners; limitedSince is when each target's limit began.
+	limitedKeys  map[string]displacedKeys
+	limitedSince map[fleet.Incarnation]time.Duration
 	// fenceRefusals counts the fencing tokens that each target refused since it last
 	// accepted one.
 	fenceRefusals map[string]int
@@ -80,6 +84,7 @@
 		loopQueue: make(chan loopFunc, loopQueueSize), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentRanges: map[string]*RangeMap{},
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
+		limitedKeys: map[string]displacedKeys{}, limitedSince: map[fleet.Incarnation]time.Duration{},
 		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
 	c.limits.beginTerm()
@@ -290,6 +295,7 @@
 	if t.appendInProgress || snap.DesiredState == nil {
 		return
 	}
+	t.forgetLimits(snap)
 	for name, g := range t.granters {
 		w := snap.DesiredState.Workloads[name]
 		table := t.c.leadership.table(name)
@@ -314,6 +320,7 @@
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
+			Returns: t.limitedKeys[name],
 		})
 		next := table
 		for _, s := range g.ClearedRanges() {
@@ -327,6 +334,7 @@
 					"owner", m.Owner, "rate_per_s", t.loads[name].rate(m.From, m.To), "failing", len(failing))
 			}
 		}
+		t.limitedKeys[name] = t.limitedKeys[name].update(snap, table, next, moves)
 		if next != table {
 			t.unstoredTables[name] = next
 		}
@@ -344,10 +352,15 @@
 			continue
 		}
 		service := t.loads[w.Name].serviceTime(x.ID)
-		r := ownership.RangeTarget{ID: x.ID, Capacity: float64(x.Slots), ServiceSeconds: service, AcceptsKeys: true, Limited: snap.RequestLimit(x) > 0}
+		r := ownership.RangeTarget{ID: x.ID, Capacity: float64(x.Slots), ServiceSeconds: service, AcceptsKeys: true}
 		if now < x.ColdUntil && w.ColdRate > 0 {
 			r.Capacity = min(r.Capacity, w.ColdRate*service)
 		}
+		if limit := snap.RequestLimit(x); limit > 0 {
+			r.Limited, r.KeepsKeys, r.Capacity = true, !t.limitLasts(now, x), min(r.Capacity, limit*service)
+		} else {
+			delete(t.limitedSince, x.Ident())
+		}
 		out = append(out, r)
 	}
 	return out
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -15,14 +15,25 @@
 	// AcceptsKeys says that keys may be moved to it. Targets that are leaving or
 	// whose domain is evacuated keep no keys and are not listed.
 	AcceptsKeys bool
-	// Limited says that the target states a limit on its requests. Its load tells
-	// nothing about its room, so that it neither takes nor gives keys for balance.
+	// Limited says that the target states a limit on its requests; Capacity is the load
+	// within the limit. Its load tells nothing about its room, so that it takes no keys
+	// for balance but those that are returned to it.
 	Limited bool
+	// KeepsKeys says that no keys are moved from it for balance.
+	KeepsKeys bool
 }
 
 // takesKeys reports whether keys may be moved to the target for balance.
 func (t *RangeTarget) takesKeys() bool { return t.AcceptsKeys && !t.Limited }
 
+// A limited target gives keys away from limitedHotUtilization on, down to
+// limitedGoal: with requests that arrive at random it uses up its limit only with some
+// more of them.
+const (
+	limitedHotUtilization = 1.6
+	limitedGoal           = 1.25
+)
+
 // RangePlanConfig holds the settings of PlanRanges. A zero field takes its
 // default.
 type RangePlanConfig struct {
@@ -87,6 +98,9 @@
 	// Movable reports whether a range may be moved for balance; one that was moved
 	// recently may not. nil means that all ranges may.
 	Movable func(KeyRange) bool
+	// Returns are moves of keys back to targets from which a limit drove them. A limited
+	// target takes them up to its limit.
+	Returns []RangeMove
 }
 
 // backgroundRate is a rate, in requests per second, that is added to the observed
@@ -134,6 +148,7 @@
 		}
 	}
 	p.reassignOrphans()
+	p.returnKeys()
 	p.fillEmptyTargets()
 	p.relieveHotTargets()
 	p.mergeQuietRanges()
@@ -245,6 +260,41 @@
 	return from + n
 }
 
+// returnKeys moves keys back to the targets that they left for a limit, as far as these
+// have room.
+func (p *rangePlan) returnKeys() {
+	for _, m := range p.in.Returns {
+		t := p.targets[m.Owner]
+		if t == nil || !t.AcceptsKeys || len(p.moves) >= p.cfg.MaxMoves {
+			continue
+		}
+		rate, ok := p.returnableRate(m)
+		room := p.cfg.HotUtilization * urgentFillShare
+		if t.Limited {
+			room = 1
+		}
+		if ok && (p.load[t.ID]+rate*t.ServiceSeconds)/t.Capacity <= room {
+			p.move(m.From, m.To, t)
+		}
+	}
+}
+
+// returnableRate returns the rate of the keys that a move would change, or false if
+// there are none or some may not be moved.
+func (p *rangePlan) returnableRate(m RangeMove) (rate float64, ok bool) {
+	for _, s := range p.table.Ranges {
+		lo, hi := max(s.From, m.From), min(s.To, m.To)
+		if lo > hi || s.Owner == m.Owner {
+			continue
+		}
+		if !p.movable(s) {
+			return 0, false
+		}
+		rate, ok = rate+p.rate(lo, hi), true
+	}
+	return rate, ok
+}
+
 // fillEmptyTargets gives keys to targets that have none.
 func (p *rangePlan) fillEmptyTargets() {
 	keyCounts := p.table.KeyCounts()
@@ -281,17 +331,24 @@
 		var hot *RangeTarget
 		for i := range p.in.Targets {
 			t := &p.in.Targets[i]
-			if !skipped[t.ID] && !t.Limited && (hot == nil || p.utilization(t) > p.utilization(hot)) {
+			if !skipped[t.ID] && !t.KeepsKeys && (hot == nil || p.utilization(t) > p.utilization(hot)) {
 				hot = t
 			}
 		}
 		cool := p.leastUtilized()
 		mean := p.meanUtilization()
-		if hot == nil || cool == nil || hot == cool || p.utilization(hot)-p.utilizationStdDev(hot) < max(p.cfg.HotUtilization, p.cfg.ImbalanceRatio*mean) {
+		if hot == nil || cool == nil || hot == cool {
 			return
 		}
+		if p.utilization(hot)-p.utilizationStdDev(hot) < p.hotLevel(hot, mean) {
+			if !hot.Limited {
+				return
+			}
+			skipped[hot.ID] = true
+			continue
+		}
 		goal := max(mean, p.cfg.HotUtilization*reliefShare)
-		excess := p.load[hot.ID] - goal*hot.Capacity
+		excess := p.load[hot.ID] - p.reliefGoal(hot, goal)*hot.Capacity
 		p.sourceOverloaded = p.utilization(hot) > 1
 		if p.sourceOverloaded {
 			cool = p.mostSpare()
@@ -308,6 +365,23 @@
 	}
 }
 
+// hotLevel returns the utilization from which a target gives keys away.
+func (p *rangePlan) hotLevel(t *RangeTarget, mean float64) float64 {
+	if t.Limited {
+		return limitedHotUtilization
+	}
+	return max(p.cfg.HotUtilization, p.cfg.ImbalanceRatio*mean)
+}
+
+// reliefGoal returns the utilization to which a target is brought, goal without a
+// limit.
+func (p *rangePlan) reliefGoal(t *RangeTarget, goal float64) float64 {
+	if t.Limited {
+		return limitedGoal
+	}
+	return goal
+}
+
 // utilizationStdDev returns the standard deviation of a target's measured
 // utilization.
 func (p *rangePlan) utilizationStdDev(t *RangeTarget) float64 {
