Wait for the target in tests that state a limit

TestPermitsOfASilentLeader failed once beside other test runs, and a run of the package had failed once before without its output. Traced: the test stated a limit for a target that the host had not read yet, so for no target; with the condition as a check of its own, 9 of 36 parallel runs failed at it.

--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -16,8 +16,10 @@
 	"github.com/boragelock/boragelock/platform"
 )
 
-// stateLimit records that a target stated a limit to a host just now.
+// stateLimit records that a target stated a limit to a host just now. It waits until the
+// host knows the target.
 func (h *testHost) stateLimit(id string, perSecond float64) {
+	So(eventually(3*time.Second, func() bool { return h.target(id).ID == id }), ShouldBeTrue)
 	now := boottime.Now()
 	h.c.RecordRequestLimit(limits.LimitStatement{Target: h.target(id), PerSecond: perSecond, SentAt: now - time.Millisecond, ReceivedAt: now})
 }
@@ -330,8 +332,9 @@
 		b.Fatal("no follower")
 	}
 	h := k.follower()
-	h.stateLimit("t0", 1e6)
 	target := h.target("t0")
+	now := boottime.Now()
+	h.c.RecordRequestLimit(limits.LimitStatement{Target: target, PerSecond: 1e6, SentAt: now, ReceivedAt: now})
 	b.SetParallelism(4)
 	b.ResetTimer()
 	b.RunParallel(func(p *testing.PB) {
