Keep the home of keys that left a limited target in the table of owners

Its keys had left it for the limit, and the leader that remembered them had stopped: a limited target did not get its traffic back from the next leader.

Any leader returns them as far as there is room, also parts of a range, and to a limited target while it clearly does not use its limit up. The home is forgotten when its target is gone.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -53,9 +53,7 @@
 	startTimes  map[string]int64
 	// addresses keeps the addresses of targets that are no longer announced.
 	addresses map[string]string
-	// limitedKeys has, for each workload, the keys that were moved from targets with a
-	// limit, with these targets as owners; limitedSince is when each target's limit began.
-	limitedKeys  map[string]displacedKeys
+	// limitedSince is when each target's limit began.
 	limitedSince map[fleet.Incarnation]time.Duration
 	// fenceRefusals counts the fencing tokens that each target refused since it last
 	// accepted one.
@@ -84,7 +82,7 @@
 		loopQueue: make(chan loopFunc, loopQueueSize), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentRanges: map[string]*RangeMap{},
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
-		limitedKeys: map[string]displacedKeys{}, limitedSince: map[fleet.Incarnation]time.Duration{},
+		limitedSince:   map[fleet.Incarnation]time.Duration{},
 		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
 	c.limits.beginTerm()
@@ -320,9 +318,8 @@
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
-			Returns: t.limitedKeys[name],
 		})
-		next := table
+		next := table.ForgetHomes(func(home string) bool { return snap.Targets[home] != nil })
 		for _, s := range g.ClearedRanges() {
 			next = next.Release(s.From, s.To)
 		}
@@ -334,7 +331,6 @@
 					"owner", m.Owner, "rate_per_s", t.loads[name].rate(m.From, m.To), "failing", len(failing))
 			}
 		}
-		t.limitedKeys[name] = t.limitedKeys[name].update(snap, table, next, moves)
 		if next != table {
 			t.unstoredTables[name] = next
 		}
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -30,8 +30,8 @@
 // limitedGoal: with requests that arrive at random it uses up its limit only with some
 // more of them.
 const (
-	limitedHotUtilization = 1.6
-	limitedGoal           = 1.25
+	limitedHotUtilization = 1.8
+	limitedGoal           = 1.4
 )
 
 // RangePlanConfig holds the settings of PlanRanges. A zero field takes its
@@ -98,9 +98,6 @@
 	// Movable reports whether a range may be moved for balance; one that was moved
 	// recently may not. nil means that all ranges may.
 	Movable func(KeyRange) bool
-	// Returns are moves of keys back to targets from which a limit drove them. A limited
-	// target takes them up to its limit.
-	Returns []RangeMove
 }
 
 // backgroundRate is a rate, in requests per second, that is added to the observed
@@ -218,6 +215,7 @@
 }
 
 func (p *rangePlan) move(from, to int, owner *RangeTarget) {
+	m := RangeMove{From: from, To: to, Owner: owner.ID}
 	for _, s := range p.table.Ranges {
 		lo, hi := max(s.From, from), min(s.To, to)
 		if lo > hi {
@@ -225,10 +223,10 @@
 		}
 		if t := p.targets[s.Owner]; t != nil {
 			p.load[s.Owner] -= p.rate(lo, hi) * t.ServiceSeconds
+			m.FromLimited = m.FromLimited || t.Limited
 		}
 	}
 	p.load[owner.ID] += p.rate(from, to) * owner.ServiceSeconds
-	m := RangeMove{From: from, To: to, Owner: owner.ID}
 	p.moves = append(p.moves, m)
 	p.table = p.table.Move(m)
 }
@@ -263,36 +261,33 @@
 // returnKeys moves keys back to the targets that they left for a limit, as far as these
 // have room.
 func (p *rangePlan) returnKeys() {
-	for _, m := range p.in.Returns {
-		t := p.targets[m.Owner]
-		if t == nil || !t.AcceptsKeys || len(p.moves) >= p.cfg.MaxMoves {
+	for _, s := range p.table.Ranges {
+		t := p.targets[s.Home]
+		if t == nil || !t.AcceptsKeys || len(p.moves) >= p.cfg.MaxMoves || !p.movable(s) {
 			continue
 		}
-		rate, ok := p.returnableRate(m)
-		room := p.cfg.HotUtilization * urgentFillShare
-		if t.Limited {
-			room = 1
+		room := (p.returnLevel(t)*t.Capacity - p.load[t.ID]) / t.ServiceSeconds
+		to := s.To
+		if p.rate(s.From, s.To) > room {
+			to = p.lastKeyWithin(s.From, s.To, room)
 		}
-		if ok && (p.load[t.ID]+rate*t.ServiceSeconds)/t.Capacity <= room {
-			p.move(m.From, m.To, t)
+		rate := p.rate(s.From, to)
+		if rate <= room && (to == s.To || rate >= p.cfg.MinMoveShare*t.Capacity/t.ServiceSeconds) {
+			p.move(s.From, to, t)
 		}
 	}
 }
 
-// returnableRate returns the rate of the keys that a move would change, or false if
-// there are none or some may not be moved.
-func (p *rangePlan) returnableRate(m RangeMove) (rate float64, ok bool) {
-	for _, s := range p.table.Ranges {
-		lo, hi := max(s.From, m.From), min(s.To, m.To)
-		if lo > hi || s.Owner == m.Owner {
-			continue
-		}
-		if !p.movable(s) {
-			return 0, false
-		}
-		rate, ok = rate+p.rate(lo, hi), true
+// returnLevel returns the utilization up to which keys return to a target. One with a
+// limit takes them only while it does not use the limit up.
+func (p *rangePlan) returnLevel(t *RangeTarget) float64 {
+	switch {
+	case !t.Limited:
+		return p.cfg.HotUtilization * urgentFillShare
+	case p.utilization(t)+p.utilizationStdDev(t) < 1:
+		return limitedGoal
 	}
-	return rate, ok
+	return 0
 }
 
 // fillEmptyTargets gives keys to targets that have none.
--- a/ownership/ranges.go
+++ b/ownership/ranges.go
@@ -22,6 +22,9 @@
 	// granted them only after each of these has released them or its key lease
 	// has expired.
 	PreviousOwners []string `json:"w,omitempty"`
+	// Home is the target that the keys left because of its request limit and to which
+	// they return, or empty.
+	Home string `json:"h,omitempty"`
 }
 
 // Len returns the number of keys.
@@ -101,6 +104,8 @@
 type RangeMove struct {
 	From, To int
 	Owner    string
+	// FromLimited says that the keys leave their owner because of its request limit.
+	FromLimited bool
 }
 
 // Move returns a table with the moves applied. An owner that is replaced while
@@ -125,6 +130,7 @@
 			slices.Sort(previous)
 			out = append(out, KeyRange{
 				From: max(s.From, m.From), To: min(s.To, m.To), Owner: m.Owner, PreviousOwners: slices.Compact(previous),
+				Home: homeAfter(s, m),
 			})
 			if s.To > m.To {
 				right := s
@@ -137,6 +143,34 @@
 	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
 }
 
+// homeAfter returns the home of keys of a range after a move. It is the target that
+// they left first, also when they move on.
+func homeAfter(s KeyRange, m RangeMove) string {
+	home := s.Home
+	if home == "" && m.FromLimited {
+		home = s.Owner
+	}
+	if home == m.Owner {
+		return ""
+	}
+	return home
+}
+
+// ForgetHomes returns a table without the homes for which keep returns false, and the
+// same table if there are none.
+func (t *RangeTable) ForgetHomes(keep func(home string) bool) *RangeTable {
+	ranges, changed := slices.Clone(t.Ranges), false
+	for i := range ranges {
+		if h := ranges[i].Home; h != "" && !keep(h) {
+			ranges[i].Home, changed = "", true
+		}
+	}
+	if !changed {
+		return t
+	}
+	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
+}
+
 // Release returns a table in which the ranges within the keys from to to have no
 // previous owners.
 func (t *RangeTable) Release(from, to int) *RangeTable {
@@ -149,12 +183,12 @@
 	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
 }
 
-// mergeAdjacent merges neighbouring ranges that have the same owner and no
+// mergeAdjacent merges neighbouring ranges that have the same owner and home and no
 // previous owners.
 func (t *RangeTable) mergeAdjacent() *RangeTable {
 	var out []KeyRange
 	for _, s := range t.Ranges {
-		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && len(out[n-1].PreviousOwners) == 0 && len(s.PreviousOwners) == 0 {
+		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && out[n-1].Home == s.Home && len(out[n-1].PreviousOwners) == 0 && len(s.PreviousOwners) == 0 {
 			out[n-1].To = s.To
 			continue
 		}
