Call the target to which keys return ReturnTo, not home

The glossary uses home for the entry host that alone sends requests to a target. Names, comments and the key in the stored table (r, not yet released) change; go test ./ownership passes.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -319,7 +319,7 @@
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
 		})
-		next := table.ForgetHomes(func(home string) bool { return snap.Targets[home] != nil })
+		next := table.ForgetReturns(func(target string) bool { return snap.Targets[target] != nil })
 		for _, s := range g.ClearedRanges() {
 			next = next.Release(s.From, s.To)
 		}
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -262,7 +262,7 @@
 // have room.
 func (p *rangePlan) returnKeys() {
 	for _, s := range p.table.Ranges {
-		t := p.targets[s.Home]
+		t := p.targets[s.ReturnTo]
 		if t == nil || !t.AcceptsKeys || len(p.moves) >= p.cfg.MaxMoves || !p.movable(s) {
 			continue
 		}
--- a/ownership/ranges.go
+++ b/ownership/ranges.go
@@ -22,9 +22,9 @@
 	// granted them only after each of these has released them or its key lease
 	// has expired.
 	PreviousOwners []string `json:"w,omitempty"`
-	// Home is the target that the keys left because of its request limit and to which
+	// ReturnTo is the target that the keys left because of its request limit and to which
 	// they return, or empty.
-	Home string `json:"h,omitempty"`
+	ReturnTo string `json:"r,omitempty"`
 }
 
 // Len returns the number of keys.
@@ -130,7 +130,7 @@
 			slices.Sort(previous)
 			out = append(out, KeyRange{
 				From: max(s.From, m.From), To: min(s.To, m.To), Owner: m.Owner, PreviousOwners: slices.Compact(previous),
-				Home: homeAfter(s, m),
+				ReturnTo: returnToAfter(s, m),
 			})
 			if s.To > m.To {
 				right := s
@@ -143,26 +143,26 @@
 	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
 }
 
-// homeAfter returns the home of keys of a range after a move. It is the target that
+// returnToAfter returns the target to which keys of a range return after a move: the one that
 // they left first, also when they move on.
-func homeAfter(s KeyRange, m RangeMove) string {
-	home := s.Home
-	if home == "" && m.FromLimited {
-		home = s.Owner
+func returnToAfter(s KeyRange, m RangeMove) string {
+	target := s.ReturnTo
+	if target == "" && m.FromLimited {
+		target = s.Owner
 	}
-	if home == m.Owner {
+	if target == m.Owner {
 		return ""
 	}
-	return home
+	return target
 }
 
-// ForgetHomes returns a table without the homes for which keep returns false, and the
+// ForgetReturns returns a table that forgets the targets for which keep returns false as ReturnTo, and the
 // same table if there are none.
-func (t *RangeTable) ForgetHomes(keep func(home string) bool) *RangeTable {
+func (t *RangeTable) ForgetReturns(keep func(target string) bool) *RangeTable {
 	ranges, changed := slices.Clone(t.Ranges), false
 	for i := range ranges {
-		if h := ranges[i].Home; h != "" && !keep(h) {
-			ranges[i].Home, changed = "", true
+		if r := ranges[i].ReturnTo; r != "" && !keep(r) {
+			ranges[i].ReturnTo, changed = "", true
 		}
 	}
 	if !changed {
@@ -183,12 +183,12 @@
 	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
 }
 
-// mergeAdjacent merges neighbouring ranges that have the same owner and home and no
+// mergeAdjacent merges neighbouring ranges that have the same owner and ReturnTo, and no
 // previous owners.
 func (t *RangeTable) mergeAdjacent() *RangeTable {
 	var out []KeyRange
 	for _, s := range t.Ranges {
-		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && out[n-1].Home == s.Home && len(out[n-1].PreviousOwners) == 0 && len(s.PreviousOwners) == 0 {
+		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && out[n-1].ReturnTo == s.ReturnTo && len(out[n-1].PreviousOwners) == 0 && len(s.PreviousOwners) == 0 {
 			out[n-1].To = s.To
 			continue
 		}
--- a/ownership/ranges_test.go
+++ b/ownership/ranges_test.go
@@ -199,26 +199,26 @@
 	}
 }
 
-// TestHomesOfKeys guards against keys that do not return to the target that they left for
+// TestKeysReturnToTheTargetThatTheyLeft guards against keys that do not return to the target that they left for
 // its limit, or that return to another one.
-func TestHomesOfKeys(t *testing.T) {
+func TestKeysReturnToTheTargetThatTheyLeft(t *testing.T) {
 	Convey("Given keys that left a for its limit", t, func() {
 		table := NewRangeTable([]string{"a", "b", "c"}, []float64{1, 1, 1}).Move(RangeMove{From: 0, To: 9, Owner: "b", FromLimited: true})
-		So(table.Find(5), ShouldResemble, KeyRange{From: 0, To: 9, Owner: "b", PreviousOwners: []string{"a"}, Home: "a"})
-		Convey("their home is kept in the stored table, and when they move on", func() {
+		So(table.Find(5), ShouldResemble, KeyRange{From: 0, To: 9, Owner: "b", PreviousOwners: []string{"a"}, ReturnTo: "a"})
+		Convey("the target is kept in the stored table, and when they move on", func() {
 			stored, err := DecodeRangeTable(table.Encode())
 			So(err, ShouldBeNil)
 			next := stored.Release(0, 9).Move(RangeMove{From: 2, To: 5, Owner: "c", FromLimited: true})
-			So(next.Find(3).Home, ShouldEqual, "a")
-			So(next.Find(1).Home, ShouldEqual, "a")
+			So(next.Find(3).ReturnTo, ShouldEqual, "a")
+			So(next.Find(1).ReturnTo, ShouldEqual, "a")
 		})
 		Convey("it ends with their return, after which they are part of the range that they left", func() {
 			back := table.Release(0, 9).Move(RangeMove{From: 0, To: 9, Owner: "a"}).Release(0, 9)
 			So(back.Find(5), ShouldResemble, KeyRange{From: 0, To: 21844, Owner: "a"})
 		})
 		Convey("it is forgotten with its target", func() {
-			So(table.ForgetHomes(func(string) bool { return true }), ShouldEqual, table)
-			So(table.ForgetHomes(func(home string) bool { return home != "a" }).Find(5).Home, ShouldEqual, "")
+			So(table.ForgetReturns(func(string) bool { return true }), ShouldEqual, table)
+			So(table.ForgetReturns(func(target string) bool { return target != "a" }).Find(5).ReturnTo, ShouldEqual, "")
 		})
 	})
 }
