--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -388,3 +388,24 @@
 		})
 	}
 }
+
+// TestKeyedTargetUsesItsLimitUp guards against a limited target that gets much less than
+// it named once keys move away from it.
+func TestKeyedTargetUsesItsLimitUp(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	for _, hosts := range []int{3, 10} {
+		Convey(fmt.Sprintf("Given %d hosts and a keyed target that states a limit", hosts), t, func() {
+			const limit = 2
+			f := newLimitFleet(t, hosts, 3)
+			defer f.startCalls()()
+			time.Sleep(limitSettled)
+			f.keyed[0].SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: fmt.Sprint(limit)})
+			time.Sleep(limitSettled)
+			settled := time.Now()
+			time.Sleep(2 * limitWindow)
+			So(float64(arrivalsBetween(f.keyed[0], settled, time.Now())), ShouldBeGreaterThanOrEqualTo, 0.8*limit*time.Since(settled).Seconds())
+		})
+	}
+}
