Restore two checks of the limit tests that the moves of bounds had dropped

TestTargetsGetTheLimitTheyState again asks for four times the limits before they are stated, without which its later checks say nothing.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -266,6 +266,7 @@
 			var before []int
 			for _, group := range groups {
 				before = append(before, arrivalsOf(group, time.Now().Add(-2*time.Second)))
+				So(before[len(before)-1], ShouldBeGreaterThan, 2*4*2*len(group)) // four times the limits
 			}
 			for x, limit := range limited {
 				x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: fmt.Sprint(limit)})
@@ -412,4 +413,19 @@
 			})
 		}
 	}
+	Convey("Given four hosts, the leader of which stops before the limit rises", t, func() {
+		f := newLimitFleet(t, 4, 3)
+		defer f.startCalls()()
+		x := f.keyed[0]
+		x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: "4"})
+		time.Sleep(limitSettled)
+		f.stopLeader()
+		time.Sleep(limitWindow)
+		x.SetBehaviour(standin.Behaviour{ServiceTime: limitServiceTime, RequestLimit: "10"})
+		time.Sleep(limitSettled)
+		risen := time.Now()
+		time.Sleep(limitWindow)
+		// The share of the host that stopped is left to it for a while.
+		So(float64(arrivalsBetween(x, risen, time.Now())), ShouldBeGreaterThanOrEqualTo, 0.8*0.75*10*limitWindow.Seconds())
+	})
 }
