Add two tests that fail after a restore of the store, and log its era

When the store comes back from an older copy, keys are held by two targets (OWNER), and hosts that follow the leader ignore what is written afterwards (CONFIG).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -96,6 +96,8 @@
 	limitReported chan struct{}
 	// permitAsks holds the requests for permits that wait for the leader.
 	permitAsks chan *permitAsk
+	// storeEra is the highest era of the store that this host has seen.
+	storeEra atomic.Uint64
 	// retired is set when the host must not campaign any more.
 	retired atomic.Bool
 	metrics *metrics
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -50,7 +50,10 @@
 	store   *standin.Store
 	hosts   []*testHost
 	targets map[string]*standin.Target
-	log     hclog.Logger
+	// addresses has the addresses of the targets, announcements how often each was announced.
+	addresses     map[string]string
+	announcements map[string]int
+	log           hclog.Logger
 }
 
 const desiredJSON = `{"version":"%08x","routes":[{"name":"r","host":"h","path-prefix":"/","kind":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2}],
@@ -61,7 +64,7 @@
 }
 
 func newLoggedCluster(t testing.TB, hosts, targets int, log hclog.Logger) *cluster {
-	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, log: log}
+	k := &cluster{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, addresses: map[string]string{}, announcements: map[string]int{}, log: log}
 	k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 1)))
 	for i := range targets {
 		k.addTarget(fmt.Sprint("t", i))
@@ -76,10 +79,16 @@
 	x := standin.NewTarget(id, 2, true)
 	srv := httptest.NewServer(x)
 	k.t.Cleanup(srv.Close)
-	k.targets[id] = x
+	k.targets[id], k.addresses[id] = x, strings.TrimPrefix(srv.URL, "http://")
+	k.announce(id)
+}
+
+// announce writes the announcement of a target.
+func (k *cluster) announce(id string) {
+	k.announcements[id]++
 	k.store.Put(platform.TopicTargets, id, map[string]any{
-		"service": "w", "address": strings.TrimPrefix(srv.URL, "http://"), "zone": "z", "slots": 2, "state": "ready",
-		"cold-left-s": 0, "seq": 1, "born": 1,
+		"service": "w", "address": k.addresses[id], "zone": "z", "slots": 2, "state": "ready",
+		"cold-left-s": 0, "seq": k.announcements[id], "born": 1,
 	})
 }
 
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -129,6 +129,7 @@
 func (f *follower) handleReadError(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Outcome == platform.Expired {
+		f.c.cfg.Log.Info("records_unavailable", "topic", f.topic, "position", f.position(), "first", e.Offset, "era", e.Era)
 		f.resetPosition()
 	}
 	f.c.cfg.Log.Debug("store_read_failed", "topic", f.topic, "err", err)
@@ -150,7 +151,7 @@
 	if from == unknownOffset {
 		sent := boottime.Now()
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
-		f.c.metrics.storeCall("newest", err)
+		f.c.noteStoreCall("newest", b.Era, err)
 		if err != nil {
 			return err
 		}
@@ -158,7 +159,7 @@
 		return nil
 	}
 	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, maxReadWait)
-	f.c.metrics.storeCall("read", err)
+	f.c.noteStoreCall("read", b.Era, err)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -328,10 +328,10 @@
 	defer cancel()
 	sent := boottime.Now()
 	records := []platform.Record{r.storeRecord()}
-	end, err := c.cfg.Store.Append(callCtx, platform.TopicControl, offset, records)
-	c.metrics.storeCall("append", err)
+	b, err := c.cfg.Store.Append(callCtx, platform.TopicControl, offset, records)
+	c.noteStoreCall("append", b.Era, err)
 	if err == nil {
-		c.control.applyBatch(offset, platform.Batch{Records: records, NextOffset: end}, false, sent)
+		c.control.applyBatch(offset, b, false, sent)
 	} else {
 		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
 		var e *platform.Error
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -56,6 +56,7 @@
 		}
 		return 0
 	}))
+	m.root.Set("store_era", expvar.Func(func() any { return c.storeEra.Load() }))
 	m.root.Set("leading", expvar.Func(func() any { return c.Leading() }))
 	m.root.Set("hosts", expvar.Func(func() any { return c.HostCount() }))
 	return m
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -493,22 +493,22 @@
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 		defer cancel()
 		sent := boottime.Now()
-		end, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, offset, records)
-		t.c.metrics.storeCall("append", err)
+		b, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, offset, records)
+		t.c.noteStoreCall("append", b.Era, err)
 		if err != nil {
 			t.readControlTopic(offset)
 		}
 		t.post(func(now time.Duration) {
 			t.appendInProgress = false
 			if err != nil {
-				t.c.cfg.Log.Info("term_not_confirmed", "term", t.record.Term, "err", err)
+				t.c.cfg.Log.Info("term_not_confirmed", "term", t.record.Term, "at", offset, "err", err)
 				t.nextConfirm = now + retryPause
 				t.handleAppendError(err)
 				return
 			}
 			t.confirmedAt = now
 			t.lease.Confirm(sent)
-			t.c.control.applyBatch(offset, platform.Batch{Records: records, NextOffset: end}, false, sent)
+			t.c.control.applyBatch(offset, b, false, sent)
 			t.applyStored(now, tables)
 		})
 	}()
@@ -530,7 +530,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 	defer cancel()
 	b, err := t.c.cfg.Store.Read(ctx, platform.TopicControl, offset, 0)
-	t.c.metrics.storeCall("read", err)
+	t.c.noteStoreCall("read", b.Era, err)
 	if err != nil {
 		return // if the outage lasts, the term's authority lapses
 	}
@@ -560,8 +560,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	r := leaderRecord{Term: t.record.Term, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds()}
-	_, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.storeRecord()})
-	t.c.metrics.storeCall("append", err)
+	b, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.storeRecord()})
+	t.c.noteStoreCall("append", b.Era, err)
 	if err != nil {
 		t.c.cfg.Log.Info("resignation_failed", "term", r.Term, "err", err)
 	}
