Make positions in topics an era and an offset

Callers were answered by a desired state that had been replaced, or with 404 for a route that was in force (CONFIG), after the store came back from an older copy: a host that had read to offset 50 took a leader at offset 37 of the new history for one that is behind, counted itself as caught up, and ignored what the leader relayed.

Positions are known in the current era only, on the wire between hosts too; responses and messages of an earlier era are not applied. Messages have a new version, since a leader of the build before compares offsets alone.

TestChangesAfterTheStoreLostRecords failed before and passes now; TestErasOutOfOrder has late and early eras.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -98,6 +98,9 @@
 	permitAsks chan *permitAsk
 	// storeEra is the highest era of the store that this host has seen.
 	storeEra atomic.Uint64
+	// restoredAt is when this host saw the current era begin after an earlier one, as a
+	// time.Duration.
+	restoredAt atomic.Int64
 	// retired is set when the host must not campaign any more.
 	retired atomic.Bool
 	metrics *metrics
@@ -119,6 +122,7 @@
 		permitAsks:  make(chan *permitAsk, permitAskQueue),
 		incarnation: fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
 	}
+	c.restoredAt.Store(int64(neverCaughtUp))
 	c.snapshot.Store(c.dir.Snapshot())
 	c.rangeMaps.Store(&map[string]*RangeMap{})
 	c.counts.init()
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -2,10 +2,17 @@
 
 import (
 	"errors"
+	"time"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/platform"
 )
 
+// The store may come back from a copy that is seconds old. It then begins its next era:
+// what it had acknowledged since the copy is lost, and offsets are given out again. A
+// position in a topic is therefore an era and an offset, and each host takes the highest
+// era that the store or the leader has stated for the current one.
+
 // noteStoreCall counts a call to the store and notes the era that its response stated.
 func (c *Coordinator) noteStoreCall(call string, era uint64, err error) {
 	c.metrics.storeCall(call, err)
@@ -16,8 +23,8 @@
 	c.noteEra(era)
 }
 
-// noteEra notes an era of the store. A later one means that the store came back from a
-// copy that is seconds old.
+// noteEra notes an era of the store. When it is later than the current one, the positions
+// of all topics are unknown.
 func (c *Coordinator) noteEra(era uint64) {
 	for {
 		known := c.storeEra.Load()
@@ -28,9 +35,29 @@
 			continue
 		}
 		if known != 0 {
-			c.cfg.Log.Warn("store_restored", "era", era, "previous", known, "operator", c.operator.position(),
-				"targets", c.targets.position(), "control", c.control.position(), "leading", c.Leading())
+			c.handleRestore(known, era)
 		}
 		return
 	}
 }
+
+// handleRestore handles the beginning of an era after an earlier one.
+func (c *Coordinator) handleRestore(previous, era uint64) {
+	c.restoredAt.Store(int64(boottime.Now()))
+	c.cfg.Log.Warn("store_restored", "era", era, "previous", previous, "operator", c.operator.offset(),
+		"targets", c.targets.offset(), "control", c.control.offset(), "leading", c.Leading())
+	for _, f := range c.followers() {
+		f.cancelRead()
+	}
+}
+
+// sinceRestore returns the time since this host saw the store return from a copy.
+func (c *Coordinator) sinceRestore(now time.Duration) time.Duration {
+	return now - time.Duration(c.restoredAt.Load())
+}
+
+// awaitsRelay reports whether the host waits for the leader to relay the topics of a new
+// era before it reads them itself: all hosts see the new era at the same time.
+func (c *Coordinator) awaitsRelay(now time.Duration) bool {
+	return c.leadership.isConnected() && c.sinceRestore(now) < staleAfter
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -31,12 +31,14 @@
 	state   topicState
 
 	mu sync.Mutex
+	// era is the era of the store in which next is an offset.
+	era uint64
 	// next is the offset of the next record, or unknownOffset.
 	next int64
 	// caughtUpAt is when the topic was last known to end at next.
 	caughtUpAt time.Duration
-	// cancelRead ends the read in progress.
-	cancelRead context.CancelFunc
+	// endRead ends the read in progress.
+	endRead context.CancelFunc
 	// recoveredAt is when the follower last caught up after it had been behind for longer
 	// than topicLostAfter.
 	recoveredAt time.Duration
@@ -74,13 +76,35 @@
 	return f.recoveredAt
 }
 
-// position returns the offset of the next record, or unknownOffset.
+// position returns the offset of the next record in the current era of the store, or
+// unknownOffset.
 func (f *follower) position() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.era != f.c.storeEra.Load() {
+		return unknownOffset
+	}
 	return f.next
 }
 
+// offset returns the offset of the next record in the era in which it was last known.
+func (f *follower) offset() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// report returns the position of the follower as it is sent to other hosts.
+func (f *follower) report(now time.Duration) topicPosition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := topicPosition{Era: f.c.storeEra.Load(), Next: unknownOffset, AgeMS: (now - f.caughtUpAt).Milliseconds()}
+	if f.era == p.Era {
+		p.Next = f.next
+	}
+	return p
+}
+
 // mustRead reports whether the host must read the topic from the store. The leader
 // reads all topics but the control topic, which only it writes. A host without a
 // connection to the leader waits on the control topic for the next leader, so that it
@@ -92,7 +116,10 @@
 	if f.topic == platform.TopicControl && !f.c.leadership.isConnected() {
 		return true
 	}
-	return f.position() == unknownOffset || f.age(now) > staleAfter
+	if f.position() == unknownOffset {
+		return !f.c.awaitsRelay(now)
+	}
+	return f.age(now) > staleAfter
 }
 
 // Serve implements suture.Service.
@@ -129,7 +156,7 @@
 func (f *follower) handleReadError(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Outcome == platform.Expired {
-		f.c.cfg.Log.Info("records_unavailable", "topic", f.topic, "position", f.position(), "first", e.Offset, "era", e.Era)
+		f.c.cfg.Log.Info("records_unavailable", "topic", f.topic, "position", f.offset(), "first", e.Offset, "era", e.Era)
 		f.resetPosition()
 	}
 	f.c.cfg.Log.Debug("store_read_failed", "topic", f.topic, "err", err)
@@ -140,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxReadWait+storeTimeout)
 	defer cancel()
 	f.mu.Lock()
-	f.cancelRead = cancel
+	f.endRead = cancel
 	f.mu.Unlock()
 	from := f.position()
 	if f.topic == platform.TopicOperator && f.age(boottime.Now()) > topicLostAfter {
@@ -176,12 +203,7 @@
 		if f == responsive || f.age(now) <= topicLostAfter {
 			continue
 		}
-		f.mu.Lock()
-		cancel := f.cancelRead
-		f.mu.Unlock()
-		if cancel != nil {
-			cancel()
-		}
+		f.cancelRead()
 	}
 }
 
@@ -190,21 +212,22 @@
 func (f *follower) applyBatch(from int64, b platform.Batch, full bool, caughtUpAt time.Duration) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	applied, ok := f.continues(from, b.NextOffset, full)
+	applied, ok := f.continues(from, b.Era, b.NextOffset, full)
 	if !ok {
 		return false
 	}
-	records := slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
-	f.applyAndRelay(from, platform.Batch{Records: records, NextOffset: b.NextOffset}, full, caughtUpAt)
+	b.Records = slices.DeleteFunc(slices.Clone(b.Records), func(r platform.Record) bool { return !full && r.Offset < applied })
+	f.applyAndRelay(from, b, full, caughtUpAt)
 	return true
 }
 
 // applyRelay applies records relayed by the leader, as applyBatch does. When a patch
 // cannot be applied, the follower reads the topic from the store.
 func (f *follower) applyRelay(m relayMessage, caughtUpAt time.Duration) bool {
+	f.c.noteEra(m.Era)
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	applied, ok := f.continues(m.From, m.Next, m.Full)
+	applied, ok := f.continues(m.From, m.Era, m.Next, m.Full)
 	if !ok || m.From == unknownOffset && !m.Full {
 		return false
 	}
@@ -217,7 +240,7 @@
 		f.resetPosition()
 		return false
 	}
-	f.applyAndRelay(m.From, platform.Batch{Records: records, NextOffset: m.Next}, m.Full, caughtUpAt)
+	f.applyAndRelay(m.From, platform.Batch{Records: records, Era: m.Era, NextOffset: m.Next}, m.Full, caughtUpAt)
 	return true
 }
 
@@ -227,24 +250,33 @@
 	if f.mustRead(boottime.Now()) {
 		return
 	}
+	f.cancelRead()
+}
+
+// cancelRead cancels a read in progress.
+func (f *follower) cancelRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelRead != nil {
-		f.cancelRead()
-		f.cancelRead = nil
+	if f.endRead != nil {
+		f.endRead()
+		f.endRead = nil
 	}
 }
 
-// continues reports whether records between two offsets continue what was applied, and
-// the offset before which records were applied; a full state continues it unless it is
-// older. f.applyMu is held.
-func (f *follower) continues(from, next int64, full bool) (applied int64, ok bool) {
+// continues reports whether records between two offsets of an era continue what was
+// applied, and the offset before which records were applied; a full state continues it
+// unless it is older. Records of an earlier era never do: they may be lost. f.applyMu is
+// held.
+func (f *follower) continues(from int64, era uint64, next int64, full bool) (applied int64, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if era < f.c.storeEra.Load() {
+		return f.next, false
+	}
 	if full {
-		return f.next, f.next <= next
+		return f.next, era > f.era || f.next <= next
 	}
-	return f.next, f.next == from || f.next != unknownOffset && from < f.next && f.next < next
+	return f.next, era == f.era && (f.next == from || f.next != unknownOffset && from < f.next && f.next < next)
 }
 
 // applyAndRelay applies records and relays them; f.applyMu is held. The follower counts
@@ -255,7 +287,7 @@
 		relevant = f.applyGuarded(b.Records, full)
 	}
 	f.mu.Lock()
-	f.next = b.NextOffset
+	f.era, f.next = b.Era, b.NextOffset
 	f.setCaughtUp(caughtUpAt)
 	f.mu.Unlock()
 	relays := f.c.Leading()
@@ -300,12 +332,13 @@
 	return relevant
 }
 
-// confirmCaughtUp handles another host's report that the topic ended at next. The report
-// had the given age at a time on this host's clock.
-func (f *follower) confirmCaughtUp(next int64, age, at time.Duration) {
+// confirmCaughtUp handles another host's report that the topic ended at next in an era.
+// The report had the given age at a time on this host's clock.
+func (f *follower) confirmCaughtUp(era uint64, next int64, age, at time.Duration) {
+	f.c.noteEra(era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next >= next {
+	if next != unknownOffset && era == f.era && f.next >= next {
 		f.setCaughtUp(at - age)
 	}
 }
--- a/internal/coordinator/follow_test.go
+++ b/internal/coordinator/follow_test.go
@@ -21,13 +21,13 @@
 	Convey("a follower knows when it could read again", t, func() {
 		f := newFollower(New(Config{Log: hclog.NewNullLogger()}), platform.TopicTargets, nil)
 		f.next = 5
-		f.confirmCaughtUp(5, 0, 10*time.Second)
+		f.confirmCaughtUp(0, 5, 0, 10*time.Second)
 		So(f.recoveryTime(), ShouldEqual, 10*time.Second)
-		f.confirmCaughtUp(5, 200*time.Millisecond, 11*time.Second)
-		f.confirmCaughtUp(5, 0, 12*time.Second)
+		f.confirmCaughtUp(0, 5, 200*time.Millisecond, 11*time.Second)
+		f.confirmCaughtUp(0, 5, 0, 12*time.Second)
 		So(f.recoveryTime(), ShouldEqual, 10*time.Second)
-		f.confirmCaughtUp(5, 300*time.Millisecond, 20*time.Second)
-		f.confirmCaughtUp(5, 0, 20500*time.Millisecond)
+		f.confirmCaughtUp(0, 5, 300*time.Millisecond, 20*time.Second)
+		f.confirmCaughtUp(0, 5, 0, 20500*time.Millisecond)
 		So(f.recoveryTime(), ShouldEqual, 19700*time.Millisecond)
 	})
 }
@@ -62,7 +62,7 @@
 		now := boottime.Now()
 		ended := map[*follower]bool{}
 		for _, f := range []*follower{c.operator, c.targets, c.control} {
-			f.cancelRead = func() { ended[f] = true }
+			f.endRead = func() { ended[f] = true }
 			f.caughtUpAt = now - time.Minute
 		}
 		c.operator.caughtUpAt = now
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -266,10 +266,10 @@
 
 // helloFor returns the hello message to the leader of a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	m := helloMessage{Host: c.cfg.Host, Term: l.Term, Protocol: protocolVersion, NextOffsets: map[string]int64{}, Leader: c.leadership.current(), processState: c.processState()}
+	m := helloMessage{Host: c.cfg.Host, Term: l.Term, Protocol: protocolVersion, Positions: map[string]topicPosition{}, Leader: c.leadership.current(), processState: c.processState()}
 	for _, f := range c.followers() {
-		if next := f.position(); next != unknownOffset {
-			m.NextOffsets[f.topic] = next
+		if p := f.report(boottime.Now()); p.Next != unknownOffset {
+			m.Positions[f.topic] = p
 		}
 	}
 	return m
@@ -381,7 +381,7 @@
 	}
 	for topic, t := range m.Topics {
 		if f := k.c.followerOf(topic); f != nil {
-			f.confirmCaughtUp(t.Next, time.Duration(t.AgeMS)*time.Millisecond, made)
+			f.confirmCaughtUp(t.Era, t.Next, time.Duration(t.AgeMS)*time.Millisecond, made)
 			f.cancelUnneededRead()
 		}
 	}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -43,7 +43,7 @@
 
 // protocolVersion is the version of the messages between hosts. A leader does not serve
 // hosts with an earlier version, which read the store themselves.
-const protocolVersion = 2
+const protocolVersion = 3
 
 // helloMessage asks a host whether it leads the given term.
 type helloMessage struct {
@@ -51,9 +51,8 @@
 	Term uint64 `json:"term"`
 	// Protocol is the version of the messages that the host understands.
 	Protocol int `json:"protocol"`
-	// NextOffsets has the offset of the next record of each topic whose position is
-	// known.
-	NextOffsets map[string]int64 `json:"next,omitempty"`
+	// Positions has the position of the host in each topic where it is known.
+	Positions map[string]topicPosition `json:"positions,omitempty"`
 	// Leader is the latest leader that the host knows.
 	Leader leaderRecord `json:"leader"`
 	processState
@@ -120,8 +119,10 @@
 	// clockReading is the leader's clock when the message was made.
 	clockReading
 	Topic string `json:"topic"`
-	From  int64  `json:"from"`
-	Next  int64  `json:"next"`
+	// Era is the era of the store in which From, Next and the records have their offsets.
+	Era  uint64 `json:"era,omitempty"`
+	From int64  `json:"from"`
+	Next int64  `json:"next"`
 	// AgeMS is the time in milliseconds from when the topic was last known to end at Next
 	// until the message was made.
 	AgeMS int64 `json:"age_ms"`
@@ -140,9 +141,13 @@
 	Hosts int `json:"hosts"`
 }
 
+// topicPosition is the offset of the next record of a topic in an era of the store.
+// Offsets of different eras cannot be compared.
 type topicPosition struct {
-	Next  int64 `json:"next"`
-	AgeMS int64 `json:"age_ms"`
+	Era  uint64 `json:"era,omitempty"`
+	Next int64  `json:"next"`
+	// AgeMS is the time in milliseconds since the topic was known to end there.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // rangesMessage reports the owners of key ranges. Its ranges replace the parts of earlier
@@ -426,8 +431,8 @@
 	// them and the state that is queued below.
 	c.peers.add(pc)
 	for _, f := range c.followers() {
-		if next, ok := m.NextOffsets[f.topic]; ok {
-			f.sendMissed(pc, next)
+		if from, ok := m.Positions[f.topic]; ok {
+			f.sendMissed(pc, from)
 		}
 	}
 	for w, r := range *c.rangeMaps.Load() {
@@ -449,7 +454,7 @@
 	m := positionsMessage{clockReading: readClock(), Topics: map[string]topicPosition{}, Hosts: c.peers.size() + 1}
 	c.setHostCount(now, m.Hosts)
 	for _, f := range c.followers() {
-		m.Topics[f.topic] = topicPosition{Next: f.position(), AgeMS: f.age(now).Milliseconds()}
+		m.Topics[f.topic] = f.report(now)
 	}
 	return m
 }
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -185,7 +185,10 @@
 // newRelay returns a relay message without records between two offsets, as of now.
 func (f *follower) newRelay(from, next int64) relayMessage {
 	now := boottime.Now()
-	return relayMessage{clockReading: clockAt(now), Topic: f.topic, From: from, Next: next, AgeMS: f.age(now).Milliseconds()}
+	f.mu.Lock()
+	era := f.era
+	f.mu.Unlock()
+	return relayMessage{clockReading: clockAt(now), Topic: f.topic, Era: era, From: from, Next: next, AgeMS: f.age(now).Milliseconds()}
 }
 
 // fullRelay returns a relay message with all keys. f.applyMu is held.
@@ -198,21 +201,21 @@
 	return m
 }
 
-// sendMissed queues for a host that has applied the records before an offset what it
+// sendMissed queues for a host that has applied the records before a position what it
 // has missed since. Relays that are queued later continue from there.
-func (f *follower) sendMissed(pc *peerConn, from int64) {
+func (f *follower) sendMissed(pc *peerConn, from topicPosition) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	next := f.position()
-	if from < 0 || from >= next {
+	own := f.report(boottime.Now())
+	if own.Next == unknownOffset || from.Next < 0 || from.Era == own.Era && from.Next >= own.Next {
 		return
 	}
-	records, ok := f.state.changes(from)
-	if !ok {
+	records, ok := f.state.changes(from.Next)
+	if !ok || from.Era != own.Era {
 		pc.enqueue(encode(methodRelay, f.fullRelay()))
 		return
 	}
-	m := f.newRelay(from, next)
+	m := f.newRelay(from.Next, own.Next)
 	for _, r := range records {
 		m.Records = append(m.Records, packWhole(r))
 	}
--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -1,10 +1,12 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/boragelock/boragelock/platform"
@@ -95,3 +97,53 @@
 		}
 	})
 }
+
+// TestErasOutOfOrder guards against offsets that are compared across eras of the store, and
+// against messages and responses of an earlier era that arrive late.
+func TestErasOutOfOrder(t *testing.T) {
+	Convey("Given a host that has read a topic up to offset 50 in era 3", t, func() {
+		c := New(Config{Log: hclog.NewNullLogger()})
+		f := c.operator
+		c.noteEra(3)
+		So(f.applyBatch(unknownOffset, platform.Batch{Era: 3, NextOffset: 50}, true, time.Hour), ShouldBeTrue)
+		So(f.position(), ShouldEqual, 50)
+
+		Convey("a late response of era 2 is not applied", func() {
+			So(f.applyBatch(50, platform.Batch{Era: 2, NextOffset: 52}, false, time.Hour+1), ShouldBeFalse)
+			So(f.applyBatch(unknownOffset, platform.Batch{Era: 2, NextOffset: 90}, true, time.Hour+1), ShouldBeFalse)
+			So(f.position(), ShouldEqual, 50)
+		})
+		Convey("a late message of a host in era 2 is not applied, and confirms nothing", func() {
+			So(f.applyRelay(relayMessage{Era: 2, From: 50, Next: 51}, time.Hour+1), ShouldBeFalse)
+			f.confirmCaughtUp(2, 40, 0, 2*time.Hour)
+			So(f.age(2*time.Hour), ShouldEqual, time.Hour)
+		})
+		Convey("a position in era 4 is not compared with one in era 3", func() {
+			f.confirmCaughtUp(4, 40, 0, 2*time.Hour)
+			So(f.age(2*time.Hour), ShouldEqual, time.Hour)
+			So(f.position(), ShouldEqual, unknownOffset)
+			Convey("and all keys of era 4 are applied, although its offsets are lower", func() {
+				So(f.applyRelay(relayMessage{Era: 4, From: unknownOffset, Next: 40, Full: true}, 2*time.Hour), ShouldBeTrue)
+				So(f.position(), ShouldEqual, 40)
+			})
+		})
+		Convey("records of era 4 that follow on offset 50 by chance are not applied", func() {
+			c.noteEra(4)
+			So(f.applyBatch(50, platform.Batch{Era: 4, NextOffset: 52}, false, time.Hour+1), ShouldBeFalse)
+		})
+		Convey("eras of two restores in a row may be seen in any order", func() {
+			c.noteEra(5)
+			c.noteEra(4)
+			So(c.storeEra.Load(), ShouldEqual, 5)
+		})
+		Convey("a host that was left behind in an earlier era is sent all keys", func() {
+			pc := &peerConn{outbox: make(chan peerMessage, 4)}
+			f.sendMissed(pc, topicPosition{Era: 2, Next: 50})
+			So(len(pc.outbox), ShouldEqual, 1)
+			var m relayMessage
+			So(json.Unmarshal((<-pc.outbox).params, &m), ShouldBeNil)
+			So(m.Full, ShouldBeTrue)
+			So(m.Era, ShouldEqual, 3)
+		})
+	})
+}
