Number terms above all that the store may have lost

Two leaders could give out the same fencing tokens: when the store returns from a copy without the record of the newest term, a host that does not remember it began the term of that number again, and targets accepted grants of both.

A leader's record now names the era in which it was appended, and the first term of an era is 1,024 above the newest known one for each era that passed; also without any record, from the era itself. A term that was won in an era that has ended is not led.

TestTermsNeverRepeat failed before: term 2 began twice.

--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -13,6 +13,9 @@
 // position in a topic is therefore an era and an offset, and each host takes the highest
 // era that the store or the leader has stated for the current one.
 
+// firstEra is the era of a store that has never returned from a copy.
+const firstEra = 1
+
 // noteStoreCall counts a call to the store and notes the era that its response stated.
 func (c *Coordinator) noteStoreCall(call string, era uint64, err error) {
 	c.metrics.storeCall(call, err)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -24,6 +24,8 @@
 // content with a higher Heartbeat.
 type leaderRecord struct {
 	Term uint64 `json:"term"`
+	// Era is the era of the store in which the record was appended.
+	Era uint64 `json:"era,omitempty"`
 	// Host and Address are empty after a resignation.
 	Host        string `json:"host,omitempty"`
 	Incarnation string `json:"incarnation,omitempty"`
@@ -309,18 +311,35 @@
 		c.leadership.shouldCampaign(now, c.cfg.Peer, c.incarnation)
 }
 
+// termsPerEra is more than the number of terms that can begin in what the store loses when
+// it returns from a copy: a term takes a tenth of a second at least, and copies are some
+// seconds old.
+const termsPerEra = 1024
+
+// nextTerm returns the number of the term that begins in an era after the newest known
+// one. It exceeds the numbers of all terms of earlier eras, also of those whose records
+// are lost and that no host remembers: their fencing tokens may be in use.
+func nextTerm(newest leaderRecord, era uint64) uint64 {
+	next := newest.Term + 1
+	if newest.Term > 0 && era > newest.Era {
+		next += (era - newest.Era) * termsPerEra
+	}
+	return max(next, (max(era, firstEra)-firstEra)*termsPerEra+1)
+}
+
 // campaign appends a record that makes this host the leader of the next term. It
 // returns nil when another host was first or the store did not respond.
 func (c *Coordinator) campaign(ctx context.Context) *wonTerm {
-	previous := c.leadership.current()
+	previous, era := c.leadership.current(), c.storeEra.Load()
+	number := nextTerm(previous, era)
 	earlier := lease.EarlierGranters{
 		PreviousStopped: previous.Host == "" || c.leadership.hasEnded(previous.Term),
 		OlderLeasesLeft: time.Duration(previous.EarlierLeaseMS) * time.Millisecond,
 	}
 	start := boottime.Now()
-	remaining := lease.BeginTerm(c.cfg.Ranges.KeyLease, previous.Term+1, start, start, earlier).InheritedLeasesLeft(start)
+	remaining := lease.BeginTerm(c.cfg.Ranges.KeyLease, number, start, start, earlier).InheritedLeasesLeft(start)
 	r := leaderRecord{
-		Term: previous.Term + 1, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
+		Term: number, Era: era, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
 		EarlierLeaseMS: remaining.Milliseconds(),
 	}
 	offset := c.control.position()
@@ -347,7 +366,7 @@
 		}
 		return c.claimUnansweredTerm()
 	}
-	if now := c.leadership.current(); now.Term != r.Term || now.Incarnation != c.incarnation {
+	if now := c.leadership.current(); now.Term != r.Term || now.Incarnation != c.incarnation || c.storeEra.Load() != era {
 		return nil
 	}
 	return &wonTerm{record: r, earlier: earlier, sentAt: sent, acknowledgedAt: boottime.Now()}
@@ -366,7 +385,7 @@
 		return nil // the outcome is not known yet
 	}
 	c.unansweredTerm = nil
-	if now.Term != w.record.Term || now.Incarnation != c.incarnation || c.retired.Load() {
+	if now.Term != w.record.Term || now.Incarnation != c.incarnation || c.retired.Load() || c.storeEra.Load() != w.record.Era {
 		return nil
 	}
 	if e := c.endedTerm.Load(); e != nil && e.term >= w.record.Term {
--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -147,3 +147,37 @@
 		})
 	})
 }
+
+// TestTermsNeverRepeat guards against two leaders that give out the same fencing tokens,
+// since the store lost the record of the first one's term.
+func TestTermsNeverRepeat(t *testing.T) {
+	Convey("the next term is above all that earlier eras can have had", t, func() {
+		So(nextTerm(leaderRecord{}, 0), ShouldEqual, 1)
+		So(nextTerm(leaderRecord{}, firstEra), ShouldEqual, 1)
+		So(nextTerm(leaderRecord{Term: 7, Era: 1}, 1), ShouldEqual, 8)
+		lost := nextTerm(leaderRecord{Term: 7, Era: 1}, 1) + 100
+		So(nextTerm(leaderRecord{Term: 7, Era: 1}, 2), ShouldBeGreaterThan, lost)
+		// The record of the first term is lost as well.
+		So(nextTerm(leaderRecord{}, 2), ShouldBeGreaterThan, 100)
+		// The copy of the second restore is older than that of the first one.
+		second := nextTerm(leaderRecord{Term: 7, Era: 1}, 2) + 100
+		So(nextTerm(leaderRecord{Term: 5, Era: 1}, 3), ShouldBeGreaterThan, second)
+	})
+	if testing.Short() {
+		return
+	}
+	Convey("hosts without memory do not begin a term again that the store lost", t, func() {
+		k := newCluster(t, 1, 1)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil }), ShouldBeTrue)
+		c := k.store.Copy()
+		k.hosts[0].stop()
+		k.addHost(1)
+		So(eventually(8*time.Second, k.hosts[1].c.Leading), ShouldBeTrue)
+		lost := k.hosts[1].c.leadership.current().Term
+		k.hosts[1].stop()
+		k.restoreAfter(0, c)
+		k.addHost(2)
+		So(eventually(8*time.Second, k.hosts[2].c.Leading), ShouldBeTrue)
+		So(k.hosts[2].c.leadership.current().Term, ShouldBeGreaterThan, lost)
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -559,7 +559,7 @@
 func (t *term) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	r := leaderRecord{Term: t.record.Term, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds()}
+	r := leaderRecord{Term: t.record.Term, Era: t.record.Era, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds()}
 	b, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.storeRecord()})
 	t.c.noteStoreCall("append", b.Era, err)
 	if err != nil {
