Let a new leader learn from other hosts which tables the store lost

Keys were unavailable for up to 14 s, and routes added later were not served (CONFIG), when the leader was killed during an outage from which the store returned as an older copy: nobody had stored the tables in the new era, so that the next leader waited for the end of all leases.

The leader relays each table before it grants by it. A new leader now collects, for 0.2 to 2 s, what the hosts that follow it knew of the topic before the restore, and takes the newest tables. If at least half of the hosts of the last minute had followed, it goes by them; otherwise it waits as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,7 +105,9 @@
 	restoredAt atomic.Int64
 	// retired is set when the host must not campaign any more.
 	retired atomic.Bool
-	metrics *metrics
+	// witnesses holds what this host and its peers know of the time before a restore.
+	witnesses witnesses
+	metrics   *metrics
 }
 
 // endedTerm is a term that this process led, with the time when it stopped leading.
@@ -134,6 +136,7 @@
 	c.control = newFollower(c, platform.TopicControl, c.applyControl)
 	c.leadership.init()
 	c.limits.init(c.startedAt)
+	c.witnesses.init()
 	c.metrics = newMetrics(c)
 	if cfg.Grants != nil {
 		cfg.Grants.OnResponse(c.handleGrantResponse)
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -48,8 +48,9 @@
 // handleRestore handles the beginning of an era after an earlier one.
 func (c *Coordinator) handleRestore(previous, era uint64) {
 	c.restoredAt.Store(int64(boottime.Now()))
-	c.cfg.Log.Warn("store_restored", "era", era, "previous", previous, "operator", c.operator.offset(),
-		"targets", c.targets.offset(), "control", c.control.offset(), "leading", c.Leading())
+	c.witnesses.noteLost(c.control.lastKnown())
+	c.cfg.Log.Warn("store_restored", "era", era, "previous", previous, "operator", c.operator.lastKnown().Next,
+		"targets", c.targets.lastKnown().Next, "control", c.control.lastKnown().Next, "leading", c.Leading())
 	for _, f := range c.followers() {
 		f.cancelRead()
 	}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -87,11 +87,11 @@
 	return f.next
 }
 
-// offset returns the offset of the next record in the era in which it was last known.
-func (f *follower) offset() int64 {
+// lastKnown returns the last known position, in whatever era.
+func (f *follower) lastKnown() topicPosition {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next
+	return topicPosition{Era: f.era, Next: f.next}
 }
 
 // report returns the position of the follower as it is sent to other hosts.
@@ -156,7 +156,7 @@
 func (f *follower) handleReadError(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Outcome == platform.Expired {
-		f.c.cfg.Log.Info("records_unavailable", "topic", f.topic, "position", f.offset(), "first", e.Offset, "era", e.Era)
+		f.c.cfg.Log.Info("records_unavailable", "topic", f.topic, "position", f.lastKnown().Next, "first", e.Offset, "era", e.Era)
 		f.resetPosition()
 	}
 	f.c.cfg.Log.Debug("store_read_failed", "topic", f.topic, "err", err)
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -39,6 +39,8 @@
 	methodLimits = "limits"
 	// methodPermits asks the leader for permits for requests to limited targets.
 	methodPermits = "permits"
+	// methodTables sends the leader tables of owners that the store has lost.
+	methodTables = "tables"
 )
 
 // protocolVersion is the version of the messages between hosts. A leader does not serve
@@ -55,6 +57,8 @@
 	Positions map[string]topicPosition `json:"positions,omitempty"`
 	// Leader is the latest leader that the host knows.
 	Leader leaderRecord `json:"leader"`
+	// Lost is how far the host had read the control topic before the last restore.
+	Lost topicPosition `json:"lost"`
 	processState
 }
 
@@ -63,6 +67,8 @@
 	Leading bool `json:"leads"`
 	// Leader is the latest leader that the responding host knows.
 	Leader leaderRecord `json:"leader"`
+	// Lost is the position of the leader's tables before the last restore.
+	Lost topicPosition `json:"lost"`
 	clockReading
 	processState
 }
@@ -335,6 +341,8 @@
 			return nil, nil
 		case methodLeaving:
 			return nil, c.handleLeaving(r)
+		case methodTables:
+			return nil, c.handleLostTables(r)
 		case methodLimits:
 			return nil, c.handleLimits(r)
 		case methodPermits:
@@ -427,6 +435,7 @@
 		return helloReply{Leader: c.leadership.current(), clockReading: readClock(), processState: c.processState()}, nil
 	}
 	c.leadership.noteHello(m)
+	c.witnesses.addHost(m.Host, m.Lost)
 	// The peer receives messages to all peers from here on, so that it misses nothing between
 	// them and the state that is queued below.
 	c.peers.add(pc)
@@ -445,7 +454,7 @@
 	if stated := c.limits.all(); len(stated) > 0 {
 		pc.enqueue(encode(methodLimits, newLimitsMessage(stated)))
 	}
-	return helloReply{Leading: true, Leader: c.leadership.current(), clockReading: readClock(), processState: c.processState()}, nil
+	return helloReply{Leading: true, Leader: c.leadership.current(), Lost: c.witnesses.position(), clockReading: readClock(), processState: c.processState()}, nil
 }
 
 // topicPositions returns a message with the leader's position in each topic.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -68,6 +68,8 @@
 	previousEnded bool
 
 	appendInProgress bool
+	// collecting is true while the leader collects the tables of an earlier era.
+	collecting bool
 	// storeAllTables says that the store may not have the tables in force.
 	storeAllTables bool
 	unstoredTables map[string]*ownership.RangeTable
@@ -88,7 +90,7 @@
 		loopQueue: make(chan loopFunc, loopQueueSize), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentRanges: map[string]*RangeMap{},
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
-		limitedSince: map[fleet.Incarnation]time.Duration{}, tables: map[string]*ownership.RangeTable{}, previousTerm: w.previousTerm, storeAllTables: w.earlier.RecordsLost,
+		limitedSince: map[fleet.Incarnation]time.Duration{}, tables: map[string]*ownership.RangeTable{}, previousTerm: w.previousTerm, storeAllTables: w.earlier.RecordsLost, collecting: w.earlier.RecordsLost,
 		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
 	if t.storeAllTables {
@@ -171,6 +173,10 @@
 			g.ApplyPreviousStopped()
 		}
 	}
+	if t.awaitsWitnesses(now) {
+		t.sendPositions(now)
+		return
+	}
 	snap := t.c.Snapshot()
 	t.updateGranters(now, snap)
 	if now >= t.nextPlan {
@@ -184,6 +190,11 @@
 	if !t.appendInProgress && (now >= t.nextConfirm || len(t.unstoredTables) > 0) {
 		t.confirm(now)
 	}
+	t.sendPositions(now)
+}
+
+// sendPositions sends the peers the leader's position in each topic when it is due.
+func (t *term) sendPositions(now time.Duration) {
 	if now >= t.nextPositions {
 		t.nextPositions = now + positionsEvery
 		t.c.peers.send(methodPositions, t.c.topicPositions())
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -120,6 +120,10 @@
 	*t = Term{cfg: t.cfg, Number: number, beganAt: answered, previousStoppedAt: answered, confirmedAt: sent, earlier: earlier, ended: t.ended}
 }
 
+// SetTablesKnown records that the granter knows the newest tables although the store lost
+// records.
+func (t *Term) SetTablesKnown() { t.earlier.RecordsLost = false }
+
 // RenumberedLeasesLeft is how long key leases of other granters may remain in force when
 // the term is renumbered.
 func (t *Term) RenumberedLeasesLeft() time.Duration {
