Keep in force what the store lost until it is written again

What a host remembers of the lost era stays in force where it is newer: a desired state by its version, an announcement by its start and sequence number, a removal, and evacuations that the store does not have. It ends when the key is written again, or after 30 s. The leader sends it to hosts that connect, and a host that starts after a restore is ready only when it has heard the leader's positions, or after 5 s without one. Targets that the store does not have get the grace period of an outage.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -177,7 +177,7 @@
 // workload with targets, the owners of its keys.
 func (c *Coordinator) Ready() bool {
 	s := c.Snapshot()
-	if s.DesiredState == nil {
+	if s.DesiredState == nil || c.awaitsLostRecords(boottime.Now()) {
 		return false
 	}
 	r := *c.rangeMaps.Load()
@@ -322,6 +322,9 @@
 		}
 		c.publish()
 		c.mu.Unlock()
+		for _, f := range c.followers() {
+			f.forgetExpired(now)
+		}
 		c.dropLimitsOfGoneTargets(now)
 	}
 	return ctx.Err()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -101,10 +101,13 @@
 }
 
 // announce writes the announcement of a target.
-func (k *cluster) announce(id string) {
+func (k *cluster) announce(id string) { k.announceAs(id, "ready") }
+
+// announceAs writes the announcement of a target in a state.
+func (k *cluster) announceAs(id, state string) {
 	k.announcements[id]++
 	k.store.Put(platform.TopicTargets, id, map[string]any{
-		"service": "w", "address": k.addresses[id], "zone": "z", "slots": 2, "state": "ready",
+		"service": "w", "address": k.addresses[id], "zone": "z", "slots": 2, "state": state,
 		"cold-left-s": 0, "seq": k.announcements[id], "born": 1,
 	})
 }
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -51,11 +51,28 @@
 	c.witnesses.noteLost(c.control.lastKnown())
 	c.cfg.Log.Warn("store_restored", "era", era, "previous", previous, "operator", c.operator.lastKnown().Next,
 		"targets", c.targets.lastKnown().Next, "control", c.control.lastKnown().Next, "leading", c.Leading())
+	c.mu.Lock()
+	c.dir.MarkStoreUnreachable()
+	c.dir.MarkStoreReachable(boottime.Now()) // targets whose announcements are lost get time to write them again
+	c.mu.Unlock()
 	for _, f := range c.followers() {
 		f.cancelRead()
 	}
 }
 
+// awaitsLostRecords reports whether a host that has started has yet to hear from a leader
+// what the store lost: it cannot tell from the store how long ago the last restore was.
+func (c *Coordinator) awaitsLostRecords(now time.Duration) bool {
+	if c.storeEra.Load() <= firstEra || c.Leading() || now-c.startedAt >= lostRecordsWait {
+		return false
+	}
+	return !c.operator.followedLeader() || !c.targets.followedLeader()
+}
+
+// lostRecordsWait bounds how long a host that starts waits for a leader before it goes by
+// the store alone.
+const lostRecordsWait = 5 * time.Second
+
 // sinceRestore returns the time since this host saw the store return from a copy.
 func (c *Coordinator) sinceRestore(now time.Duration) time.Duration {
 	return now - time.Duration(c.restoredAt.Load())
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -29,6 +29,8 @@
 	// order of the topic; it also guards state.
 	applyMu sync.Mutex
 	state   topicState
+	// remembered has the records in force that the store lost, by key.
+	remembered map[string]rememberedRecord
 
 	mu sync.Mutex
 	// era is the era of the store in which next is an offset.
@@ -37,6 +39,8 @@
 	next int64
 	// caughtUpAt is when the topic was last known to end at next.
 	caughtUpAt time.Duration
+	// leaderReported is true once a leader has reported its position in the topic.
+	leaderReported bool
 	// endRead ends the read in progress.
 	endRead context.CancelFunc
 	// recoveredAt is when the follower last caught up after it had been behind for longer
@@ -45,7 +49,7 @@
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
-	return &follower{c: c, topic: topic, apply: apply, state: newTopicState(), next: unknownOffset, caughtUpAt: neverCaughtUp}
+	return &follower{c: c, topic: topic, apply: apply, state: newTopicState(), remembered: map[string]rememberedRecord{}, next: unknownOffset, caughtUpAt: neverCaughtUp}
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -94,6 +98,13 @@
 	return topicPosition{Era: f.era, Next: f.next}
 }
 
+// followedLeader reports whether the host has heard all that a leader knew of the topic.
+func (f *follower) followedLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaderReported
+}
+
 // report returns the position of the follower as it is sent to other hosts.
 func (f *follower) report(now time.Duration) topicPosition {
 	f.mu.Lock()
@@ -228,7 +239,8 @@
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	applied, ok := f.continues(m.From, m.Era, m.Next, m.Full)
-	if !ok || m.From == unknownOffset && !m.Full {
+	outdated := !ok && m.Full && m.Era == f.c.storeEra.Load()
+	if !ok && !outdated || m.From == unknownOffset && !m.Full {
 		return false
 	}
 	if m.Full {
@@ -240,7 +252,17 @@
 		f.resetPosition()
 		return false
 	}
+	if outdated {
+		// This host has read further, but not what the store lost.
+		if f.takeRemembered(m, records) {
+			f.resetPosition()
+		}
+		return false
+	}
 	f.applyAndRelay(m.From, platform.Batch{Records: records, Era: m.Era, NextOffset: m.Next}, m.Full, caughtUpAt)
+	if m.Full {
+		f.takeRemembered(m, records)
+	}
 	return true
 }
 
@@ -282,6 +304,14 @@
 // applyAndRelay applies records and relays them; f.applyMu is held. The follower counts
 // as caught up only when the records are in force.
 func (f *follower) applyAndRelay(from int64, b platform.Batch, full bool, caughtUpAt time.Duration) {
+	if full {
+		if last := f.lastKnown(); last.Era != 0 && last.Era < b.Era {
+			f.remember(boottime.Now(), b)
+		}
+		b.Records = f.withRemembered(b.Records)
+	} else {
+		f.forgetRewritten(b.Records)
+	}
 	relevant := b.Records
 	if len(b.Records) > 0 || full {
 		relevant = f.applyGuarded(b.Records, full)
@@ -338,6 +368,9 @@
 	f.c.noteEra(era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if next != unknownOffset && era == f.c.storeEra.Load() {
+		f.leaderReported = true
+	}
 	if next != unknownOffset && era == f.era && f.next >= next {
 		f.setCaughtUp(at - age)
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -359,6 +359,8 @@
 	wait := leaderTimeout
 	if c.restoredAt.Load() == int64(neverCaughtUp) {
 		wait += leaderTimeout
+	} else if newest := c.leadership.current(); c.leadership.hasEnded(newest.Term) {
+		return false
 	}
 	return now-time.Duration(c.eraSeenAt.Load()) < wait
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -440,9 +440,11 @@
 	// them and the state that is queued below.
 	c.peers.add(pc)
 	for _, f := range c.followers() {
-		if from, ok := m.Positions[f.topic]; ok {
-			f.sendMissed(pc, from)
+		from, ok := m.Positions[f.topic]
+		if !ok {
+			from = topicPosition{Next: unknownOffset}
 		}
+		f.sendMissed(pc, from)
 	}
 	for w, r := range *c.rangeMaps.Load() {
 		pc.enqueue(r.message(w))
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -23,6 +23,9 @@
 	Value  []byte `json:"value,omitempty"`
 	Patch  []byte `json:"patch,omitempty"`
 	Base   int64  `json:"base,omitempty"`
+	// Replaces is set in a record that the store lost: the offset of the older record that
+	// the store has, or unknownOffset.
+	Replaces *int64 `json:"replaces,omitempty"`
 }
 
 // noBase is the Base of a patch of an empty value.
@@ -197,6 +200,14 @@
 	m.Full = true
 	for _, r := range f.state.all() {
 		m.Records = append(m.Records, packWhole(r))
+		if x, ok := f.remembered[r.Key]; ok {
+			m.Records[len(m.Records)-1].Replaces = &x.replaces
+		}
+	}
+	for _, x := range f.remembered {
+		if len(x.record.Value) == 0 {
+			m.Records = append(m.Records, relayedRecord{Offset: x.record.Offset, Key: x.record.Key, Replaces: &x.replaces})
+		}
 	}
 	return m
 }
@@ -207,6 +218,10 @@
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	own := f.report(boottime.Now())
+	if len(f.remembered) > 0 && own.Next != unknownOffset {
+		pc.enqueue(encode(methodRelay, f.fullRelay()))
+		return
+	}
 	if own.Next == unknownOffset || from.Next < 0 || from.Era == own.Era && from.Next >= own.Next {
 		return
 	}
--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/platform"
 	"github.com/boragelock/boragelock/platform/standin"
@@ -229,3 +231,98 @@
 		So(k.hosts[2].c.leadership.current().Term, ShouldBeGreaterThan, lost)
 	})
 }
+
+// TestWhatTheStoreLostStaysInForce guards against hosts that go back to an older desired
+// state, evacuation or announcement, or start with one, until it is written again.
+func TestWhatTheStoreLostStaysInForce(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a desired state, an evacuation, a leaving and a removed target that the store lost", t, func() {
+		k := settled(t, 3, 4)
+		k.store.Put(platform.TopicOperator, "evacuate/z1", map[string]any{})
+		// missing names what is not in force on a host.
+		missing := func(h *testHost) (m []string) {
+			s := h.c.Snapshot()
+			if !h.hasVersion(5) {
+				m = append(m, "version")
+			}
+			if !s.Evacuated["z2"] {
+				m = append(m, "evacuation")
+			}
+			if s.Targets["t1"] == nil || !s.Targets["t1"].Leaving {
+				m = append(m, "leaving target")
+			}
+			if s.Targets["t2"] != nil {
+				m = append(m, "removed target")
+			}
+			return m
+		}
+		inForce := func(h *testHost) bool { return len(missing(h)) == 0 }
+		So(eventually(inForceWithin, func() bool { return k.hosts[0].c.Snapshot().Evacuated["z1"] }), ShouldBeTrue)
+		c := k.store.Copy()
+		k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 5)))
+		k.store.Put(platform.TopicOperator, "evacuate/z2", map[string]any{})
+		k.announceAs("t1", "draining")
+		k.store.Put(platform.TopicTargets, "t2", nil)
+		for _, h := range k.hosts {
+			So(eventually(inForceWithin, func() bool { return inForce(h) }), ShouldBeTrue)
+		}
+		k.restoreAfter(500*time.Millisecond, c)
+		allInForce := func() bool {
+			for _, h := range k.hosts[:3] {
+				So(missing(h), ShouldBeEmpty)
+			}
+			return true
+		}
+
+		Convey("it stays in force on all hosts, and on one that starts, until it is written again", func() {
+			k.addHost(3)
+			So(eventually(3*time.Second, k.hosts[3].c.Ready), ShouldBeTrue)
+			// A host that starts cannot tell a target that was removed from one that will
+			// announce itself again.
+			graceEnd := time.Now().Add(fleet.RemovalGrace + 200*time.Millisecond)
+			stillMissing := func() []string {
+				m := missing(k.hosts[3])
+				if time.Now().Before(graceEnd) {
+					m = slices.DeleteFunc(m, func(s string) bool { return s == "removed target" })
+				}
+				return m
+			}
+			So(eventually(200*time.Millisecond, func() bool { return len(stillMissing()) == 0 }), ShouldBeTrue)
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				So(allInForce(), ShouldBeTrue)
+				So(stillMissing(), ShouldBeEmpty)
+			}
+			k.store.Put(platform.TopicOperator, "evacuate/z2", nil)
+			k.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredJSON, 6)))
+			k.announce("t2") // it is back
+			for _, h := range k.hosts {
+				So(eventually(inForceWithin, func() bool {
+					s := h.c.Snapshot()
+					return h.hasVersion(6) && !s.Evacuated["z2"] && s.Evacuated["z1"] && s.Targets["t2"] != nil && s.Targets["t1"].Leaving
+				}), ShouldBeTrue)
+			}
+		})
+		Convey("it stays in force when the leader dies, also on a host that starts", func() {
+			leader := k.leader()
+			So(leader, ShouldNotBeNil)
+			leader.stop()
+			k.hosts = slices.DeleteFunc(k.hosts, func(h *testHost) bool { return h == leader })
+			k.addHost(3)
+			So(eventually(8*time.Second, func() bool { return k.hosts[2].c.Ready() && k.leader() != nil }), ShouldBeTrue)
+			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				So(missing(k.hosts[0]), ShouldBeEmpty)
+				So(missing(k.hosts[1]), ShouldBeEmpty)
+			}
+			So(eventually(fleet.RemovalGrace, func() bool { return inForce(k.hosts[2]) }), ShouldBeTrue)
+		})
+		Convey("after a second restore it is still in force", func() {
+			time.Sleep(300 * time.Millisecond)
+			k.restoreAfter(0, c)
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				So(allInForce(), ShouldBeTrue)
+			}
+		})
+	})
+}
