Test responses cut off at any byte, and refusals written again

Two reports of other operators are ruled out: a target that stops in the middle of a head or body and closes in good order yields no response at any of the positions, with a length or in chunks; a refusal that a target writes once more on a kept connection is never taken for the next request's.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -493,3 +493,65 @@
 type zeroReader struct{}
 
 func (zeroReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestResponsesThatBreakOff guards against a response whose head or body ends early and that
+// the caller gets as a complete one.
+func TestResponsesThatBreakOff(t *testing.T) {
+	const id = "x"
+	withLength := rawResponse(okStatus, id, signedHeader, "the whole body")
+	chunked := "HTTP/1.1 " + okStatus + "\r\n" + signedHeader + standin.HeaderRequestID + ": " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, whole := range map[string]string{"with a length": withLength, "in chunks": chunked} {
+		Convey("A response "+name+" that the target cuts off after any byte is no response", t, func() {
+			var cut atomic.Int64
+			address := rawTarget(t, func(nc net.Conn, _, _ int, _ *http.Request) {
+				writeString(nc, whole[:cut.Load()])
+				_ = nc.Close() // in good order: the gateway reads the end of the stream
+			})
+			for n := range len(whole) {
+				cut.Store(int64(n))
+				res, failure := roundTrip(newPool(), address, id)
+				if failure == nil && res.unread != nil {
+					continue // streamed: it ends in an error
+				}
+				So(fmt.Sprint(n, failure != nil && failure.sent), ShouldEqual, fmt.Sprint(n, true))
+			}
+			cut.Store(int64(len(whole)))
+			_, failure := roundTrip(newPool(), address, id)
+			So(failure, ShouldBeNil)
+		})
+	}
+}
+
+// TestRefusalWrittenAgain guards against a refusal that a target writes once more on a kept
+// connection: the caller of the next request was told that it had not run.
+func TestRefusalWrittenAgain(t *testing.T) {
+	for name, copies := range map[string]string{
+		"with the identifier of the refused request": rawResponse(refusedStatus, "a", notRunHeader, ""),
+		"without an identifier":                      rawResponse(refusedStatus, "", notRunHeader, ""),
+		"several times":                              strings.Repeat(rawResponse(refusedStatus, "a", notRunHeader, ""), 2*maxResponseReads),
+	} {
+		Convey("A refusal that is written again "+name+" refuses no other request", t, func() {
+			var ran atomic.Int64
+			address := rawTarget(t, func(nc net.Conn, conn, n int, r *http.Request) {
+				if conn == 0 && n == 0 {
+					writeString(nc, rawResponse(refusedStatus, "a", notRunHeader, ""))
+					return
+				}
+				ran.Add(1)
+				writeString(nc, copies)
+				writeString(nc, rawResponse(okStatus, r.Header.Get(standin.HeaderRequestID), signedHeader, "ran"))
+			})
+			p := newPool()
+			res, failure := roundTrip(p, address, "a")
+			So(failure, ShouldBeNil)
+			So(res.metadata.NotRun, ShouldBeTrue)
+			res, failure = roundTrip(p, address, "b")
+			So(ran.Load(), ShouldEqual, 1)
+			if failure != nil {
+				So(failure.sent, ShouldBeTrue) // it may have run, so that it is not sent again
+			} else {
+				So(res.metadata.NotRun, ShouldBeFalse)
+			}
+		})
+	}
+}
