--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -35,11 +35,16 @@
 	startCount int
 	stopSentAt time.Time
 	killed     bool
+	// pausedInStop is set when the process was paused after SIGTERM.
+	pausedInStop bool
 }
 
 // stopLimit limits the duration of a planned stop, in seconds.
 const stopLimit = 6
 
+// stopMargin is the time before stopLimit at which a process ends its requests.
+const stopMargin = 400 * time.Millisecond
+
 // The ports of hosts lie below the ephemeral port range. Otherwise an outgoing
 // connection could take a port between two processes of a host.
 const firstPort, lastPort = 10000, 32000
@@ -117,7 +122,7 @@
 	}
 	done := make(chan struct{})
 	h.mu.Lock()
-	h.cmd, h.exited, h.exitExpected, h.stopSentAt, h.killed = cmd, done, false, time.Time{}, false
+	h.cmd, h.exited, h.exitExpected, h.stopSentAt, h.killed, h.pausedInStop = cmd, done, false, time.Time{}, false, false
 	h.startCount++
 	h.mu.Unlock()
 	w.disturbances.noteHostBegan()
@@ -144,6 +149,8 @@
 		h.exitExpected, h.killed = true, true
 	case syscall.SIGTERM:
 		h.exitExpected, h.stopSentAt = true, time.Now()
+	case syscall.SIGSTOP:
+		h.pausedInStop = !h.stopSentAt.IsZero()
 	}
 	_ = h.cmd.Process.Signal(s) // it may have ended
 }
@@ -174,11 +181,16 @@
 
 // processState returns the number of the current process, and whether the process
 // is in a planned stop within stopLimit. A process that is paused past the limit
-// must exit at once, so it is not in a planned stop any more.
+// must exit at once, so it is not in a planned stop any more. It ends its requests
+// stopMargin before the limit, so that the same holds when the pause ends in between.
 func (h *host) processState() (start int, planned bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.startCount, !h.killed && !h.stopSentAt.IsZero() && time.Since(h.stopSentAt) < stopLimit*time.Second
+	limit := stopLimit * time.Second
+	if h.pausedInStop {
+		limit -= stopMargin
+	}
+	return h.startCount, !h.killed && !h.stopSentAt.IsZero() && time.Since(h.stopSentAt) < limit
 }
 
 // desiredStateVersion returns the version of the desired state that a host applies.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,8 @@
 	Hosts, Targets, Callers int
 	// FaultTime is how long faults are injected. Default: 15 s.
 	FaultTime time.Duration
+	// Restores makes the store return from older copies while faults are injected.
+	Restores bool
 }
 
 // Result is the result of a run.
@@ -50,6 +52,10 @@
 // served: key leases and the term of an unreachable leader end within 14 s.
 const recoveryTimeout = 16 * time.Second
 
+// recoveryTimeoutRestored is the limit with restores: a leader that does not know all
+// tables waits for the end of all leases from when it is elected, 4 s after the restore.
+const recoveryTimeoutRestored = 20 * time.Second
+
 // workload is the name of the keyed workload.
 const workload = "w"
 
@@ -124,18 +130,27 @@
 		}
 	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, w.cfg.FaultTime)
-	var limitsEnded sync.WaitGroup
+	var othersEnded sync.WaitGroup
 	for i, targets := range [][]*target{w.targets[:len(w.targets)/2], w.targets[len(w.targets)/2:]} {
 		rnd := rand.New(rand.NewPCG(cfg.Seed, limitStream+uint64(i)))
-		limitsEnded.Add(1)
-		go func() { defer limitsEnded.Done(); w.limitTargets(faultCtx, targets, rnd) }()
+		othersEnded.Add(1)
+		go func() { defer othersEnded.Done(); w.limitTargets(faultCtx, targets, rnd) }()
+	}
+	recovery := recoveryTimeout
+	if w.cfg.Restores {
+		recovery = recoveryTimeoutRestored
+		othersEnded.Add(1)
+		go func() {
+			defer othersEnded.Done()
+			w.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, restoreStream)))
+		}()
 	}
 	w.injectFaults(faultCtx)
 	stopFaults()
-	limitsEnded.Wait()
+	othersEnded.Wait()
 	w.clearFaults()
-	if !w.waitUntilServing(ctx, recoveryTimeout) {
-		w.reportViolation("some keys or hosts are not served %v after the last fault", recoveryTimeout)
+	if !w.waitUntilServing(ctx, recovery) {
+		w.reportViolation("some keys or hosts are not served %v after the last fault", recovery)
 	}
 	stopWatch()
 	wg.Wait()
