End a term whose fencing tokens are used up

Not reported; found while terms and tokens were read for the restored store. The next ones ran into the bits of the term and fell or repeated, so that targets would have refused all grants, or taken those of two leaders.

The term may not grant any more then and ends; the next one begins as after any other end. TestFencesOfALongTerm failed before.

--- a/lease/holds.go
+++ b/lease/holds.go
@@ -77,6 +77,10 @@
 // tokens a term and 2^25 terms fit in the 53 bits that a float64 holds exactly.
 const fenceBits = 28
 
+// maxFences bounds the fencing tokens of a term. It leaves room for the calls that one Tick
+// starts.
+const maxFences = 1<<fenceBits - 1<<17
+
 // EarlierGranters is what the store and other hosts report about earlier granters.
 type EarlierGranters struct {
 	// PreviousStopped says that the previous granter stopped before this term began:
@@ -130,9 +134,10 @@
 	return t.cfg.GrantWithoutStore + t.cfg.CallTimeout + t.cfg.MaxSpan()
 }
 
-// MayGrant reports whether grants may be sent.
+// MayGrant reports whether grants may be sent. A term whose fencing tokens are used up may
+// not go on, since the next ones belong to later terms.
 func (t *Term) MayGrant(now time.Duration) bool {
-	return !t.ended && now < t.confirmedAt+t.cfg.GrantWithoutStore
+	return !t.ended && t.fences < maxFences && now < t.confirmedAt+t.cfg.GrantWithoutStore
 }
 
 // MayDial reports whether grants may be sent over new connections.
--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -575,6 +575,19 @@
 	}
 }
 
+// TestFencesOfALongTerm guards against fencing tokens that run into those of the next term:
+// hundreds of grants a second use up the tokens of a term within days.
+func TestFencesOfALongTerm(t *testing.T) {
+	cfg := RangeConfig{}.withDefaults()
+	term := BeginTerm(cfg.KeyLease, 3, 0, 0, EarlierGranters{PreviousStopped: true})
+	g := NewRangeGranter(cfg, term, ownership.NewRangeTable([]string{"a", "b"}, []float64{1, 1}), true)
+	all := func(string) bool { return true }
+	term.fences = 1<<fenceBits - 1
+	if calls := g.Tick(time.Second, all); len(calls) != 0 {
+		t.Fatalf("a grant has fencing token %#x, which is not one of term 3", calls[0].Fence)
+	}
+}
+
 // TestRangeGrantMutants checks that the history detects the removal of each safeguard.
 func TestRangeGrantMutants(t *testing.T) {
 	for name, mutate := range map[string]func(*RangeConfig){
