Model a restore of the log in the specification of grants

The log returns once to what it was before any append. Complete searches of two terms, with one grant each and with two; mutants: a leader that begins by a copy does not wait for targets that it does not name, and one that goes on does not count a leader whose record is lost. Three terms are searched for the second mutant only, since the whole search exceeds 2 GB.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -17,6 +17,8 @@
 RECOVER="-DPAIR -DMAXLOG=2 -DRECOVER"
 
 STEADY="-DRESTARTS=0"
+RESTORE="-DRESTORE -DRESTARTS=0"
+RESTORE_THREE="$RESTORE -DLEADERS=3 -DGRANTS=1 -DNO_LEARNING"
 THREE="-DLEADERS=3 -DGRANTS=1 -DRESTARTS=0"
 
 # Kind, model, name, definitions. "holds" must be searched completely without an
@@ -26,6 +28,10 @@
 holds ranges grants
 holds ranges grants-slow-log -DSLOW_LOG $STEADY
 holds ranges grants-three-terms $THREE
+holds ranges grants-restore $RESTORE -DGRANTS=1
+holds ranges grants-restore-two $RESTORE -DNO_LEARNING
+fails ranges copy-trusted $RESTORE -DGRANTS=1 -DM_COPY_TRUSTED
+fails ranges bounds-kept $RESTORE_THREE -DM_BOUNDS_KEPT
 fails ranges cover-handover $STEADY -DCOVER_HANDOVER
 fails ranges no-grant-fence -DM_NO_FENCE
 fails ranges formers-not-waited-for $STEADY -DM_FORMERS_NOT_WAITED_FOR
