Confirm the term while a new leader collects lost tables

Found by reading: a new leader that no half of the hosts could tell the lost tables collected for 2 s without confirming its term, so that others replaced it after 1.6 s, again and again, and keys waited longer than the 14 s. It confirms its term meanwhile, and stores the tables once they are collected. TestLeaderLostWithRecords now expects the leader to stay; that failed before.

--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -114,8 +114,13 @@
 		k.announce("new")
 		k.addHost(3)
 		k.addHost(4)
-		So(k.neverHeldTwice(6*time.Second), ShouldBeTrue)
-		So(k.leader(), ShouldNotBeNil)
+		So(eventually(6*time.Second, func() bool { return k.leader() != nil }), ShouldBeTrue)
+		leader := k.leader()
+		term := leader.c.leadership.current().Term
+		So(k.neverHeldTwice(5*time.Second), ShouldBeTrue)
+		// It confirms its term while it collects tables.
+		So(leader.c.Leading(), ShouldBeTrue)
+		So(leader.c.leadership.current().Term, ShouldEqual, term)
 		So(eventually(8*time.Second, k.allHeldOnce), ShouldBeTrue)
 		So(k.neverHeldTwice(time.Second), ShouldBeTrue)
 	})
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -174,6 +174,7 @@
 		}
 	}
 	if t.awaitsWitnesses(now) {
+		t.confirmIfDue(now)
 		t.sendPositions(now)
 		return
 	}
@@ -187,10 +188,15 @@
 	}
 	t.startTargetCalls(now, snap)
 	t.publishRanges(now)
+	t.confirmIfDue(now)
+	t.sendPositions(now)
+}
+
+// confirmIfDue confirms the term when it is time or when tables are to be stored.
+func (t *term) confirmIfDue(now time.Duration) {
 	if !t.appendInProgress && (now >= t.nextConfirm || len(t.unstoredTables) > 0) {
 		t.confirm(now)
 	}
-	t.sendPositions(now)
 }
 
 // sendPositions sends the peers the leader's position in each topic when it is due.
--- a/internal/coordinator/witness.go
+++ b/internal/coordinator/witness.go
@@ -148,7 +148,7 @@
 	if now < t.beganAt+witnessesMin || !known && now < t.beganAt+witnessesMax {
 		return true
 	}
-	t.collecting = false
+	t.collecting, t.storeAllTables, t.nextConfirm = false, true, now
 	if known {
 		t.lease.SetTablesKnown()
 	}
