Start granters only for keys that nobody was granted before

Storing the known tables started a granter for each of them, as for keys that are assigned first, and before the leader knew that they are complete. It also would have left the leases of earlier leaders out.

Only tables that the term made itself start a granter when they are stored. TestLeaderLostWithRecords did not see it, since the former leader resigned before the restore and old leases hid the rest: the store is now away when the leader stops, and keys are checked when its leases have ended. It fails without the fix.

--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,14 +87,19 @@
 		c := k.store.Copy()
 		k.addTarget("new")
 		So(eventually(6*time.Second, func() bool { return k.holdsAny("new") && k.allHeldOnce() }), ShouldBeTrue)
+		// Later leaders wait for previous owners that the table still names.
+		So(eventually(3*time.Second, func() bool {
+			return !strings.Contains(string(k.store.NewestValue(platform.TopicControl, keyRanges+"w")), `"w":`)
+		}), ShouldBeTrue)
 		return c
 	}
 	Convey("when the store loses moves and the leader dies, the next one knows the moves from the hosts that followed", t, func() {
 		k := newCluster(t, 3, 4)
 		c := lostMoves(k)
 		first := k.leader()
+		k.store.SetFault(standin.Unavailable) // it cannot resign, and nobody else can be elected
 		first.stop()
-		k.restoreAfter(200*time.Millisecond, c)
+		k.restoreAfter(300*time.Millisecond, c)
 		k.announce("new")
 		So(eventually(5*time.Second, func() bool {
 			So(k.anyHeldTwice(), ShouldBeFalse)
@@ -101,11 +107,13 @@
 		}), ShouldBeTrue)
 		So(k.leader(), ShouldNotEqual, first)
 		So(k.neverHeldTwice(4*time.Second), ShouldBeTrue)
+		So(k.allHeldOnce(), ShouldBeTrue) // the leases of the former leader have ended
 		So(string(k.store.NewestValue(platform.TopicControl, keyRanges+"w")), ShouldContainSubstring, `"new"`)
 	})
 	Convey("when all hosts die, the next leader waits until nobody can hold keys", t, func() {
 		k := newClusterWith(t, 3, 4, lease.RangeConfig{KeyLease: lease.KeyLeaseConfig{GrantWithoutStore: 3 * time.Second}})
 		c := lostMoves(k)
+		k.store.SetFault(standin.Unavailable)
 		for _, h := range k.hosts {
 			h.stop()
 		}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -62,6 +62,8 @@
 	beganAt time.Duration
 	// tables has the tables of owners that are in force.
 	tables map[string]*ownership.RangeTable
+	// firstTables has the workloads whose keys this term assigned first.
+	firstTables map[string]bool
 	// previousTerm is the term before this one, or 0 when it is not asked for.
 	previousTerm uint64
 	// previousEnded is true when the leader of the previous term is known to have stopped.
@@ -90,7 +92,7 @@
 		loopQueue: make(chan loopFunc, loopQueueSize), ctx: ctx,
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentRanges: map[string]*RangeMap{},
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
-		limitedSince: map[fleet.Incarnation]time.Duration{}, tables: map[string]*ownership.RangeTable{}, previousTerm: w.previousTerm, storeAllTables: w.earlier.RecordsLost, collecting: w.earlier.RecordsLost,
+		limitedSince: map[fleet.Incarnation]time.Duration{}, tables: map[string]*ownership.RangeTable{}, firstTables: map[string]bool{}, previousTerm: w.previousTerm, storeAllTables: w.earlier.RecordsLost, collecting: w.earlier.RecordsLost,
 		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
 	if t.storeAllTables {
@@ -232,7 +234,7 @@
 		x := t.discoveries[name].observe(now, len(usableTargets(snap, name)))
 		t.discoveries[name] = x
 		if x.complete(now) && !t.appendInProgress && t.unstoredTables[name] == nil {
-			t.unstoredTables[name] = initialTable(snap, name)
+			t.unstoredTables[name], t.firstTables[name] = initialTable(snap, name), true
 		}
 	}
 }
@@ -558,9 +560,9 @@
 		if g := t.granters[name]; g != nil {
 			t.tables[name] = table
 			g.SetTable(now, table)
-			continue
+		} else if t.firstTables[name] {
+			t.startGranter(name, table, true)
 		}
-		t.startGranter(name, table, true)
 	}
 }
 
