Accept waiting connections before a planned stop closes the listener

Cause: drain closed the listening socket. The kernel then resets the connections that completed their handshake and wait in the accept queue, though their peers may have sent requests. A second window: drain counted busy connections before Serve had counted the last accepted one.

Ruled out: idle kept connections, because responses carry Connection: close during the balancer's delay.

Change: package listener.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 	"github.com/boragelock/boragelock/internal/control"
 	"github.com/boragelock/boragelock/internal/forward"
 	"github.com/boragelock/boragelock/internal/httpplatform"
+	"github.com/boragelock/boragelock/internal/listener"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/internal/settings"
 	"github.com/boragelock/boragelock/internal/view"
@@ -66,7 +68,7 @@
 }
 
 // listeners are the open sockets of a host.
-type listeners struct{ callers, forward, peers, operator net.Listener }
+type listeners struct{ callers, forward, peers, operator *listener.Listener }
 
 // ListenError reports that a listener could not be opened.
 type ListenError struct {
@@ -106,12 +108,12 @@
 	s := h.cfg.Settings
 	for _, l := range []struct {
 		field, addr string
-		dst         *net.Listener
+		dst         **listener.Listener
 	}{
 		{"http.listen", s.HTTP.Listen, &h.listeners.callers}, {"http.forward_listen", s.HTTP.ForwardListen, &h.listeners.forward},
 		{"peer.listen", s.Peer.Listen, &h.listeners.peers}, {"operator.listen", s.Operator.Listen, &h.listeners.operator},
 	} {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := listener.Listen(l.addr)
 		if err != nil {
 			return &ListenError{Field: l.field, Addr: l.addr, Err: err}
 		}
@@ -121,7 +123,7 @@
 }
 
 func (h *Host) closeListeners() {
-	for _, l := range []net.Listener{h.listeners.callers, h.listeners.forward, h.listeners.peers, h.listeners.operator} {
+	for _, l := range []*listener.Listener{h.listeners.callers, h.listeners.forward, h.listeners.peers, h.listeners.operator} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -230,8 +232,8 @@
 func (h *Host) createServers() {
 	s := h.cfg.Settings
 	debugLog := h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
-	server := func(name string, ln net.Listener, handler http.Handler, idle time.Duration) *httpService {
-		return newHTTPService(name, ln, &http.Server{
+	server := func(name string, ln *listener.Listener, tlsConfig *tls.Config, handler http.Handler, idle time.Duration) *httpService {
+		return newHTTPService(name, ln, tlsConfig, &http.Server{
 			Handler: handler, ErrorLog: debugLog, IdleTimeout: idle,
 			ReadHeaderTimeout: settings.MS(s.Timings.ReadHeaderMS),
 			// The handler refuses a header above the limit with a typed error, so
@@ -239,12 +241,8 @@
 			MaxHeaderBytes: 2 * s.Limits.MaxHeaderBytes,
 		})
 	}
-	forwardListener := h.listeners.forward
-	if h.tls.server != nil {
-		forwardListener = tls.NewListener(forwardListener, h.tls.server)
-	}
-	h.callerHTTP = server("callers", h.listeners.callers, h.forward.CallerHandler(), settings.MS(s.Timings.IdleMS))
-	h.forwardHTTP = server("inner", forwardListener, h.forward.PeerHandler(), serverIdleTimeout)
+	h.callerHTTP = server("callers", h.listeners.callers, nil, h.forward.CallerHandler(), settings.MS(s.Timings.IdleMS))
+	h.forwardHTTP = server("inner", h.listeners.forward, h.tls.server, h.forward.PeerHandler(), serverIdleTimeout)
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
@@ -252,11 +250,7 @@
 	if h.cfg.NewOperatorHandler != nil {
 		mux.Handle("/", h.cfg.NewOperatorHandler(h.control))
 	}
-	operatorListener := h.listeners.operator
-	if h.tls.operator != nil {
-		operatorListener = tls.NewListener(operatorListener, h.tls.operator)
-	}
-	h.operatorHTTP = server("operator", operatorListener, mux, serverIdleTimeout)
+	h.operatorHTTP = server("operator", h.listeners.operator, h.tls.operator, mux, serverIdleTimeout)
 }
 
 func (h *Host) supervise() {
@@ -339,10 +333,7 @@
 	err := h.callerHTTP.drain(ctx)
 	h.control.Stop(ctx)
 	h.log.Info("homes given up", "requests_in_flight", h.forward.InFlight())
-	if err == nil {
-		err = h.forwardHTTP.drain(ctx)
-	}
-	if err != nil {
+	if err = errors.Join(err, h.forwardHTTP.drain(ctx)); err != nil {
 		h.log.Warn("planned stop interrupted requests", "requests_in_flight", h.forward.InFlight(), "error", err)
 		return
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+
+	"github.com/boragelock/boragelock/internal/listener"
 )
 
 // httpService serves an http.Server on its listener. It implements
@@ -17,7 +20,9 @@
 type httpService struct {
 	name string
 	srv  *http.Server
-	ln   net.Listener
+	ln   *listener.Listener
+	// tls is nil for plain TCP.
+	tls *tls.Config
 	// stopping is true once drain closes the listener, so that Serve does not
 	// treat this as a failure.
 	stopping atomic.Bool
@@ -29,8 +34,8 @@
 	busy map[net.Conn]struct{}
 }
 
-func newHTTPService(name string, ln net.Listener, srv *http.Server) *httpService {
-	s := &httpService{name: name, srv: srv, ln: ln, busy: map[net.Conn]struct{}{}, drained: make(chan struct{})}
+func newHTTPService(name string, ln *listener.Listener, tlsConfig *tls.Config, srv *http.Server) *httpService {
+	s := &httpService{name: name, srv: srv, ln: ln, tls: tlsConfig, busy: map[net.Conn]struct{}{}, drained: make(chan struct{})}
 	srv.ConnState = s.connState
 	return s
 }
@@ -43,7 +48,11 @@
 func (s *httpService) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.srv.Close() })
 	defer stop()
-	err := s.srv.Serve(s.ln)
+	var ln net.Listener = s.ln
+	if s.tls != nil {
+		ln = tls.NewListener(ln, s.tls)
+	}
+	err := s.srv.Serve(ln)
 	if !s.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
 		return errors.Join(err, suture.ErrTerminateSupervisorTree)
 	}
@@ -80,15 +89,20 @@
 	if s.stopping.CompareAndSwap(false, true) {
 		defer close(s.drained)
 	}
-	_ = s.ln.Close()
+	notDrained := s.ln.Drain()
+	select {
+	case <-s.ln.Closed(): // every accepted connection is counted as busy
+	case <-ctx.Done():
+		return errors.Join(notDrained, ctx.Err())
+	}
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for s.busyConnections() > 0 {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return errors.Join(notDrained, ctx.Err())
 		case <-tick.C:
 		}
 	}
-	return s.srv.Shutdown(ctx)
+	return errors.Join(notDrained, s.srv.Shutdown(ctx))
 }
