Serve what waits for accept before the gateway's process ends

What callers would see: a reset connection when they connect just as a stopping host has answered its last request and ends.

TestStopServesWaitingConnections holds eight connections in the queue; all get their response.

Change: when the host is idle it drains the listener, and waits again for what was accepted; connections are counted before the next accept.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -34,6 +34,7 @@
 	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/internal/fleetsettings"
 	"github.com/boragelock/boragelock/internal/gateway"
+	"github.com/boragelock/boragelock/internal/listener"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/platform"
 )
@@ -124,7 +125,7 @@
 func (d *daemon) run(signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers, err := net.Listen("tcp", d.settings.CallerAddress)
+	callers, err := listener.Listen(d.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -141,7 +142,7 @@
 	}})
 	sup.Add(d.gw)
 	d.coord.AddTo(sup)
-	sup.Add(&namedService{"callers", func(ctx context.Context) error { return d.gw.ServeCallers(ctx, callers) }})
+	sup.Add(&namedService{"callers", func(ctx context.Context) error { return d.serveCallers(ctx, callers) }})
 	sup.Add(&namedService{"ready", func(ctx context.Context) error { return serveHTTP(ctx, ready, d.readiness()) }})
 	sup.Add(&namedService{"metrics", func(ctx context.Context) error { return serveHTTP(ctx, metrics, http.DefaultServeMux) }})
 	done := sup.ServeBackground(ctx)
@@ -152,7 +153,7 @@
 		}
 		d.reload()
 	}
-	d.stop()
+	d.stop(callers)
 	cancel()
 	select {
 	case <-done:
@@ -174,17 +175,47 @@
 	d.log.Info("reloaded", "changed", *s != *d.settings)
 }
 
+// serveCallers serves callers' connections until the context ends, also when the
+// listener was closed by a planned stop.
+func (d *daemon) serveCallers(ctx context.Context, callers *listener.Listener) error {
+	err := d.gw.ServeCallers(ctx, callers)
+	if errors.Is(err, net.ErrClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
 // stop drains the host so that no request is cut off. It waits, up to the stop
 // limit, until requests and connections have ended and the host no longer leads.
-func (d *daemon) stop() {
+// Callers may connect until then, and what they sent is served.
+func (d *daemon) stop(callers *listener.Listener) {
 	start := time.Now()
+	limit := d.settings.StopLimit() - stopMargin
 	d.log.Info("stopping", "in_flight", d.gw.InFlight())
-	d.gw.Drain(boottime.Now() + d.settings.StopLimit() - stopMargin)
+	d.gw.Drain(boottime.Now() + limit)
 	d.coord.Retire()
-	for limit := d.settings.StopLimit() - stopMargin; time.Since(start) < limit; time.Sleep(drainPollInterval) {
-		if time.Since(start) >= balancerDelay && d.gw.InFlight() == 0 && d.gw.OpenConnections() == 0 && !d.coord.Leading() {
-			return
+	idle := func() bool { return d.gw.InFlight() == 0 && d.gw.OpenConnections() == 0 }
+	waitUntil(start.Add(limit), func() bool {
+		return time.Since(start) >= balancerDelay && idle() && !d.coord.Leading()
+	})
+	if err := callers.Drain(); err != nil {
+		d.log.Warn("listener_closed_early", "address", d.settings.CallerAddress, "err", err)
+	}
+	waitUntil(start.Add(limit), func() bool {
+		select {
+		case <-callers.Closed():
+			return idle()
+		default:
+			return false
 		}
+	})
+}
+
+// waitUntil waits until the condition holds or the time limit has come.
+func waitUntil(limit time.Time, condition func() bool) {
+	for time.Now().Before(limit) && !condition() {
+		time.Sleep(drainPollInterval)
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/eventlog"
+	"github.com/boragelock/boragelock/internal/listener"
 	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/platform/standin"
 )
@@ -298,6 +300,39 @@
 	})
 }
 
+// TestStopServesWaitingConnections guards against a stop that resets connections which
+// wait for accept, and against one that ends before it has counted the last of them.
+func TestStopServesWaitingConnections(t *testing.T) {
+	Convey("Given connections that wait for accept when the listener is drained", t, func() {
+		const waiting = 8
+		r := newHarness(t, 2)
+		r.setBehaviour(standin.Behaviour{ServiceTime: 100 * time.Millisecond})
+		l, err := listener.Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		conns := make([]net.Conn, waiting)
+		for i := range conns {
+			conns[i], err = net.Dial("tcp", l.Addr().String())
+			So(err, ShouldBeNil)
+			t.Cleanup(func() { _ = conns[i].Close() })
+			So(conns[i].SetDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+			_, err = io.WriteString(conns[i], rawRequest("w"+strconv.Itoa(i), "/s/x"))
+			So(err, ShouldBeNil)
+		}
+		r.gw.Drain(boottime.Now() + 5*time.Second)
+		So(l.Drain(), ShouldBeNil)
+		So(r.gw.ServeCallers(t.Context(), l), ShouldWrap, net.ErrClosed)
+		for _, nc := range conns {
+			resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+		}
+		for end := time.Now().Add(2 * time.Second); r.gw.OpenConnections() > 0 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		So(r.gw.OpenConnections(), ShouldEqual, 0)
+	})
+}
+
 func rawRequest(id, path string) string {
 	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.HeaderRequestID + ": " + id + "\r\n" + standin.HeaderDeadline + ": 1500\r\n\r\n"
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -40,7 +40,9 @@
 	callerWriteTimeout = 10 * time.Second
 )
 
-// ServeCallers accepts and serves callers' connections until the context ends.
+// ServeCallers accepts and serves callers' connections until the context ends or the
+// listener is closed. It then fails with the context's error or net.ErrClosed, and
+// OpenConnections counts every accepted connection that is still open.
 func (g *Gateway) ServeCallers(ctx context.Context, l net.Listener) error {
 	go func() {
 		<-ctx.Done()
@@ -58,7 +60,9 @@
 			}
 			return err
 		}
+		g.openConns.Add(1)
 		go func() {
+			defer g.openConns.Add(-1)
 			if err := guard.Call("connection", func() { g.serveConn(ctx, nc) }); err != nil {
 				g.cfg.Log.Error("panic", "duty", "connection", "err", err)
 				_ = nc.Close() // its state is unknown after the panic
@@ -122,8 +126,6 @@
 		g: g, nc: nc, headLimit: limited, br: bufio.NewReaderSize(limited, readBufferSize), ctx: ctx, cancel: cancel,
 		slots: make(chan struct{}, maxPipelined), lastWritten: done,
 	}
-	g.openConns.Add(1)
-	defer g.openConns.Add(-1)
 	c.readLoop()
 	c.wg.Wait()
 	cancel()
