Show tables of a copy that are taken for the newest ones

A leader whose term was lost with its record went on granting; two hosts that had started anew elected another one, and the store went back once more while that one collected tables. It then took the tables of the first copy for those of the last leader.

Cause: two facts have one name. A leader's record states the era in which it was appended, and is taken to say that the tables of the topic are of that era. The record is appended first, though, and the tables only once they were collected. So (1) a host that remembers newer tables replaces them by those of the copy when it reads the topic in between, and (2) what a host had read of an era counts as knowledge of the last tables although no leader had stored any in it.

The field TablesEra has no effect yet.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -29,6 +29,9 @@
 	Term uint64 `json:"term"`
 	// Era is the era of the store in which the record was appended.
 	Era uint64 `json:"era,omitempty"`
+	// TablesEra is the era in which a leader last stored the tables of the topic: in an
+	// earlier one than Era they are those of a copy.
+	TablesEra uint64 `json:"tables_era,omitempty"`
 	// Host and Address are empty after a resignation.
 	Host        string `json:"host,omitempty"`
 	Incarnation string `json:"incarnation,omitempty"`
--- a/internal/coordinator/restore_test.go
+++ b/internal/coordinator/restore_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/lease"
+	"github.com/boragelock/boragelock/ownership"
 	"github.com/boragelock/boragelock/platform"
 	"github.com/boragelock/boragelock/platform/standin"
 )
@@ -134,6 +135,86 @@
 	})
 }
 
+// TestTablesOfAnOlderCopy guards against the table of a copy that is taken for what the last
+// leader granted by, since some leader has begun a term after the restore.
+func TestTablesOfAnOlderCopy(t *testing.T) {
+	leaderOf := func(l leaderRecord) platform.Record { return l.storeRecord() }
+	tableOf := func(owner string) platform.Record {
+		return platform.Record{Key: keyRanges + "w", Value: ownership.NewRangeTable([]string{owner}, []float64{1}).Encode()}
+	}
+	ownerOf := func(c *Coordinator) string { return c.leadership.table("w").Find(0).Owner }
+	Convey("Given a leader of era 2 that collects tables, and has stored none", t, func() {
+		copied := platform.Batch{Era: 2, NextOffset: 4, Records: []platform.Record{
+			leaderOf(leaderRecord{Term: 1026, Era: 2, TablesEra: 1, Host: "x", Address: "a:1"}), tableOf("older"),
+		}}
+		Convey("a host that knows a newer table of era 1 keeps it", func() {
+			c := New(Config{Log: hclog.NewNullLogger()})
+			c.noteEra(1)
+			So(c.control.applyBatch(unknownOffset, platform.Batch{Era: 1, NextOffset: 9, Records: []platform.Record{
+				leaderOf(leaderRecord{Term: 2, Era: 1, TablesEra: 1, Host: "y", Address: "b:1"}), tableOf("newer"),
+			}}, true, time.Second), ShouldBeTrue)
+			c.noteEra(2)
+			So(c.control.applyBatch(unknownOffset, copied, true, 2*time.Second), ShouldBeTrue)
+			So(ownerOf(c), ShouldEqual, "newer")
+			So(c.witnesses.position(), ShouldResemble, topicPosition{Era: 1, Next: 9})
+			Convey("also when the store goes back once more", func() {
+				c.noteEra(3)
+				So(ownerOf(c), ShouldEqual, "newer")
+				So(c.witnesses.position(), ShouldResemble, topicPosition{Era: 1, Next: 9})
+			})
+		})
+		Convey("a host that started then does not know the newest table when the store goes back once more", func() {
+			c := New(Config{Log: hclog.NewNullLogger()})
+			c.noteEra(2)
+			So(c.control.applyBatch(unknownOffset, copied, true, time.Second), ShouldBeTrue)
+			c.noteEra(3)
+			So(c.witnesses.position().known(), ShouldBeFalse)
+			So(c.witnesses.suffice(1), ShouldBeFalse)
+		})
+		Convey("the term that follows it collects them again", func() {
+			So(recordsLost(leaderRecord{Term: 1026, Era: 2, TablesEra: 1}, 2), ShouldBeTrue)
+			So(recordsLost(leaderRecord{Term: 1026, Era: 2, TablesEra: 2}, 2), ShouldBeFalse)
+		})
+	})
+}
+
+// TestStoreGoesBackTwice guards against a leader that takes the table of the first copy for
+// the newest one, since it began before the second restore.
+func TestStoreGoesBackTwice(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("when only a leader that nobody follows knows the moves that the store lost", t, func() {
+		k := settled(t, 3, 4)
+		c := k.store.Copy()
+		first := k.leader()
+		first.stop()
+		So(eventually(8*time.Second, func() bool { return !first.c.Leading() && k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
+		second := k.leader()
+		k.addTarget("new")
+		So(eventually(8*time.Second, func() bool { return k.holdsAny("new") && k.allHeldOnce() }), ShouldBeTrue)
+		for _, h := range k.hosts {
+			if h != second {
+				h.stop()
+			}
+		}
+		k.restoreAfter(100*time.Millisecond, c)
+		k.announce("new")
+		k.addHost(3)
+		k.addHost(4)
+		other := func() bool {
+			return slices.ContainsFunc(k.hosts, func(h *testHost) bool { return h != second && h.c.Leading() })
+		}
+		So(eventually(8*time.Second, other), ShouldBeTrue)
+		So(k.anyHeldTwice(), ShouldBeFalse)
+		k.restoreAfter(100*time.Millisecond, k.store.Copy())
+		k.announce("new")
+		So(k.neverHeldTwice(5*time.Second), ShouldBeTrue)
+		So(eventually(12*time.Second, k.allHeldOnce), ShouldBeTrue)
+		So(k.holdsAny("new"), ShouldBeTrue)
+	})
+}
+
 // TestChangesAfterTheStoreLostRecords guards against hosts that compare offsets of the
 // store before and after it came back from a copy, and miss what is written afterwards.
 func TestChangesAfterTheStoreLostRecords(t *testing.T) {
