Tell tables that a leader stored in an era from those of a copy

Cause: the era of the leader's record stood for that of the tables.

Change: the record names the era in which a leader last stored its tables (tables_era). Until it is the current one - a table that is read replaces no known one, - what a host has read does not count as knowledge of the last tables, - a leader that collects tables confirms its term without storing any, also under the next number when the store goes back once more, and - the next leader of the era collects them as well.

A host that started after the first restore counted itself among those that remember, and took the number of hosts that it had met for that of all. It counts only what it had read now, and hosts that connect tell how many there were. A leader that no host follows reads the control topic after a restore, so that it stops for a later leader and tells it its tables; it went on until its authority ended before.

--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -48,7 +48,9 @@
 // handleRestore handles the beginning of an era after an earlier one.
 func (c *Coordinator) handleRestore(previous, era uint64) {
 	c.restoredAt.Store(int64(boottime.Now()))
-	c.witnesses.noteLost(c.control.lastKnown())
+	if lost := c.control.lastKnown(); c.leadership.readTablesOf(lost.Era) {
+		c.witnesses.noteLost(lost)
+	}
 	c.cfg.Log.Warn("store_restored", "era", era, "previous", previous, "operator", c.operator.lastKnown().Next,
 		"targets", c.targets.lastKnown().Next, "control", c.control.lastKnown().Next, "leading", c.Leading())
 	c.mu.Lock()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -74,8 +74,9 @@
 	// recordSeenAt is when this host last applied a record of the leader.
 	recordSeenAt time.Duration
 	tables       map[string]*ownership.RangeTable
-	// tableEras has the era of the store in which each table was last read.
-	tableEras map[string]uint64
+	// tablesEra is the newest era in which this host read tables that a leader had stored in
+	// that era.
+	tablesEra uint64
 	// connected is true while a connection to the leader is open; refusedConnections
 	// counts the refused attempts since the last one or since the leader changed.
 	connected          bool
@@ -92,7 +93,7 @@
 }
 
 func (l *leadership) init() {
-	l.tables, l.tableEras = map[string]*ownership.RangeTable{}, map[string]uint64{}
+	l.tables = map[string]*ownership.RangeTable{}
 }
 
 func (l *leadership) current() leaderRecord {
@@ -199,18 +200,25 @@
 	return maps.Clone(l.tables)
 }
 
-// putTable stores a table that was read in an era. The first one of an era is older than the
-// known one, unless the leader that stored it had led in that era.
+// putTable stores a table that was read in an era. Until a leader has stored its tables in
+// that era, those that are read are of a copy, and older than a known one.
 func (l *leadership) putTable(workload string, table *ownership.RangeTable, era uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.tables[workload] != nil && era > l.tableEras[workload] && l.record.Era < era {
+	if l.tables[workload] != nil && recordsLost(l.record, era) {
 		return false
 	}
-	l.tables[workload], l.tableEras[workload] = table, era
+	l.tables[workload] = table
 	return true
 }
 
+// readTablesOf reports whether this host read tables in an era that a leader had stored in it.
+func (l *leadership) readTablesOf(era uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tablesEra >= era
+}
+
 // maxRefusedConnections is the number of refused connections after which hosts elect
 // another leader. Refusals do not prove that it stopped: a partition may cause them too.
 const maxRefusedConnections = 2
@@ -270,6 +278,7 @@
 	defer c.leadership.mu.Unlock()
 	if l.Term >= c.leadership.record.Term {
 		c.setLeader(l, r.Offset)
+		c.leadership.tablesEra = max(c.leadership.tablesEra, l.TablesEra)
 	}
 }
 
@@ -370,7 +379,9 @@
 
 // recordsLost reports whether the store lost records, and no leader has stored its tables
 // in the current era since.
-func recordsLost(newest leaderRecord, era uint64) bool { return era > firstEra && newest.Era < era }
+func recordsLost(newest leaderRecord, era uint64) bool {
+	return era > firstEra && newest.TablesEra < era
+}
 
 // termsPerEra is more than the number of terms that can begin in what the store loses when
 // it returns from a copy: a term takes a tenth of a second at least, and copies are some
@@ -402,9 +413,12 @@
 	start := boottime.Now()
 	begun := lease.BeginTerm(c.cfg.Ranges.KeyLease, number, start, start, earlier)
 	r := leaderRecord{
-		Term: number, Era: era, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
+		Term: number, Era: era, TablesEra: era, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
 		EarlierLeaseMS: begun.InheritedLeasesLeft(start).Milliseconds(), UnknownHoldersMS: begun.UnknownHoldersLeft(start).Milliseconds(),
 	}
+	if earlier.RecordsLost {
+		r.TablesEra = previous.TablesEra
+	}
 	offset := c.control.position()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -57,8 +57,10 @@
 	Positions map[string]topicPosition `json:"positions,omitempty"`
 	// Leader is the latest leader that the host knows.
 	Leader leaderRecord `json:"leader"`
-	// Lost is how far the host had read the control topic before the last restore.
-	Lost topicPosition `json:"lost"`
+	// Lost is how far the host had read the control topic before the last restore, and
+	// LostHosts the number of hosts that it remembers.
+	Lost      topicPosition `json:"lost"`
+	LostHosts int           `json:"lost_hosts,omitempty"`
 	processState
 }
 
@@ -435,7 +437,7 @@
 		return helloReply{Leader: c.leadership.current(), clockReading: readClock(), processState: c.processState()}, nil
 	}
 	c.leadership.noteHello(m)
-	c.witnesses.addHost(m.Host, m.Lost)
+	c.witnesses.addHost(m.Host, m.Lost, m.LostHosts)
 	// The peer receives messages to all peers from here on, so that it misses nothing between
 	// them and the state that is queued below.
 	c.peers.add(pc)
--- a/internal/coordinator/restate.go
+++ b/internal/coordinator/restate.go
@@ -13,12 +13,15 @@
 
 // A leader that lives when the store returns from a copy stores its record and its tables
 // of owners again, under the next number of the new era. Without it nobody knows which
-// targets hold keys, and the next leader waits for the end of all leases.
+// targets hold keys, and the next leader waits for the end of all leases. A leader that still
+// collects tables stores its record only.
 
 // restatement is what a leader stores in a new era.
 type restatement struct {
 	record leaderRecord
 	tables map[string]*ownership.RangeTable
+	// alone says that no host follows the leader.
+	alone bool
 	// batch holds all records of the control topic afterwards.
 	batch platform.Batch
 	// sentAt is when the append was sent.
@@ -26,20 +29,24 @@
 }
 
 // restate begins to store the leader's record and tables in the current era. A leader that
-// no host follows does not: the others may have elected another one.
+// no host follows only reads whether the others have elected another one.
 func (t *term) restate(now time.Duration) {
 	t.nextConfirm = now + retryPause
-	if t.c.peers.size() == 0 && t.c.recentHosts(now) > 1 {
-		return
-	}
-	r := restatement{record: t.record, tables: t.allTables()}
+	r := restatement{record: t.record, alone: t.c.peers.size() == 0 && t.c.recentHosts(now) > 1}
 	r.record.Era = t.c.storeEra.Load()
+	if !t.collecting {
+		r.tables, r.record.TablesEra = t.allTables(), r.record.Era
+	}
 	r.record.Term = nextTerm(t.c.leadership.current(), r.record.Era)
 	r.record.Heartbeat++
 	r.record.EarlierLeaseMS = t.lease.RenumberedLeasesLeft().Milliseconds()
 	r.record.UnknownHoldersMS = t.lease.UnknownHoldersLeft(now).Milliseconds()
 	t.appendInProgress = true
-	t.unstoredTables = map[string]*ownership.RangeTable{}
+	if r.alone {
+		t.nextConfirm = now + confirmEvery
+	} else {
+		t.unstoredTables = map[string]*ownership.RangeTable{}
+	}
 	go func() {
 		err := t.storeRestatement(&r)
 		t.post(func(now time.Duration) {
@@ -62,7 +69,8 @@
 }
 
 // storeRestatement reads the control topic of the new era and appends the restatement, if
-// no other leader has begun a term. Its errors are those of the store, or *laterTermError.
+// no other leader has begun a term. Its errors are those of the store, *laterTermError or
+// *noFollowersError.
 func (t *term) storeRestatement(r *restatement) error {
 	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 	defer cancel()
@@ -75,6 +83,9 @@
 		t.c.control.applyBatch(unknownOffset, b, true, boottime.Now())
 		return &laterTermError{Term: later.Term}
 	}
+	if r.alone {
+		return &noFollowersError{}
+	}
 	records := []platform.Record{r.record.storeRecord()}
 	for name, table := range r.tables {
 		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
@@ -99,6 +110,13 @@
 // Error implements error.
 func (e *laterTermError) Error() string { return "coordinator: a later term has begun" }
 
+// noFollowersError reports that a leader does not store its tables again, since no host
+// follows it.
+type noFollowersError struct{}
+
+// Error implements error.
+func (e *noFollowersError) Error() string { return "coordinator: no host follows this leader" }
+
 // laterLeader returns the leader's record among records if it belongs to a later term than
 // own, or nil.
 func laterLeader(records []platform.Record, own leaderRecord) *leaderRecord {
@@ -128,8 +146,9 @@
 		t.handleAppendError(err)
 		return
 	}
-	t.record, t.confirmedAt, t.nextConfirm, t.storeAllTables = r.record, now, now+confirmEvery, false
-	t.lease.Renumber(r.record.Term, r.sentAt, now)
+	t.record, t.confirmedAt, t.nextConfirm = r.record, now, now+confirmEvery
+	t.storeAllTables = r.record.TablesEra != r.record.Era
+	t.lease.Renumber(r.record.Term, r.sentAt, now, t.collecting)
 	for _, g := range t.granters {
 		g.ApplyRenumber()
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -518,8 +518,9 @@
 	t.record.UnknownHoldersMS = t.lease.UnknownHoldersLeft(now).Milliseconds()
 	records := []platform.Record{t.record.storeRecord()}
 	tables := t.unstoredTables
-	if t.storeAllTables {
-		tables = t.allTables()
+	storesAll := t.storeAllTables && !t.collecting
+	if storesAll {
+		tables, t.record.TablesEra = t.allTables(), t.record.Era
 	}
 	t.unstoredTables = map[string]*ownership.RangeTable{}
 	for name, table := range tables {
@@ -546,7 +547,7 @@
 				t.handleAppendError(err)
 				return
 			}
-			t.confirmedAt, t.storeAllTables = now, false
+			t.confirmedAt, t.storeAllTables = now, t.storeAllTables && !storesAll
 			t.lease.Confirm(sent)
 			t.c.control.applyBatch(offset, b, false, sent)
 			t.applyStored(now, tables)
@@ -604,7 +605,7 @@
 func (t *term) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	r := leaderRecord{Term: t.record.Term, Era: t.record.Era, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds(),
+	r := leaderRecord{Term: t.record.Term, Era: t.record.Era, TablesEra: t.record.TablesEra, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds(),
 		UnknownHoldersMS: t.lease.UnknownHoldersLeft(boottime.Now()).Milliseconds()}
 	b, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.storeRecord()})
 	t.c.noteStoreCall("append", b.Era, err)
--- a/internal/coordinator/witness.go
+++ b/internal/coordinator/witness.go
@@ -14,7 +14,8 @@
 // A leader that begins the first term after a restore has to know the tables by which keys
 // were granted last. The leader before it relayed each table before it granted by it, so
 // that the hosts that followed it know them. When at least half of them follow the new
-// leader, it goes by the newest table that they know.
+// leader, it goes by the newest table that they know. A host counts only if it read tables
+// that a leader had stored in the era; those of a copy are older.
 
 const (
 	// witnessesMin is how long a new leader collects tables at least, and witnessesMax how
@@ -46,23 +47,28 @@
 // witnesses collects what hosts know of the time before a restore.
 type witnesses struct {
 	mu sync.Mutex
-	// own is the position of this host, and of its tables, before the last restore.
-	own topicPosition
+	// own is the position as of which this host knows the tables of an earlier era. followed
+	// says that it had read them itself.
+	own      topicPosition
+	followed bool
 	// hosts has those that follow this leader and had followed an earlier one.
 	hosts map[string]bool
+	// fleetSize is the highest number of hosts that one of them remembers.
+	fleetSize int
 }
 
 func (w *witnesses) init() {
 	w.own, w.hosts = topicPosition{Next: unknownOffset}, map[string]bool{}
 }
 
-// noteLost records how far this host had read the control topic when its era ended.
+// noteLost records how far this host had read the control topic when an era ended in which
+// a leader had stored its tables.
 func (w *witnesses) noteLost(p topicPosition) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hosts = map[string]bool{}
 	if p.known() {
-		w.own = topicPosition{Era: p.Era, Next: p.Next}
+		w.own, w.followed = topicPosition{Era: p.Era, Next: p.Next}, true
+		w.hosts, w.fleetSize = map[string]bool{}, 0
 	}
 }
 
@@ -72,12 +78,14 @@
 	return w.own
 }
 
-// addHost records that a host follows this leader and how far it had read.
-func (w *witnesses) addHost(host string, p topicPosition) {
+// addHost records that a host follows this leader, how far it had read, and how many hosts
+// there were.
+func (w *witnesses) addHost(host string, p topicPosition, fleetSize int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if p.known() {
 		w.hosts[host] = true
+		w.fleetSize = max(w.fleetSize, fleetSize)
 	}
 }
 
@@ -93,12 +101,16 @@
 	return true
 }
 
-// suffice reports whether at least half of a number of hosts, this one included, remember
-// the tables of an earlier era.
-func (w *witnesses) suffice(hosts int) bool {
+// suffice reports whether at least half of the hosts remember the tables of an earlier era,
+// where recent is the number of hosts that this one knows of.
+func (w *witnesses) suffice(recent int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.own.known() && 2*(len(w.hosts)+1) >= hosts
+	remember := len(w.hosts)
+	if w.followed {
+		remember++
+	}
+	return w.own.known() && 2*remember >= max(recent, w.fleetSize)
 }
 
 // sendLostTables sends the leader the tables of this host if they are newer than its own.
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -118,9 +118,13 @@
 // Renumber continues the term under a higher number, by an append that was sent and
 // answered at these times. The store lost records, perhaps those of another granter: it
 // counts as an earlier one that may go on. The granter's tables are complete, since it
-// moved keys last.
-func (t *Term) Renumber(number uint64, sent, answered time.Duration) {
+// moved keys last, unless it is still collecting them and has granted nothing.
+func (t *Term) Renumber(number uint64, sent, answered time.Duration, collecting bool) {
 	earlier := EarlierGranters{UnknownHoldersLeft: t.UnknownHoldersLeft(answered)}
+	if collecting {
+		earlier = t.earlier
+		earlier.UnknownHoldersLeft = max(0, t.beganAt+earlier.UnknownHoldersLeft-answered)
+	}
 	*t = Term{cfg: t.cfg, Number: number, beganAt: answered, previousStoppedAt: answered, confirmedAt: sent, earlier: earlier, ended: t.ended}
 }
 
--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -192,7 +192,7 @@
 			r.term = x.term.Number
 			x.term.Confirm(h.now)
 		} else {
-			x.term.Renumber(r.term, h.now, h.now)
+			x.term.Renumber(r.term, h.now, h.now, false)
 			x.granter.ApplyRenumber()
 		}
 		x.era, x.offset = h.era, len(h.log)
@@ -548,7 +548,7 @@
 	for _, o := range g.Tick(now, all) {
 		g.HandleGrantResult(now, o, GrantAccepted)
 	}
-	term.Renumber(1025, now, now)
+	term.Renumber(1025, now, now, false)
 	g.ApplyRenumber()
 	if view, _ := g.View(now); !view[0].Ready || !view[1].Ready {
 		t.Fatalf("keys are not served while the granter goes on: %+v", view)
