Let calls of the history that are applied late arrive like others

One cause is the history itself: a call that is applied late was taken to arrive whatever the connection.

A late call now arrives at the same time and under the same conditions as one that is applied on arrival; whether it waits at the target is decided afterwards.

--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -49,6 +49,8 @@
 	leaseStart, appliedAt time.Duration
 	// timeoutAt is when the host's call times out, answerAt when the answer arrives.
 	timeoutAt, answerAt time.Duration
+	// arrived says that the time has come at which the call arrives, reached that it did.
+	arrived, reached bool
 	// handled says that the target applied, refused or missed the call, reported that
 	// the host knows the result.
 	handled, reported, ok bool
@@ -328,9 +330,13 @@
 	kept := h.calls[:0]
 	for _, c := range h.calls {
 		t := h.targets[c.call.Target]
+		if !c.arrived && h.now >= c.leaseStart {
+			c.arrived, c.reached = true, h.reaches(t, c)
+		}
 		if !c.handled && h.now >= c.appliedAt {
 			c.handled = true
-			c.ok = h.reaches(t, c) && h.apply(t, c)
+			// A call that waits at its target is lost when that restarts.
+			c.ok = c.reached && (c.appliedAt == c.leaseStart || t.started <= c.leaseStart) && h.apply(t, c)
 		}
 		h.reportResult(c)
 		if !c.handled || !c.reported {
@@ -340,12 +346,8 @@
 	h.calls = kept
 }
 
-// reaches reports whether a call reaches its target. A call that is applied late
-// arrived at leaseStart; it is lost if the target has restarted since.
+// reaches reports whether a call that arrives now reaches its target.
 func (h *rangeHistory) reaches(t *rangeSimTarget, c *rangeCall) bool {
-	if c.appliedAt > c.leaseStart {
-		return t.started <= c.leaseStart
-	}
 	if t.cutOff[c.host] || !t.connected[c.host] && c.call.OpenOnly && !h.dialAlways {
 		return false
 	}
