Open no connections to targets for releases without the store

What callers could see: keys served by two targets, after a target restarted while two granters held a term.

Cause: a granter that has not heard from the store for 1.5 s renews over open connections only, since a target that restarts forgets the fencing tokens it has seen, and its connections end. Releases were exempt: one opened a connection to the restarted target, and the next renewals went over it. A release also waits for one of four connections to a target, for 4 s at most, and could open its own only then.

Change: releases follow the same rule, and a call opens a connection only up to the call timeout after it was decided on. TestReleaseOpensNoConnection failed before; TestGrants has the case of a release that waits.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -393,10 +393,11 @@
 
 // startTargetCalls starts the calls that the granters request.
 func (t *term) startTargetCalls(now time.Duration, snap *fleet.Snapshot) {
+	dialUntil := time.Now().Add(t.c.cfg.Ranges.KeyLease.CallTimeout)
 	for _, g := range t.granters {
 		calls := g.Tick(now, func(id string) bool { return t.address(snap, id) != "" })
 		for _, o := range calls {
-			go t.guardedCall(g, o, t.address(snap, o.Target))
+			go t.guardedCall(g, o, t.address(snap, o.Target), dialUntil)
 		}
 	}
 }
@@ -409,8 +410,8 @@
 }
 
 // guardedCall makes one call to a target. After a panic the outcome is unknown.
-func (t *term) guardedCall(g *lease.RangeGranter, o lease.TargetCall, address string) {
-	err := guard.Call("grant call", func() { t.callTarget(g, o, address) })
+func (t *term) guardedCall(g *lease.RangeGranter, o lease.TargetCall, address string, dialUntil time.Time) {
+	err := guard.Call("grant call", func() { t.callTarget(g, o, address, dialUntil) })
 	if err == nil {
 		return
 	}
@@ -424,10 +425,15 @@
 	})
 }
 
-// callTarget makes one call to a target and posts its result.
-func (t *term) callTarget(g *lease.RangeGranter, o lease.TargetCall, address string) {
+// callTarget makes one call to a target and posts its result. The call opens a connection
+// until the given time, or none at all.
+func (t *term) callTarget(g *lease.RangeGranter, o lease.TargetCall, address string, dialUntil time.Time) {
+	parent := platform.WithDialingUntil(t.ctx, dialUntil)
+	if o.OpenOnly {
+		parent = platform.WithoutDialing(t.ctx)
+	}
 	if o.Release {
-		ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
+		ctx, cancel := context.WithTimeout(parent, releaseTimeout)
 		defer cancel()
 		handover, err := t.c.cfg.Grants.Release(ctx, address, o.Target, o.From, o.To, o.Fence)
 		t.c.metrics.targetCall("release", err)
@@ -437,11 +443,8 @@
 		})
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, t.c.cfg.Ranges.KeyLease.CallTimeout)
+	ctx, cancel := context.WithTimeout(parent, t.c.cfg.Ranges.KeyLease.CallTimeout)
 	defer cancel()
-	if o.OpenOnly {
-		ctx = platform.WithoutDialing(ctx)
-	}
 	err := t.c.cfg.Grants.Grant(ctx, address, o.Target, platform.Grant{
 		From: o.From, To: o.To, Fence: o.Fence, LeaseDuration: o.LeaseDuration, HandoverToken: o.Handover,
 	})
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -256,7 +256,9 @@
 			continue
 		}
 		f.inFlight, f.fence = true, g.term.NextFence()
-		calls = append(calls, TargetCall{Release: true, Target: f.target, From: r.From, To: r.To, Fence: f.fence})
+		calls = append(calls, TargetCall{
+			Release: true, Target: f.target, From: r.From, To: r.To, Fence: f.fence, OpenOnly: !g.term.MayDial(now),
+		})
 	}
 	return calls
 }
