Hand keys over at once when a renewal was in flight during the move

What callers saw: 503 (no_owner) for moved keys, for up to 3.8 s. Seen as TestTargetsGetTheLimitTheyState, where a caller was refused after 1.50 s.

Cause: a release does not end a lease for sure while an earlier grant has no answer, since the target may apply that later. The granter kept this with the key range. When a range was split by a move while its renewal was in flight, the answer that came milliseconds later found no such range and was ignored, so that the grant counted as unanswered until its lease would have ended. Each move of a part had this chance: the time of a renewal in each 0.93 s.

TestMoveDuringRenewal failed before.

Change: unanswered grants are kept for the granter by fencing token with their keys, whatever happens to the ranges, and a release is sent once the grants in flight to that target for those keys have ended: one that is answered before cannot be applied afterwards.

--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -34,3 +34,80 @@
 		}
 	})
 }
+
+// TestMoveDuringRenewal guards against keys that are granted to nobody for the length of a
+// lease after a move, since a renewal of the whole range was in flight when it was split.
+func TestMoveDuringRenewal(t *testing.T) {
+	Convey("Given a renewal of a key range in flight while a part of the range moves", t, func() {
+		cfg := RangeConfig{}.withDefaults()
+		term := BeginTerm(cfg.KeyLease, 1, 0, 0, EarlierGranters{PreviousStopped: true})
+		table := ownership.NewRangeTable([]string{"a", "b"}, []float64{1, 1})
+		g := NewRangeGranter(cfg, term, table, true)
+		now := time.Second
+		tick := func() []TargetCall {
+			term.Confirm(now)
+			return g.Tick(now, func(string) bool { return true })
+		}
+		for _, o := range tick() {
+			g.HandleGrantResult(now, o, GrantAccepted)
+		}
+		now += cfg.RenewEvery
+		var renewal TargetCall
+		for _, o := range tick() {
+			if o.Target == "a" {
+				renewal = o
+			} else {
+				g.HandleGrantResult(now, o, GrantAccepted)
+			}
+		}
+		So(renewal.Target, ShouldEqual, "a")
+		g.SetTable(now, table.Move(ownership.RangeMove{From: 0, To: 20, Owner: "b"}))
+		// due returns the calls that concern the moved keys.
+		due := func() (calls []TargetCall) {
+			for _, o := range tick() {
+				if o.From == 0 {
+					calls = append(calls, o)
+				} else {
+					g.HandleGrantResult(now, o, GrantAccepted)
+				}
+			}
+			return calls
+		}
+		Convey("when it was accepted before the release was sent, the keys are granted at once after the release", func() {
+			now += 5 * time.Millisecond
+			So(due(), ShouldBeEmpty) // a release could overtake the renewal
+			now += 5 * time.Millisecond
+			g.HandleGrantResult(now, renewal, GrantAccepted)
+			calls := due()
+			So(calls, ShouldHaveLength, 1)
+			So(calls[0].Release, ShouldBeTrue)
+			So(calls[0].Target, ShouldEqual, "a")
+			now += 5 * time.Millisecond
+			g.HandleReleaseResult(now, calls[0], "", true)
+			calls = due()
+			So(calls, ShouldHaveLength, 1)
+			So(calls[0].Release, ShouldBeFalse)
+			So(calls[0].Target, ShouldEqual, "b")
+		})
+		Convey("when its outcome is unknown, the keys are granted only when its lease has ended", func() {
+			end := now + cfg.KeyLease.CallTimeout + cfg.KeyLease.MaxSpan()
+			now += cfg.KeyLease.CallTimeout
+			g.HandleGrantResult(now, renewal, GrantUnknown)
+			calls := due()
+			So(calls, ShouldHaveLength, 1)
+			So(calls[0].Release, ShouldBeTrue)
+			g.HandleReleaseResult(now, calls[0], "", true)
+			now = end - time.Millisecond
+			So(due(), ShouldBeEmpty)
+			now = end
+			So(due(), ShouldHaveLength, 1)
+		})
+		Convey("when it did not leave the host, it counts as never sent", func() {
+			g.HandleGrantResult(now, renewal, GrantNotSent)
+			calls := due()
+			So(calls, ShouldHaveLength, 1)
+			g.HandleReleaseResult(now, calls[0], "", true)
+			So(due(), ShouldHaveLength, 1)
+		})
+	})
+}
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -51,6 +51,12 @@
 	return time.Duration(float64(c.Duration)*(1+c.ClockDrift)) + c.MaxTransit
 }
 
+// latestEnd is the latest end of a lease by a grant that is sent now. It may leave this
+// host as late as the timeout of the call.
+func (c KeyLeaseConfig) latestEnd(now time.Duration) time.Duration {
+	return now + c.CallTimeout + c.MaxSpan()
+}
+
 // Term is the numbered authority of one granter. The store orders granters: each
 // begins a term with a higher number by a conditional append, and confirms it with
 // the store. Times are on the boot-time clock, which continues while the
@@ -212,10 +218,6 @@
 type LeaseBound struct {
 	// ownEnd is the latest end of a lease that this granter may have issued.
 	ownEnd time.Duration
-	// unansweredEnd is the latest end of the leases of own grants that are newer than
-	// the last accepted one and got no response: the target may apply them late, even
-	// after a release.
-	unansweredEnd time.Duration
 	// inheritedEnd is the latest end of a lease that earlier granters may have issued.
 	inheritedEnd time.Duration
 	// earlierMayRenew says that an earlier granter may still renew its lease.
@@ -242,26 +244,24 @@
 	b.earlierMayRenew = b.earlierMayRenew && now.earlierMayRenew
 }
 
-// NoteSent records that a grant is about to be sent. It may leave this host as late
-// as the timeout of the call.
+// NoteSent records that a grant is about to be sent.
 func (b *LeaseBound) NoteSent(cfg KeyLeaseConfig, now time.Duration) {
-	end := now + cfg.CallTimeout + cfg.MaxSpan()
-	b.ownEnd, b.unansweredEnd = max(b.ownEnd, end), max(b.unansweredEnd, end)
+	b.ownEnd = max(b.ownEnd, cfg.latestEnd(now))
 }
 
 // NoteAccepted records that the target accepted the last grant, sent at the given
 // time. It now refuses all earlier grants that are still in transit, including those
 // of earlier granters.
 func (b *LeaseBound) NoteAccepted(cfg KeyLeaseConfig, sent, now time.Duration) {
-	b.ownEnd, b.unansweredEnd = now+cfg.MaxSpan(), 0
+	b.ownEnd = now + cfg.MaxSpan()
 	if sent >= b.exclusiveFrom {
 		b.inheritedEnd, b.earlierMayRenew = 0, false
 	}
 }
 
-// NoteReleased records that the target acknowledged a release. It may still apply an
-// unanswered grant afterwards.
-func (b *LeaseBound) NoteReleased() { b.ownEnd = b.unansweredEnd }
+// NoteReleased records that the target acknowledged a release. It may still apply grants
+// without a response afterwards, whose leases end by unansweredEnd.
+func (b *LeaseBound) NoteReleased(unansweredEnd time.Duration) { b.ownEnd = unansweredEnd }
 
 // Expired reports whether every lease has ended.
 func (b *LeaseBound) Expired(now time.Duration) bool { return now >= b.end() }
@@ -275,7 +275,7 @@
 // merge returns the bound of two neighbouring key ranges that are combined.
 func (b LeaseBound) merge(o LeaseBound) LeaseBound {
 	return LeaseBound{
-		ownEnd: max(b.ownEnd, o.ownEnd), unansweredEnd: max(b.unansweredEnd, o.unansweredEnd), inheritedEnd: max(b.inheritedEnd, o.inheritedEnd),
+		ownEnd: max(b.ownEnd, o.ownEnd), inheritedEnd: max(b.inheritedEnd, o.inheritedEnd),
 		earlierMayRenew: b.earlierMayRenew || o.earlierMayRenew, exclusiveFrom: max(b.exclusiveFrom, o.exclusiveFrom),
 	}
 }
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -125,6 +125,7 @@
 	ranges []*rangeState
 	// lastAccepted is when each target last accepted a grant.
 	lastAccepted map[string]time.Duration
+	unanswered   unansweredGrants
 	// viewChanged says that the next View differs from the last one.
 	viewChanged bool
 	// tickStart is the index of the range at which the next Tick begins: the first
@@ -136,7 +137,7 @@
 // the term began. Unless the table is new, the owners may have key leases from
 // earlier terms.
 func NewRangeGranter(cfg RangeConfig, term *Term, table *ownership.RangeTable, isNew bool) *RangeGranter {
-	g := &RangeGranter{cfg: cfg.withDefaults(), term: term, lastAccepted: map[string]time.Duration{}, viewChanged: true}
+	g := &RangeGranter{cfg: cfg.withDefaults(), term: term, lastAccepted: map[string]time.Duration{}, unanswered: unansweredGrants{}, viewChanged: true}
 	for _, s := range table.Ranges {
 		r := &rangeState{KeyRange: s, acceptedAt: term.beganAt, movedAt: -time.Hour}
 		if !isNew {
@@ -230,10 +231,12 @@
 		grants--
 		r.inFlight, r.sentAt, r.leaseBefore, r.fence = true, now, r.lease, g.term.NextFence()
 		r.lease.NoteSent(g.cfg.KeyLease, now)
-		calls = append(calls, TargetCall{
+		call := TargetCall{
 			Target: r.Owner, From: r.From, To: r.To, Fence: r.fence, LeaseDuration: g.cfg.KeyLease.Duration, Handover: r.handover,
 			OpenOnly: !g.term.MayDial(now),
-		})
+		}
+		g.unanswered.noteSent(call, g.cfg.KeyLease.latestEnd(now))
+		calls = append(calls, call)
 	}
 	return calls
 }
@@ -249,10 +252,13 @@
 	return false
 }
 
+// appendReleases appends the releases of a range that are due. A release could overtake a
+// grant in flight, so that it is sent when the grant has ended.
 func (g *RangeGranter) appendReleases(now time.Duration, r *rangeState, reachable func(string) bool, calls []TargetCall) []TargetCall {
 	for i := range r.previousOwnerStates {
 		f := &r.previousOwnerStates[i]
-		if f.target == unknownHolder || f.released || f.inFlight || now < f.nextAt || !reachable(f.target) {
+		if f.target == unknownHolder || f.released || f.inFlight || now < f.nextAt || !reachable(f.target) ||
+			g.unanswered.inFlightTo(f.target, r.From, r.To) {
 			continue
 		}
 		f.inFlight, f.fence = true, g.term.NextFence()
@@ -287,6 +293,7 @@
 
 // HandleGrantResult processes the result of a grant.
 func (g *RangeGranter) HandleGrantResult(now time.Duration, call TargetCall, result GrantResult) {
+	g.unanswered.noteResult(now, call, result)
 	ok := result == GrantAccepted
 	if ok {
 		g.lastAccepted[call.Target] = now
@@ -328,7 +335,7 @@
 			continue
 		}
 		f.released = true
-		f.lease.NoteReleased()
+		f.lease.NoteReleased(g.unanswered.latestEnd(f.target, r.From, r.To))
 		g.viewChanged = g.viewChanged || !f.lease.Expired(now)
 		if handover != "" {
 			r.handover = handover
