Tell hosts when keys can be granted later than they were told

What callers saw: 503 (no_owner) at the deadline instead of at once, for keys that a former owner may still hold for seconds after its release.

Cause: the leader notes such a change and publishes its view, but the message to the hosts leaves out ranges that differ only in the time until which they cannot be granted, since that falls with the passage of time. Hosts went on expecting the keys within 150 ms.

TestLaterGrantIsTold failed before.

Change: the times are compared as points in time.

--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -96,21 +96,32 @@
 	return max(h.Sum64(), 1) // 0 means that there is no digest
 }
 
-// changedSince returns the ranges that are not in the earlier map.
+// grantableTolerance is by how much the time at which keys can be granted may differ from
+// the one that hosts were told.
+const grantableTolerance = 50 * time.Millisecond
+
+// changedSince returns the ranges that are not in the earlier map, and those whose keys can
+// be granted at another time than it says.
 func (r *RangeMap) changedSince(earlier *RangeMap) []lease.RangeView {
 	if earlier == nil {
 		return r.ranges
 	}
-	known := make(map[lease.RangeView]bool, len(earlier.ranges))
+	grantableAt := func(m *RangeMap, x lease.RangeView) time.Duration {
+		return m.asOf + time.Duration(x.GrantableInMS)*time.Millisecond
+	}
+	known := make(map[lease.RangeView]time.Duration, len(earlier.ranges))
 	for _, x := range earlier.ranges {
+		at := grantableAt(earlier, x)
 		x.GrantableInMS = 0
-		known[x] = true
+		known[x] = at
 	}
 	var out []lease.RangeView
 	for _, x := range r.ranges {
 		same := x
 		same.GrantableInMS = 0
-		if !known[same] {
+		told, ok := known[same]
+		// A time that has passed means now.
+		if !ok || !x.Ready && (grantableAt(r, x)-max(told, r.asOf)).Abs() > grantableTolerance {
 			out = append(out, x)
 		}
 	}
--- a/internal/coordinator/ranges_test.go
+++ b/internal/coordinator/ranges_test.go
@@ -145,3 +145,27 @@
 		So(back, ShouldAlmostEqual, now+time.Second, 100*time.Millisecond)
 	})
 }
+
+// TestLaterGrantIsTold guards against hosts that expect keys earlier than the leader does:
+// callers then wait for the keys until their deadline and are refused late.
+func TestLaterGrantIsTold(t *testing.T) {
+	Convey("Given a key range that is not ready", t, func() {
+		view := func(at time.Duration, grantableInMS int64) *RangeMap {
+			return &RangeMap{asOf: at, ranges: []lease.RangeView{
+				{From: 0, To: 9, Owner: "a", Ready: true}, {From: 10, To: 19, Owner: "b", GrantableInMS: grantableInMS},
+			}}
+		}
+		told := view(time.Second, 1000)
+		Convey("the passage of time is no change", func() {
+			So(view(1500*time.Millisecond, 500).changedSince(told), ShouldBeEmpty)
+			So(view(3*time.Second, 0).changedSince(told), ShouldBeEmpty)
+		})
+		Convey("a later or an earlier time is one", func() {
+			for _, later := range []*RangeMap{view(1500*time.Millisecond, 3000), view(3*time.Second, 2000), view(1500*time.Millisecond, 0)} {
+				changed := later.changedSince(told)
+				So(changed, ShouldHaveLength, 1)
+				So(changed[0], ShouldResemble, later.ranges[1])
+			}
+		})
+	})
+}
