Refuse a request without an owner when no handover can finish in time

What callers saw: 503 (no_owner) at the deadline exactly, which leaves no time to try elsewhere.

Cause: a request whose key is handed over waits until something changes or its deadline passes, though it is refused from the moment at which the expected handover and the work no longer fit.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -199,13 +199,15 @@
 				ownerReadyAt = max(readyAt, ownerReadyAt)
 			}
 		}
-		if now-start >= maxOwnerWait || ownerReadyAt+c.g.serviceTime(now, c.route.Name)/2 > c.deadline {
+		latestReady := c.deadline - c.g.serviceTime(now, c.route.Name)/2
+		if now-start >= maxOwnerWait || ownerReadyAt > latestReady {
 			c.g.metrics.refusals.Add(string(CodeNoOwner), 1)
 			c.g.cfg.Log.Request("no_owner", c.req.ID, "workload", c.workload, "key", c.req.Key,
 				"waited_ms", (now - start).Milliseconds(), "back_ms", (ownerReadyAt - now).Milliseconds())
 			return "", newRefusal(CodeNoOwner, ownerReadyAt-now)
 		}
-		timer := time.NewTimer(min(maxOwnerWait, c.deadline-now))
+		// Until then a handover could still finish in time.
+		timer := time.NewTimer(min(start+maxOwnerWait, latestReady-expectedHandover+time.Millisecond) - now)
 		select {
 		case <-changed:
 		case <-timer.C:
