--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -49,6 +49,7 @@
 	at         time.Time
 	keyed      bool
 	status     int
+	code       string // body of a refusal
 	took       time.Duration
 	retryAfter time.Duration
 }
@@ -187,8 +188,11 @@
 		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 			r.retryAfter = time.Duration(s * float64(time.Second))
 		}
-		_, _ = io.Copy(io.Discard, resp.Body) // the status is known
-		_ = resp.Body.Close()                 // read whole
+		body, _ := io.ReadAll(resp.Body) // the status is known
+		_ = resp.Body.Close()            // read whole
+		if r.status != http.StatusOK {
+			r.code = string(body)
+		}
 	}
 	r.took = time.Since(r.at)
 	f.mu.Lock()
@@ -284,6 +288,9 @@
 			}
 			for _, r := range f.resultsSince(settled) {
 				if r.status != http.StatusOK {
+					if r.took >= 500*time.Millisecond {
+						t.Logf("keyed %v: %d %s after %v, %v after the limits", r.keyed, r.status, r.code, r.took, r.at.Sub(settled))
+					}
 					So(r.status, ShouldEqual, http.StatusServiceUnavailable)
 					So(r.took, ShouldBeLessThan, 500*time.Millisecond)
 					So(r.retryAfter, ShouldBeBetween, 0, 10*time.Second)
