--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -159,7 +159,11 @@
 			// the two sides synchronized.
 			r := s.do("POST", "/v1/keyed/a", nil)
 			So(r.body, ShouldNotEqual, "not mine")
-			<-late
+			select {
+			case <-late:
+			case <-time.After(2 * time.Second):
+				t.Fatalf("the target did not read a request; the host's response: status %d, body %q", r.status, r.body)
+			}
 		}
 	})
 	Convey("the late response to a request that was given up is never taken for another's", t, func() {
