--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -78,7 +78,8 @@
 		}
 		for _, c := range allowed {
 			stream++
-			l.wg.Go(func() { l.stream(ctx, callCtx, w, c, c.Share/total, stream) })
+			id := stream
+			l.wg.Go(func() { l.stream(ctx, callCtx, w, c, c.Share/total, id) })
 		}
 	}
 	<-ctx.Done()
