Keep unanswered grants by target, and drop those that have ended

Found by reading: each result of a grant went through the unanswered grants of all targets. With 3,000 targets of which half are silent these are thousands, times more than a thousand results a second; and those of a target that is gone were kept. They are kept by target now, and a new table drops what has ended. TestUnansweredGrantsAreBounded holds both.

--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -111,3 +111,27 @@
 		})
 	})
 }
+
+// TestUnansweredGrantsAreBounded guards against grants to silent targets that are kept
+// after their leases have ended.
+func TestUnansweredGrantsAreBounded(t *testing.T) {
+	Convey("Given a granter whose target never answers, and then moves its keys away", t, func() {
+		cfg := RangeConfig{}.withDefaults()
+		term := BeginTerm(cfg.KeyLease, 1, 0, 0, EarlierGranters{PreviousStopped: true})
+		table := ownership.NewRangeTable([]string{"silent"}, []float64{1})
+		g := NewRangeGranter(cfg, term, table, true)
+		retry := cfg.KeyLease.CallTimeout + cfg.RetryAfter
+		lasts := cfg.KeyLease.CallTimeout + cfg.KeyLease.MaxSpan()
+		now := time.Duration(0)
+		for range 50 {
+			term.Confirm(now)
+			for _, o := range g.Tick(now, func(string) bool { return true }) {
+				g.HandleGrantResult(now+cfg.KeyLease.CallTimeout, o, GrantUnknown)
+			}
+			now += retry
+		}
+		So(len(g.unanswered["silent"]), ShouldBeBetweenOrEqual, 1, int(lasts/retry)+1)
+		g.SetTable(now+lasts, table.Move(ownership.RangeMove{From: 0, To: 1 << 15, Owner: "b"}))
+		So(g.unanswered, ShouldBeEmpty)
+	})
+}
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -156,6 +156,7 @@
 
 // SetTable replaces the table by one that has been stored.
 func (g *RangeGranter) SetTable(now time.Duration, table *ownership.RangeTable) {
+	g.unanswered.prune(now) // also of targets that are gone
 	old := g.ranges
 	g.ranges = make([]*rangeState, 0, len(table.Ranges))
 	for _, s := range table.Ranges {
--- a/lease/unanswered.go
+++ b/lease/unanswered.go
@@ -1,61 +1,71 @@
 package lease
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// unansweredGrants holds the grants that a target may still apply: those in flight, and
-// those whose outcome is unknown until their lease would have ended. A key range that is
-// split or moved meanwhile does not change them.
-type unansweredGrants map[uint64]*unansweredGrant // by fencing token
+// unansweredGrants holds, by target, the grants that it may still apply: those in flight,
+// and those whose outcome is unknown until their lease would have ended. A key range that
+// is split or moved meanwhile does not change them.
+type unansweredGrants map[string][]unansweredGrant
 
 type unansweredGrant struct {
-	target   string
+	fence    uint64
 	from, to int
 	// end is the latest end of a lease by this grant.
 	end      time.Duration
 	inFlight bool
 }
 
-func (u *unansweredGrant) overlaps(target string, from, to int) bool {
-	return u.target == target && u.from <= to && from <= u.to
-}
+func (u *unansweredGrant) overlaps(from, to int) bool { return u.from <= to && from <= u.to }
+
+func (u *unansweredGrant) expired(now time.Duration) bool { return !u.inFlight && now >= u.end }
 
 // noteSent adds a grant.
 func (m unansweredGrants) noteSent(call TargetCall, end time.Duration) {
-	m[call.Fence] = &unansweredGrant{target: call.Target, from: call.From, to: call.To, end: end, inFlight: true}
+	m[call.Target] = append(m[call.Target], unansweredGrant{fence: call.Fence, from: call.From, to: call.To, end: end, inFlight: true})
 }
 
 // noteResult processes the result of a grant. A target that accepted one refuses earlier
 // grants of the same keys.
 func (m unansweredGrants) noteResult(now time.Duration, call TargetCall, result GrantResult) {
-	if u := m[call.Fence]; u != nil {
-		u.inFlight = false
+	for i := range m[call.Target] {
+		if u := &m[call.Target][i]; u.fence == call.Fence {
+			u.inFlight = false
+		}
 	}
-	if result != GrantUnknown {
-		delete(m, call.Fence)
+	m.deleteFrom(call.Target, func(u unansweredGrant) bool {
+		superseded := result == GrantAccepted && !u.inFlight && u.fence < call.Fence && call.From <= u.from && u.to <= call.To
+		return superseded || u.fence == call.Fence && result != GrantUnknown || u.expired(now)
+	})
+}
+
+// prune drops the grants of all targets whose leases have ended.
+func (m unansweredGrants) prune(now time.Duration) {
+	for target := range m {
+		m.deleteFrom(target, func(u unansweredGrant) bool { return u.expired(now) })
 	}
-	for fence, u := range m {
-		superseded := result == GrantAccepted && fence < call.Fence && u.target == call.Target && call.From <= u.from && u.to <= call.To
-		if !u.inFlight && (superseded || now >= u.end) {
-			delete(m, fence)
-		}
+}
+
+func (m unansweredGrants) deleteFrom(target string, drop func(unansweredGrant) bool) {
+	if kept := slices.DeleteFunc(m[target], drop); len(kept) > 0 {
+		m[target] = kept
+	} else {
+		delete(m, target)
 	}
 }
 
 // inFlightTo reports whether a grant to a target of some of the keys is in flight.
 func (m unansweredGrants) inFlightTo(target string, from, to int) bool {
-	for _, u := range m {
-		if u.inFlight && u.overlaps(target, from, to) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m[target], func(u unansweredGrant) bool { return u.inFlight && u.overlaps(from, to) })
 }
 
 // latestEnd is the latest end of a lease by a grant to a target of some of the keys, or 0.
 func (m unansweredGrants) latestEnd(target string, from, to int) time.Duration {
 	var end time.Duration
-	for _, u := range m {
-		if u.overlaps(target, from, to) {
+	for _, u := range m[target] {
+		if u.overlaps(from, to) {
 			end = max(end, u.end)
 		}
 	}
