--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -37,6 +37,7 @@
 	keyed     []*standin.Target
 	unkeyed   []*standin.Target
 	coords    []*coordinator.Coordinator
+	gateways  []*Gateway
 	stops     []context.CancelFunc
 	addresses []string
 	// comesBack says that callers that were refused send their request once more, when
@@ -125,6 +126,7 @@
 	go func() { _ = gw.ServeCallers(ctx, l) }() // ends with the context
 	f.t.Cleanup(func() { cancel(); <-done; log.Close() })
 	f.coords, f.stops, f.addresses = append(f.coords, coord), append(f.stops, cancel), append(f.addresses, l.Addr().String())
+	f.gateways = append(f.gateways, gw)
 }
 
 const (
