Call a host ready only when it has read the targets and the owners

Callers of a host that had just started were refused for up to a read's time: Ready looked for the owners of workloads that have targets, and found none while the targets were not read. Ready now asks whether each topic was applied once.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -173,11 +173,11 @@
 // Snapshot returns the current snapshot of the deployment.
 func (c *Coordinator) Snapshot() *fleet.Snapshot { return c.snapshot.Load() }
 
-// Ready reports whether the host knows a desired state and, for each keyed
+// Ready reports whether the host knows a desired state, the targets, and, for each keyed
 // workload with targets, the owners of its keys.
 func (c *Coordinator) Ready() bool {
 	s := c.Snapshot()
-	if s.DesiredState == nil || c.awaitsLostRecords(boottime.Now()) {
+	if s.DesiredState == nil || !c.targets.hasApplied() || !c.control.hasApplied() || c.awaitsLostRecords(boottime.Now()) {
 		return false
 	}
 	r := *c.rangeMaps.Load()
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -37,6 +37,8 @@
 	era uint64
 	// next is the offset of the next record, or unknownOffset.
 	next int64
+	// applied says that records of the topic were applied, or that it has none.
+	applied bool
 	// caughtUpAt is when the topic was last known to end at next.
 	caughtUpAt time.Duration
 	// leaderReported is true once a leader has reported its position in the topic.
@@ -98,6 +100,13 @@
 	return topicPosition{Era: f.era, Next: f.next}
 }
 
+// hasApplied reports whether the host has ever known the topic up to some position.
+func (f *follower) hasApplied() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.applied
+}
+
 // followedLeader reports whether the host has heard all that a leader knew of the topic.
 func (f *follower) followedLeader() bool {
 	f.mu.Lock()
@@ -317,7 +326,7 @@
 		relevant = f.applyGuarded(b.Records, full)
 	}
 	f.mu.Lock()
-	f.era, f.next = b.Era, b.NextOffset
+	f.era, f.next, f.applied = b.Era, b.NextOffset, true
 	f.setCaughtUp(caughtUpAt)
 	f.mu.Unlock()
 	relays := f.c.Leading()
