--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -415,7 +415,11 @@
 	if !c.keyed {
 		c.attempts++
 	}
-	c.g.metrics.sends.Add("not_run", 1)
+	if res.metadata.WrongTarget {
+		c.g.metrics.sends.Add("wrong_target", 1)
+	} else {
+		c.g.metrics.sends.Add("not_run", 1)
+	}
 	c.g.cfg.Log.Request("not_run", c.req.ID, "target", id, "status", res.status, "wrong_target", res.metadata.WrongTarget,
 		"key", c.req.Key, "sends", c.attempts, "load", res.metadata.Load)
 	if !c.keyed {
