Store the hosts' addresses, and share budgets by them from the start

Cause: a host divides the budget and the rate of cold targets by the number of hosts that the leader last announced, and by 1 before it has heard from a leader. Hosts that start together without a leader each took the whole, and a new leader announced as many hosts as had connected to it so far. Change: the leader stores the addresses of the hosts that followed it within the last minute, with a confirmation when they change; a host divides by their number or by the most it has seen in the last minute.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -85,8 +85,8 @@
 	startedAt time.Duration
 	// endedTerm is the last term that this process has stopped leading.
 	endedTerm atomic.Pointer[endedTerm]
-	// hostCount is the number of hosts as last announced by the leader.
-	hostCount atomic.Int64
+	// roster holds the addresses of the hosts.
+	roster roster
 	// leavingReported wakes the connection to the leader when a target reports to this
 	// host that it is stopping.
 	leavingReported chan struct{}
@@ -137,6 +137,7 @@
 	c.leadership.init()
 	c.limits.init(c.startedAt)
 	c.witnesses.init()
+	c.roster.init(cfg.Peer)
 	c.metrics = newMetrics(c)
 	if cfg.Grants != nil {
 		cfg.Grants.OnResponse(c.handleGrantResponse)
@@ -192,8 +193,8 @@
 // Leading reports whether this host leads.
 func (c *Coordinator) Leading() bool { return c.leading.Load() }
 
-// HostCount returns the number of hosts that share budgets.
-func (c *Coordinator) HostCount() int { return max(1, int(c.hostCount.Load())) }
+// HostCount returns the number of hosts that share budgets, at least 1.
+func (c *Coordinator) HostCount() int { return max(1, c.recentHosts(boottime.Now())) }
 
 // UpToDate reports whether the host recently caught up with the end of the operators' topic.
 func (c *Coordinator) UpToDate() bool { return c.operator.age(boottime.Now()) < 2*staleAfter }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -69,6 +69,8 @@
 	announcements map[string]int
 	log           hclog.Logger
 	ranges        lease.RangeConfig
+	// peers has the addresses on which hosts listen for each other, by host.
+	peers map[int]string
 }
 
 const desiredJSON = `{"version":"%08x","routes":[{"name":"r","host":"h","path-prefix":"/","kind":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"w","max-attempts":2}],
@@ -92,7 +94,7 @@
 }
 
 func emptyCluster(t testing.TB) *cluster {
-	return &cluster{t: t, loopback: nextLoopback(), store: standin.NewStore(), targets: map[string]*standin.Target{}, addresses: map[string]string{}, announcements: map[string]int{}, log: hclog.NewNullLogger()}
+	return &cluster{t: t, loopback: nextLoopback(), store: standin.NewStore(), targets: map[string]*standin.Target{}, addresses: map[string]string{}, announcements: map[string]int{}, peers: map[int]string{}, log: hclog.NewNullLogger()}
 }
 
 func (k *cluster) start(hosts, targets int) *cluster {
@@ -130,14 +132,7 @@
 	d := &storeProxy{handler: k.store}
 	srv := httptest.NewServer(d)
 	k.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	l, err := net.Listen("tcp", net.JoinHostPort(k.loopback, "0"))
-	if err != nil {
-		k.t.Fatal(err)
-	}
-	peer := l.Addr().String()
-	if err := l.Close(); err != nil {
-		k.t.Fatal(err)
-	}
+	peer := k.peerAddress(i)
 	c := New(Config{
 		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
 		Grants: platform.NewGrants(), Log: k.log, Cores: 1, LinkMbps: 1000, Ranges: k.ranges,
@@ -150,6 +145,27 @@
 	k.hosts = append(k.hosts, &testHost{c: c, storeProxy: d, stop: cancel})
 }
 
+// peerAddress returns the address of a host. One that is started again keeps its own.
+func (k *cluster) peerAddress(i int) string {
+	address := k.peers[i]
+	if address == "" {
+		address = net.JoinHostPort(k.loopback, "0")
+	}
+	var l net.Listener
+	if !eventually(2*time.Second, func() (ok bool) {
+		var err error
+		l, err = net.Listen("tcp", address) // the earlier process may still listen
+		return err == nil
+	}) {
+		k.t.Fatalf("cannot listen on %s", address)
+	}
+	k.peers[i] = l.Addr().String()
+	if err := l.Close(); err != nil {
+		k.t.Fatal(err)
+	}
+	return k.peers[i]
+}
+
 // eventually waits for a condition and reports whether it held within the limit.
 func eventually(limit time.Duration, ok func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -48,6 +48,7 @@
 // handleRestore handles the beginning of an era after an earlier one.
 func (c *Coordinator) handleRestore(previous, era uint64) {
 	c.restoredAt.Store(int64(boottime.Now()))
+	c.roster.forgetStops()
 	if lost := c.control.lastKnown(); c.leadership.readTablesOf(lost.Era) {
 		c.witnesses.noteLost(lost)
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -247,12 +247,15 @@
 
 // applyControl applies records of the control topic.
 func (c *Coordinator) applyControl(records []platform.Record, _ bool) []platform.Record {
-	// The leader's record comes first: it tells whether the tables are of its era.
+	// The leader's record comes first: it tells whether the others are of its era. A host is
+	// ready when it knows the tables.
 	records = slices.Clone(records)
 	slices.SortStableFunc(records, func(a, b platform.Record) int { return cmp.Compare(rankOf(a), rankOf(b)) })
 	for _, r := range records {
 		if r.Key == keyLeader {
 			c.applyLeader(r)
+		} else if r.Key == keyHosts && len(r.Value) > 0 {
+			c.applyHosts(r)
 		} else if w, ok := strings.CutPrefix(r.Key, keyRanges); ok && len(r.Value) > 0 {
 			c.applyTable(w, r)
 		}
@@ -260,12 +263,15 @@
 	return records
 }
 
-// rankOf orders the records of the control topic: the leader's before the others.
+// rankOf orders the records of the control topic: the leader's, the hosts', and the tables.
 func rankOf(r platform.Record) int {
-	if r.Key == keyLeader {
+	switch r.Key {
+	case keyLeader:
 		return 0
+	case keyHosts:
+		return 1
 	}
-	return 1
+	return 2
 }
 
 func (c *Coordinator) applyLeader(r platform.Record) {
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -56,7 +56,6 @@
 
 // setHostCount records the number of hosts that follow the leader, itself included.
 func (c *Coordinator) setHostCount(now time.Duration, hosts int) {
-	c.hostCount.Store(int64(hosts))
 	c.limits.mu.Lock()
 	defer c.limits.mu.Unlock()
 	c.limits.hosts.Observe(now, hosts)
@@ -241,9 +240,9 @@
 }
 
 // recentHosts returns the highest number of hosts that followed the leader in the last half
-// to whole minute, itself included.
+// to whole minute, itself included, also before this host has heard from a leader.
 func (c *Coordinator) recentHosts(now time.Duration) int {
 	c.limits.mu.Lock()
 	defer c.limits.mu.Unlock()
-	return c.limits.hosts.Recent(now)
+	return max(c.limits.hosts.Recent(now), c.roster.size())
 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -61,6 +61,8 @@
 	// LostHosts the number of hosts that it remembers.
 	Lost      topicPosition `json:"lost"`
 	LostHosts int           `json:"lost_hosts,omitempty"`
+	// Address is where the host listens for other hosts.
+	Address string `json:"address,omitempty"`
 	processState
 }
 
@@ -357,7 +359,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	})
 	conn := jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.recoverPanics(handler), discardLog)
-	defer c.peers.remove(pc)
+	defer func() { c.peers.remove(pc); c.roster.leave(boottime.Now(), pc) }()
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -438,6 +440,7 @@
 	}
 	c.leadership.noteHello(m)
 	c.witnesses.addHost(m.Host, m.Lost, m.LostHosts)
+	c.notePeer(pc, m)
 	// The peer receives messages to all peers from here on, so that it misses nothing between
 	// them and the state that is queued below.
 	c.peers.add(pc)
--- a/internal/coordinator/restate.go
+++ b/internal/coordinator/restate.go
@@ -90,6 +90,7 @@
 	for name, table := range r.tables {
 		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
 	}
+	records = append(records, t.c.rosterRecord(boottime.Now(), len(r.tables) > 0)...)
 	r.sentAt = boottime.Now()
 	stored, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, b.NextOffset, records)
 	t.c.noteStoreCall("append", stored.Era, err)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -97,6 +97,7 @@
 		t.nextConfirm = w.acknowledgedAt
 	}
 	c.limits.beginTerm()
+	c.roster.beginTerm(boottime.Now(), c.processState().lastLed(boottime.Now()))
 	c.leading.Store(true)
 	c.metrics.terms.Add(1)
 	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.earlier.PreviousStopped, "clear_ms", w.earlier.OlderLeasesLeft.Milliseconds())
@@ -437,6 +438,7 @@
 	for name, table := range tables {
 		records = append(records, platform.Record{Key: keyRanges + name, Value: table.Encode()})
 	}
+	records = append(records, t.c.rosterRecord(now, storesAll)...)
 	offset, era := t.c.control.position(), t.record.Era
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
