Grant after a restore when all hosts that could lead have ended

Cause: a new leader that nobody can tell the last tables waits until a leader that nobody knows of could have granted for the last time, counted from its own election. What the hosts state of their processes was used for the one leader that the copy names only. Change: the leader stores the hosts' addresses. Otherwise the wait counts from when the new era was first seen: the store confirmed all earlier terms before.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -416,6 +416,10 @@
 		RecordsLost:        recordsLost(previous, era),
 		UnknownHoldersLeft: time.Duration(previous.UnknownHoldersMS) * time.Millisecond,
 	}
+	if earlier.RecordsLost && previous.Era < era {
+		// Nobody has led in this era, and the store confirmed the terms before it began.
+		earlier.ConfirmedBefore = time.Duration(c.eraSeenAt.Load())
+	}
 	start := boottime.Now()
 	begun := lease.BeginTerm(c.cfg.Ranges.KeyLease, number, start, start, earlier)
 	r := leaderRecord{
--- a/internal/coordinator/restate.go
+++ b/internal/coordinator/restate.go
@@ -153,7 +153,7 @@
 	for _, g := range t.granters {
 		g.ApplyRenumber()
 	}
-	t.previousTerm, t.previousEnded = 0, true
+	t.previousTerm, t.previousEnded, t.allStopped = 0, true, false
 	t.c.cfg.Log.Info("term_restated", "term", r.record.Term, "era", r.record.Era, "tables", len(r.tables))
 	t.c.control.applyBatch(unknownOffset, r.batch, true, r.sentAt)
 	t.applyStored(now, r.tables)
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -120,6 +120,22 @@
 	return slices.Sorted(maps.Keys(current)), !maps.Equal(current, r.stored)
 }
 
+// allStopped returns the latest time at which a host of the roster can have led an earlier
+// term, or false when not all of them have stated it.
+func (r *roster) allStopped() (at time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address := range r.stored {
+		if _, ok := r.stopped[address]; !ok {
+			return 0, false
+		}
+	}
+	for _, stopped := range r.stopped {
+		at = max(at, stopped)
+	}
+	return at, len(r.stored) > 0
+}
+
 // lastLed returns the latest time at which the process that states p, or an earlier one on
 // its host, can have led a term that it no longer leads.
 func (p processState) lastLed(now time.Duration) time.Duration {
@@ -153,6 +169,25 @@
 	return []platform.Record{{Key: keyHosts, Value: value}}
 }
 
+// noteEarlierStopped ends the wait for leaders of terms whose records are lost when all hosts
+// have stated that they lead no earlier term.
+func (t *term) noteEarlierStopped(now time.Duration) {
+	if t.allStopped || t.lease.UnknownHoldersLeft(now) == 0 {
+		return
+	}
+	at, ok := t.c.roster.allStopped()
+	if !ok {
+		return
+	}
+	t.allStopped = true
+	t.lease.SetAllStopped(at)
+	for _, g := range t.granters {
+		g.ApplyPreviousStopped()
+	}
+	t.c.cfg.Log.Info("earlier_leaders_ended", "term", t.record.Term, "hosts", t.c.roster.size(), "ago_ms", (now - at).Milliseconds(),
+		"unknown_ms", t.lease.UnknownHoldersLeft(boottime.Now()).Milliseconds())
+}
+
 // notePeer records that a host follows this one while it leads.
 func (c *Coordinator) notePeer(pc *peerConn, m helloMessage) {
 	if m.Address != "" {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -68,6 +68,8 @@
 	previousEnded bool
 
 	appendInProgress bool
+	// allStopped says that all hosts have stated that they lead no earlier term.
+	allStopped bool
 	// collecting is true while the leader collects the tables of an earlier era.
 	collecting bool
 	// storeAllTables says that the store may not have the tables in force.
@@ -174,6 +176,7 @@
 			g.ApplyPreviousStopped()
 		}
 	}
+	t.noteEarlierStopped(now)
 	if t.awaitsWitnesses(now) {
 		t.confirmIfDue(now)
 		t.sendPositions(now)
--- a/internal/coordinator/witness.go
+++ b/internal/coordinator/witness.go
@@ -157,7 +157,7 @@
 	}
 	hosts := t.c.recentHosts(now)
 	known := t.c.witnesses.suffice(hosts)
-	if now < t.beganAt+witnessesMin || !known && now < t.beganAt+witnessesMax {
+	if now < t.beganAt+witnessesMin || !known && !t.allStopped && now < t.beganAt+witnessesMax {
 		return true
 	}
 	t.collecting, t.storeAllTables, t.nextConfirm = false, true, now
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -77,6 +77,8 @@
 	// the latest time at which the previous one can have stopped.
 	earlier           EarlierGranters
 	previousStoppedAt time.Duration
+	// allStopped says that all earlier granters had stopped by previousStoppedAt.
+	allStopped bool
 }
 
 // fenceBits is the number of low bits that count fencing tokens within a term: 2^28
@@ -101,6 +103,9 @@
 	// UnknownHoldersLeft is for how long targets that the stored tables do not name may
 	// hold keys, as the previous granter last reported.
 	UnknownHoldersLeft time.Duration
+	// ConfirmedBefore is a time after the last confirmation of any earlier granter, or 0 when
+	// only the beginning of the term is known to be one.
+	ConfirmedBefore time.Duration
 }
 
 // BeginTerm starts a term whose append was sent and answered at these times.
@@ -130,6 +135,8 @@
 	if collecting {
 		earlier = t.earlier
 		earlier.UnknownHoldersLeft = max(0, t.beganAt+earlier.UnknownHoldersLeft-answered)
+		// A granter whose record is lost may have begun since.
+		earlier.PreviousStopped, earlier.ConfirmedBefore = false, 0
 	}
 	*t = Term{cfg: t.cfg, Number: number, beganAt: answered, previousStoppedAt: answered, confirmedAt: sent, earlier: earlier, ended: t.ended}
 }
@@ -163,6 +170,13 @@
 	}
 }
 
+// SetAllStopped records that all earlier granters, also those whose records the store lost,
+// had stopped by the given time.
+func (t *Term) SetAllStopped(at time.Duration) {
+	t.allStopped, t.previousStoppedAt = true, at
+	t.earlier.PreviousStopped, t.earlier.OlderLeasesLeft = true, 0
+}
+
 // ExclusiveFrom is when earlier granters can no longer reach a restarted target,
 // which has forgotten the fencing tokens of this term. Until then keys are not
 // taken from a target that responds.
@@ -191,7 +205,11 @@
 	if t.earlier.PreviousStopped {
 		return max(t.beganAt+t.earlier.OlderLeasesLeft, t.previousStoppedAt+t.cfg.CallTimeout+t.cfg.MaxSpan())
 	}
-	return t.beganAt + t.cfg.GrantWithoutStore + t.cfg.CallTimeout + t.cfg.MaxSpan()
+	confirmedBefore := t.beganAt
+	if at := t.earlier.ConfirmedBefore; at > 0 {
+		confirmedBefore = min(confirmedBefore, at)
+	}
+	return max(t.beganAt, confirmedBefore+t.cfg.GrantWithoutStore+t.cfg.CallTimeout+t.cfg.MaxSpan())
 }
 
 // UnknownHoldersEnd is when all key leases have ended of targets that the stored tables do
@@ -200,7 +218,11 @@
 	if t.earlier.RecordsLost {
 		return t.PriorEnd()
 	}
-	return t.beganAt + t.earlier.UnknownHoldersLeft
+	end := t.beganAt + t.earlier.UnknownHoldersLeft
+	if t.allStopped {
+		end = min(end, t.PriorEnd())
+	}
+	return end
 }
 
 // UnknownHoldersLeft is for how long targets that the stored tables do not name may hold
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -345,7 +345,7 @@
 }
 
 // ApplyPreviousStopped tightens all lease bounds after the term has learned that
-// the granter of the previous term stopped.
+// the granter of the previous term, or all earlier ones, stopped.
 func (g *RangeGranter) ApplyPreviousStopped() {
 	// Pending keys can be granted sooner than the last View reported.
 	g.viewChanged = true
@@ -353,7 +353,11 @@
 		r.lease.tighten(g.term)
 		r.leaseBefore.tighten(g.term)
 		for i := range r.previousOwnerStates {
-			r.previousOwnerStates[i].lease.tighten(g.term)
+			f := &r.previousOwnerStates[i]
+			f.lease.tighten(g.term)
+			if f.target == unknownHolder {
+				f.lease.ownEnd = min(f.lease.ownEnd, g.term.UnknownHoldersEnd())
+			}
 		}
 	}
 }
--- a/lease/rangegranter_test.go
+++ b/lease/rangegranter_test.go
@@ -104,6 +104,15 @@
 	restoreChance float64
 	// era counts the restores, from 1.
 	era, restated int
+	// eraBeganAt is when the store last returned from a copy, allStopped how often a granter
+	// learned that all earlier ones had stopped.
+	eraBeganAt time.Duration
+	allStopped int
+	// trustPrevious lets granters take the previous granter that the store names for all
+	// earlier ones; confirmedEarlier is how long before a restore they take the last
+	// confirmations to have been.
+	trustPrevious    bool
+	confirmedEarlier time.Duration
 	// trustCopies lets granters take the table of a restored store for the newest one.
 	trustCopies bool
 	// hintChance is the probability that a granter learns of a later term in a step.
@@ -164,9 +173,13 @@
 	h.begun = append(h.begun, nextSimTerm(last, h.era))
 	lost := h.era > 1 && last.era < h.era && !h.trustCopies
 	number := nextSimTerm(last, h.era)
-	x.term = BeginTerm(h.cfg.KeyLease, number, h.now, h.now, EarlierGranters{
+	earlier := EarlierGranters{
 		PreviousStopped: last.resign || isNew, OlderLeasesLeft: last.leasesLeft, RecordsLost: lost, UnknownHoldersLeft: last.unknownLeft,
-	})
+	}
+	if lost {
+		earlier.ConfirmedBefore = max(1, h.eraBeganAt-h.confirmedEarlier)
+	}
+	x.term = BeginTerm(h.cfg.KeyLease, number, h.now, h.now, earlier)
 	h.log = append(h.log, rangeRecord{
 		at: h.now, era: h.era, term: number, table: table,
 		leasesLeft: x.term.InheritedLeasesLeft(h.now), unknownLeft: x.term.UnknownHoldersLeft(h.now),
@@ -234,6 +247,7 @@
 		h.log = h.log[:n-1]
 	}
 	h.era++
+	h.eraBeganAt = h.now
 }
 
 // recordStops records when each term was first seen to have no granter.
@@ -276,7 +290,28 @@
 			x.term.SetPreviousStopped(at)
 			x.granter.ApplyPreviousStopped()
 		}
+		if at, ok := h.earlierStopped(x); ok && x.term.UnknownHoldersLeft(h.now) > 0 {
+			x.term.SetAllStopped(at)
+			x.granter.ApplyPreviousStopped()
+			h.allStopped++
+		}
+	}
+}
+
+// earlierStopped returns when all granters but one had stopped, or false when one of them
+// has not.
+func (h *rangeHistory) earlierStopped(x *rangeHost) (at time.Duration, ok bool) {
+	for i, n := range h.begun {
+		if n == x.term.Number || h.trustPrevious && i > 0 {
+			continue
+		}
+		stopped, ok := h.stoppedAt[n]
+		if !ok {
+			return 0, false
+		}
+		at = max(at, stopped)
 	}
+	return at, true
 }
 
 func (h *rangeHistory) injectFaults() {
@@ -507,7 +542,7 @@
 // TestGrantsAfterRestores guards against grants by a table that is older than the leases in
 // force: the store returns from a copy, in series with partitions, pauses and kills.
 func TestGrantsAfterRestores(t *testing.T) {
-	moves, granted, restores, restated := 0, 0, 0, 0
+	moves, granted, restores, restated, allStopped := 0, 0, 0, 0, 0
 	for seed := int64(1); seed <= 300; seed++ {
 		h := newRangeHistory(t, seed, RangeConfig{}.withDefaults())
 		h.restoreChance = 0.003
@@ -515,14 +550,16 @@
 		if h.violation != "" {
 			t.Fatalf("seed %d: %s", seed, h.violation)
 		}
-		moves, granted, restores, restated = moves+h.moves, granted+h.granted, restores+h.era-1, restated+h.restated
+		moves, granted, restores, restated, allStopped = moves+h.moves, granted+h.granted, restores+h.era-1, restated+h.restated, allStopped+h.allStopped
 	}
-	if moves < 1000 || granted < 100000 || restores < 500 || restated < 200 {
-		t.Fatalf("%d moves, %d grants, %d restores and %d tables stored again are too few to show anything", moves, granted, restores, restated)
+	if moves < 1000 || granted < 100000 || restores < 500 || restated < 200 || allStopped < 100 {
+		t.Fatalf("%d moves, %d grants, %d restores, %d tables stored again and %d ends of all granters are too few to show anything", moves, granted, restores, restated, allStopped)
 	}
 	for name, mutate := range map[string]func(*rangeHistory){
 		"granters trust the table of a restored store":    func(h *rangeHistory) { h.trustCopies = true },
 		"granters go on after a restore under one number": func(h *rangeHistory) { h.keepNumbers, h.hintChance = true, 0.005 },
+		"granters ask one earlier granter, not all":       func(h *rangeHistory) { h.trustPrevious = true },
+		"granters may be confirmed after the time stated": func(h *rangeHistory) { h.confirmedEarlier = 10 * time.Second },
 	} {
 		found := false
 		for seed := int64(1); seed <= 400 && !found; seed++ {
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -32,6 +32,8 @@
 holds ranges grants-restore-two $RESTORE -DNO_LEARNING
 fails ranges copy-trusted $RESTORE -DGRANTS=1 -DM_COPY_TRUSTED
 fails ranges bounds-kept $RESTORE_THREE -DM_BOUNDS_KEPT
+fails ranges one-ended $RESTORE_THREE -DM_ONE_ENDED
+fails ranges ends-end-holds $RESTORE -DGRANTS=1 -DM_ENDS_END_HOLDS
 fails ranges cover-handover $STEADY -DCOVER_HANDOVER
 fails ranges no-grant-fence -DM_NO_FENCE
 fails ranges formers-not-waited-for $STEADY -DM_FORMERS_NOT_WAITED_FOR
--- a/spec/ranges.pml
+++ b/spec/ranges.pml
@@ -35,6 +35,11 @@
 #else
 #define LEARNS 1
 #endif
+#ifdef M_ONE_ENDED
+#define LEARNS_ALL 1
+#else
+#define LEARNS_ALL LEARNS
+#endif
 #define CALLS (LEADERS * GRANTS)
 #define GT(g, t) (2 * (g) + (t))
 #define GN(g, n) (GRANTS * (g) + (n))
@@ -61,6 +66,7 @@
 bool restated;              /* a leader has appended a record since the restore */
 bool stored[LEADERS];       /* its record is one after the restore */
 byte strangers[LEADERS];    /* ticks until targets that it does not know hold no keys */
+byte ended[LEADERS];        /* counts down from SPAN from the leader's end */
 #define LAST last
 #define CURRENT(g) (copied != 2 || stored[g])
 #define LOST (copied == 2 && !restated)
@@ -207,6 +213,35 @@
 }
 
 #ifdef RESTORE
+/* Whether all leaders before g have stopped; one that went on as a later one counts as that. */
+inline allEnded(g, n) {
+	n = 1;
+	for (k : 0 .. LEADERS - 1) {
+		if
+		:: k < g && stage[k] < 2 -> n = 0
+		:: else
+		fi
+	}
+#ifdef M_ONE_ENDED
+	n = (stage[0] == 2);
+#endif
+	k = 0
+}
+
+/* Leader g learns that all leaders before it have stopped, and when. */
+inline learnAllEnded(g, n) {
+	n = 0;
+#ifndef M_ENDS_END_HOLDS
+	for (k : 0 .. LEADERS - 1) {
+		if
+		:: k < g -> n = MAX(n, ended[k])
+		:: else
+		fi
+	}
+	k = 0;
+#endif
+	strangers[g] = MIN(strangers[g], n)
+}
 
 inline restore() {
 	copied = 2;
@@ -243,7 +278,7 @@
 	strangers[h] = strangers[g];
 	clear = OTHERS_SPAN; unknown = strangers[g];
 	stop(g);
-	stage[g] = 3; gone[g] = 0
+	stage[g] = 3; gone[g] = 0; ended[g] = 0
 }
 #endif
 
@@ -289,6 +324,7 @@
 	auth[g] = 0; asked[g] = 0; view[g] = 0; waits[g] = 0; busy[g] = 0; granted[g] = 0; released[g] = 0;
 #ifdef RESTORE
 	strangers[g] = 0;
+	ended[g] = (LEARNS_ALL && g < LEADERS - 1 -> SPAN : 0);
 #endif
 	over[g] = 0; cleared[g] = 0; earlier[g] = 0; exclusive[g] = 0; inherited[g] = 0;
 	for (k : 0 .. 1) { own[GT(g, k)] = 0; late[GT(g, k)] = 0; prior[GT(g, k)] = 0 }
@@ -383,7 +419,7 @@
 		DEC(earlier[k]); DEC(exclusive[k]); DEC(inherited[k])
 	}
 #ifdef RESTORE
-	for (k : 0 .. LEADERS - 1) { DEC(strangers[k]) }
+	for (k : 0 .. LEADERS - 1) { DEC(strangers[k]); DEC(ended[k]) }
 #endif
 	for (k : 0 .. 2 * LEADERS - 1) {
 		DEC(own[k]); DEC(late[k]); DEC(prior[k])
@@ -418,6 +454,12 @@
 			:: LAST > g + 1 -> stop(g)                      /* it sees a later term */
 			:: LAST == g + 1 && CURRENT(g) && moves < MOVES -> move(g)
 #ifdef RESTORE
+			:: LEARNS_ALL && strangers[g] > 0 ->
+				allEnded(g, n);
+				if
+				:: n -> learnAllEnded(g, n)
+				:: else
+				fi
 			:: LOST && LAST <= g + 1 && auth[g] > 0 && terms < LEADERS && mover <= g + 1 -> t = terms; goOn(g, t)
 #endif
 			:: auth[g] > 0 && !busy[g] && sent[g] < GRANTS && MAY_START(g) -> sendGrant(g)
