Send no request to owners that hold no keys while nobody leads

Cause: a host without a leader takes the stored table for what is granted. Change: after such an answer, a host that neither leads nor follows a leader sends no request for keys to this target for a second; they wait for the next leader's ranges, or are refused when a second is too long.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -193,6 +193,9 @@
 // Leading reports whether this host leads.
 func (c *Coordinator) Leading() bool { return c.leading.Load() }
 
+// HasLeader reports whether this host leads or is connected to the leader.
+func (c *Coordinator) HasLeader() bool { return c.Leading() || c.leadership.isConnected() }
+
 // HostCount returns the number of hosts that share budgets, at least 1.
 func (c *Coordinator) HostCount() int { return max(1, c.recentHosts(boottime.Now())) }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -42,11 +42,6 @@
 
 // Times of the request path.
 const (
-	// maxOwnerWait is the longest wait for the owner of a key.
-	maxOwnerWait = 2 * time.Second
-	// expectedHandover is the expected remaining time of a handover of keys between
-	// two targets that both respond: requests in flight for the keys finish first.
-	expectedHandover = 150 * time.Millisecond
 	// notReadyRetryAfter is the time after which a starting host is likely ready.
 	notReadyRetryAfter = 500 * time.Millisecond
 	// shedRetryDelay is the delay before a request for a key is sent again after the
@@ -182,43 +177,6 @@
 	return c.arrived + c.route.Objective
 }
 
-// owner returns the target that owns the request's key. It waits while the key
-// is handed over, if the handover can finish before the deadline.
-func (c *call) owner(ctx context.Context) (string, *Failure) {
-	for start := boottime.Now(); ; {
-		changed := c.g.cfg.Deployment.Changed()
-		snap := c.g.syncSnapshot()
-		now := boottime.Now()
-		ownerReadyAt := now + expectedHandover
-		if r := c.g.cfg.Deployment.RangeMap(c.workload); r != nil {
-			id, ready, readyAt := r.Owner(c.req.Key)
-			if t := snap.Targets[id]; ready && t != nil && snap.Usable(t) {
-				return id, nil
-			}
-			if !ready {
-				ownerReadyAt = max(readyAt, ownerReadyAt)
-			}
-		}
-		latestReady := c.deadline - c.g.serviceTime(now, c.route.Name)/2
-		if now-start >= maxOwnerWait || ownerReadyAt > latestReady {
-			c.g.metrics.refusals.Add(string(CodeNoOwner), 1)
-			c.g.cfg.Log.Request("no_owner", c.req.ID, "workload", c.workload, "key", c.req.Key,
-				"waited_ms", (now - start).Milliseconds(), "back_ms", (ownerReadyAt - now).Milliseconds())
-			return "", newRefusal(CodeNoOwner, ownerReadyAt-now)
-		}
-		// Until then a handover could still finish in time.
-		timer := time.NewTimer(min(start+maxOwnerWait, latestReady-expectedHandover+time.Millisecond) - now)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return "", &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: ctx.Err()}
-		}
-		timer.Stop()
-	}
-}
-
 func (g *Gateway) serviceTime(now time.Duration, route string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -425,6 +383,10 @@
 	if !c.keyed {
 		c.tried = append(c.tried, id)
 	}
+	if c.keyed && res.metadata.WrongTarget && !c.g.cfg.Deployment.HasLeader() {
+		c.g.lapsedOwners.note(boottime.Now(), id)
+		return nil, nil, true // waits until the keys are granted
+	}
 	if c.attempts >= c.route.MaxAttempts || !c.canRetryInTime() || c.keyed && (res.metadata.WrongTarget || hasFreeSlots) && !c.pause(ctx, shedRetryDelay) {
 		after := shedRetryDelay
 		if c.keyed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	// TakePermit asks for permission to send a request to a target that states a limit.
 	TakePermit(ctx context.Context, incarnation fleet.Incarnation) limits.Permit
 	Ready() bool
+	// HasLeader reports whether the host leads or follows a leader.
+	HasLeader() bool
 	// HostCount returns the number of hosts that share budgets, at least 1.
 	HostCount() int
 	// UpToDate reports whether the desired state is up to date.
@@ -70,6 +72,7 @@
 	pool *pool
 	// responseMemory bounds the memory of buffered responses.
 	responseMemory *memoryBudget
+	lapsedOwners   lapsedOwners
 
 	mu           sync.Mutex
 	scheduler    *placement.Scheduler
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,9 +53,10 @@
 func (s *fakeDeployment) TakePermit(context.Context, fleet.Incarnation) limits.Permit {
 	return limits.Permit{Granted: true}
 }
-func (s *fakeDeployment) Ready() bool    { return true }
-func (s *fakeDeployment) HostCount() int { return 1 }
-func (s *fakeDeployment) UpToDate() bool { return !s.stale }
+func (s *fakeDeployment) Ready() bool     { return true }
+func (s *fakeDeployment) HasLeader() bool { return true }
+func (s *fakeDeployment) HostCount() int  { return 1 }
+func (s *fakeDeployment) UpToDate() bool  { return !s.stale }
 
 // harness is a gateway in front of stand-in targets.
 type harness struct {
--- /dev/null
+++ b/internal/gateway/owner.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+)
+
+const (
+	// maxOwnerWait is the longest wait for the owner of a key.
+	maxOwnerWait = 2 * time.Second
+	// expectedHandover is the expected remaining time of a handover of keys between
+	// two targets that both respond: requests in flight for the keys finish first.
+	expectedHandover = 150 * time.Millisecond
+	// lapsedOwnerPause is how long a host without a leader sends no request for keys to an
+	// owner that refused one: only a leader can grant the keys again.
+	lapsedOwnerPause = time.Second
+)
+
+// owner returns the target that owns the request's key. It waits while the key
+// is handed over, if the handover can finish before the deadline.
+func (c *call) owner(ctx context.Context) (string, *Failure) {
+	for start := boottime.Now(); ; {
+		changed := c.g.cfg.Deployment.Changed()
+		snap := c.g.syncSnapshot()
+		now := boottime.Now()
+		ownerReadyAt := now + expectedHandover
+		if r := c.g.cfg.Deployment.RangeMap(c.workload); r != nil {
+			id, ready, readyAt := r.Owner(c.req.Key)
+			lapsedUntil := c.lapsedUntil(now, id)
+			if t := snap.Targets[id]; ready && t != nil && snap.Usable(t) && now >= lapsedUntil {
+				return id, nil
+			}
+			if !ready {
+				ownerReadyAt = max(readyAt, ownerReadyAt)
+			}
+			ownerReadyAt = max(ownerReadyAt, lapsedUntil)
+		}
+		latestReady := c.deadline - c.g.serviceTime(now, c.route.Name)/2
+		if now-start >= maxOwnerWait || ownerReadyAt > latestReady {
+			c.g.metrics.refusals.Add(string(CodeNoOwner), 1)
+			c.g.cfg.Log.Request("no_owner", c.req.ID, "workload", c.workload, "key", c.req.Key,
+				"waited_ms", (now - start).Milliseconds(), "back_ms", (ownerReadyAt - now).Milliseconds())
+			return "", newRefusal(CodeNoOwner, ownerReadyAt-now)
+		}
+		// Until then a handover could still finish in time.
+		timer := time.NewTimer(min(start+maxOwnerWait, latestReady-expectedHandover+time.Millisecond) - now)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return "", &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: ctx.Err()}
+		}
+		timer.Stop()
+	}
+}
+
+// lapsedUntil returns until when requests for keys are not sent to their owner, since it
+// holds none and nobody can grant them.
+func (c *call) lapsedUntil(now time.Duration, id string) time.Duration {
+	if c.g.cfg.Deployment.HasLeader() {
+		return now
+	}
+	return c.g.lapsedOwners.until(now, id)
+}
+
+// lapsedOwners holds the targets that refused a request for their keys while the host had no
+// leader. A host may have none for as long as the leader reaches the targets, so that they
+// are asked again.
+type lapsedOwners struct {
+	mu        sync.Mutex
+	pauseEnds map[string]time.Duration
+}
+
+// note records that a target refused a request for its keys.
+func (l *lapsedOwners) note(now time.Duration, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.pauseEnds, func(_ string, until time.Duration) bool { return now >= until })
+	if l.pauseEnds == nil {
+		l.pauseEnds = map[string]time.Duration{}
+	}
+	l.pauseEnds[id] = now + lapsedOwnerPause
+}
+
+// until returns the end of the pause of a target, or now.
+func (l *lapsedOwners) until(now time.Duration, id string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(now, l.pauseEnds[id])
+}
