Follow no leader of another fleet, and end no term for one

Between test processes, a host whose former leader's address a host of another fleet has got since followed that fleet's leader, and told it its own: the leader there ended its term for one that it had never heard of. Cause: a hello names a term and a host, but nothing says in which fleet, and both sides take over the later leader that the other one knows. Change: hello and its answer name the fleet, by the store's address. Each side takes nothing over from another fleet; an answer from one tells that the former leader's process is gone. Earlier releases state no fleet and are followed as before.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -134,7 +134,7 @@
 	k.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	peer := k.peerAddress(i)
 	c := New(Config{
-		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
+		Host: fmt.Sprint("host", i), Fleet: k.loopback, Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
 		Grants: platform.NewGrants(), Log: k.log, Cores: 1, LinkMbps: 1000, Ranges: k.ranges,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -244,6 +244,10 @@
 	k.updateClock(sent, reply.clockReading)
 	k.applyDeferred()
 	k.c.noteTermEnd(reply, l)
+	if !reply.belongsTo(k.c.cfg.Fleet) {
+		k.c.cfg.Log.Warn("other_fleet", "address", l.Address, "fleet", reply.Fleet)
+		return lossEnded
+	}
 	k.c.adoptLeader(reply.Leader)
 	if reply.Leading {
 		if err := k.sendLostTables(ctx, reply.Lost); err != nil {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -93,6 +93,8 @@
 
 // processState is what a process reports about itself and the last term that it led.
 type processState struct {
+	// Fleet is the fleet of the process; earlier releases do not state it.
+	Fleet       string `json:"fleet,omitempty"`
 	Incarnation string `json:"incarnation"`
 	// UptimeMS is the time in milliseconds since the start of the process.
 	UptimeMS int64 `json:"up_ms"`
@@ -102,6 +104,11 @@
 	EndedAgoMS int64  `json:"ended_ms,omitempty"`
 }
 
+// belongsTo reports whether the process may belong to a fleet.
+func (p processState) belongsTo(fleet string) bool {
+	return p.Fleet == "" || fleet == "" || p.Fleet == fleet
+}
+
 // leaderEnded returns the least time since the leader of a term stopped, as reported by
 // the process at its address, or false when the leader may still lead.
 func (p processState) leaderEnded(l leaderRecord) (ago time.Duration, ok bool) {
@@ -117,7 +124,7 @@
 // processState returns what this process reports about itself.
 func (c *Coordinator) processState() processState {
 	now := boottime.Now()
-	p := processState{Incarnation: c.incarnation, UptimeMS: (now - c.startedAt).Milliseconds()}
+	p := processState{Fleet: c.cfg.Fleet, Incarnation: c.incarnation, UptimeMS: (now - c.startedAt).Milliseconds()}
 	if e := c.endedTerm.Load(); e != nil {
 		p.EndedTerm, p.EndedAgoMS = e.term, (now - e.at).Milliseconds()
 	}
@@ -434,6 +441,10 @@
 	if err := unmarshalParams(r, &m); err != nil {
 		return nil, err
 	}
+	if !m.belongsTo(c.cfg.Fleet) {
+		c.cfg.Log.Warn("other_fleet", "host", m.Host, "fleet", m.Fleet)
+		return helloReply{clockReading: readClock(), processState: c.processState()}, nil
+	}
 	c.adoptLeader(m.Leader)
 	if !c.Leading() || m.Protocol < protocolVersion {
 		return helloReply{Leader: c.leadership.current(), clockReading: readClock(), processState: c.processState()}, nil
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -135,7 +135,7 @@
 	log := eventlog.New(buf, "info")
 	t.Cleanup(log.Close)
 	coord := coordinator.New(coordinator.Config{
-		Host: "host0", Peer: "127.0.0.1:0", Store: platform.NewStore(strings.TrimPrefix(storeServer.URL, "http://")),
+		Host: "host0", Fleet: storeServer.URL, Peer: "127.0.0.1:0", Store: platform.NewStore(strings.TrimPrefix(storeServer.URL, "http://")),
 		Grants: platform.NewGrants(), Log: log, Cores: 1, LinkMbps: 1000,
 	})
 	r.gw = New(Config{Domain: "d", Deployment: coord, Log: log, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second})
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -111,7 +111,7 @@
 	}
 	log := eventlog.New(io.Discard, "info")
 	coord := coordinator.New(coordinator.Config{
-		Host: fmt.Sprint("host", i), Peer: peer, Store: platform.NewStore(store), Grants: platform.NewGrants(), Log: log, Cores: 1, LinkMbps: 1000,
+		Host: fmt.Sprint("host", i), Fleet: store, Peer: peer, Store: platform.NewStore(store), Grants: platform.NewGrants(), Log: log, Cores: 1, LinkMbps: 1000,
 	})
 	gw := New(Config{Domain: "d", Deployment: coord, Log: log, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
