Name the fleet by a setting of its own

Hosts may reach one store by different addresses, as those of the soak do through a proxy for each, and would then not follow each other. Found by reading the soak's settings before it was run.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -107,7 +107,7 @@
 	keyLease.Duration = min(keyLease.Duration, s.MaxKeyLease())
 	d := &daemon{settings: s, settingsFile: file, log: log}
 	d.coord = coordinator.New(coordinator.Config{
-		Host: s.Host, Fleet: s.StoreAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+		Host: s.Host, Fleet: s.Fleet, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		Store: platform.NewStore(s.StoreAddress), Grants: platform.NewGrants(), Log: log,
 		Ranges: lease.RangeConfig{KeyLease: keyLease}, Cores: s.CPUShare, LinkMbps: s.LinkMbps,
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,8 +21,8 @@
 type Config struct {
 	// Host names the host.
 	Host string
-	// Fleet names the fleet: hosts that name different ones do not follow each other. The
-	// hosts of a fleet use one store.
+	// Fleet names the fleet: hosts that name different ones do not follow each other.
+	// Default: not named, which fits any.
 	Fleet string
 	// Peer is the address, "ip:port", on which this host accepts connections from
 	// other hosts.
--- a/internal/fleetsettings/settings.go
+++ b/internal/fleetsettings/settings.go
@@ -15,6 +15,9 @@
 	// Host and Domain name the host and its failure domain.
 	Host   string `json:"host"`
 	Domain string `json:"domain"`
+	// Fleet names the fleet, the same on all its hosts. Hosts that name different fleets do not
+	// follow each other. Default: not named, which fits any.
+	Fleet string `json:"fleet"`
 	// CallerAddress and ReadyAddress are the listen addresses for callers and for the
 	// balancer's readiness probe. IP is the host's address for the two ports below.
 	CallerAddress string `json:"callers"`
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -90,7 +90,7 @@
 	address := func(j int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[j])) }
 	h.callerAddr, h.metricsAddr = address(0), address(3)
 	b, err := json.Marshal(map[string]any{
-		"host": h.name, "domain": "d0", "ip": "127.0.0.1", "callers": address(0), "ready": address(1),
+		"host": h.name, "domain": "d0", "fleet": w.cfg.Dir, "ip": "127.0.0.1", "callers": address(0), "ready": address(1),
 		"peer_port": ports[2], "metrics_port": ports[3], "store": p.Addr(), "cpu_share": 1, "link_mbps": 1000,
 		"memory_mb": 128, "stop_limit_s": stopLimit, "retry_ratio": 0.2, "retry_extra": 100, "retry_window_s": 10,
 		"max_hold_s": 10, "log_level": "info",
