Soak: let all hosts end with some restores of the store

Decided by a random stream of its own, so that the restores and faults of each seed stay as they were.

--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/boragelock/boragelock/platform/standin"
@@ -12,6 +14,9 @@
 // of a seed as they are.
 const restoreStream = 20
 
+// endStream is the random stream that decides whether all hosts end with a restore.
+const endStream = 21
+
 // Timing of restores.
 const (
 	// maxCopyAge bounds the age of the copy from which the store returns.
@@ -23,8 +28,8 @@
 )
 
 // restoreStore returns the store to older copies until the context ends. Half of the
-// restores follow shortly on the one before.
-func (w *testbed) restoreStore(ctx context.Context, rnd *rand.Rand) {
+// restores follow shortly on the one before, and with a quarter of them all hosts end.
+func (w *testbed) restoreStore(ctx context.Context, rnd, ends *rand.Rand) {
 	upTo := func(d time.Duration) time.Duration { return time.Duration(rnd.Int64N(int64(d))) }
 	for {
 		c := w.store.Copy()
@@ -32,11 +37,27 @@
 		if !sleep(ctx, age) {
 			return
 		}
+		ended := func() {}
+		if ends.IntN(4) == 0 {
+			ended = w.killAllHosts(ctx)
+		}
 		w.restoreOnce(c, age, outage, delay)
 		if again {
 			w.restoreOnce(c, age+outage, outage/4, delay)
 		}
+		ended()
+	}
+}
+
+// killAllHosts kills the processes of all hosts, which start again. The returned function
+// waits until they have.
+func (w *testbed) killAllHosts(ctx context.Context) (wait func()) {
+	w.logEvent("kill all hosts")
+	var wg sync.WaitGroup
+	for _, h := range w.hosts {
+		wg.Go(func() { w.replaceProcess(ctx, h, syscall.SIGKILL, 0) })
 	}
+	return wg.Wait
 }
 
 // restoreOnce returns the store to a copy after an outage. The desired state and the
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -142,7 +142,7 @@
 		othersEnded.Add(1)
 		go func() {
 			defer othersEnded.Done()
-			w.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, restoreStream)))
+			w.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, restoreStream)), rand.New(rand.NewPCG(cfg.Seed, endStream)))
 		}()
 	}
 	w.injectFaults(faultCtx)
