Try a route again whose service time is no longer known

Cause: the mean service time of a route comes from its samples only. The first response of the route came after the suspension and seemed to have taken 4 s, more than any caller has (1.5 s); all requests were refused for their deadline, so that no sample could correct it. Class: a belief without an age. Change: when a mean that alone makes a request too late is older than a second, it counts for half as much each half second, until one request is sent; its sample has half of the weight. A route that is really slow gets at most one request a second.

--- a/placement/board.go
+++ b/placement/board.go
@@ -181,6 +181,27 @@
 	mean       float64
 	samples    int
 	responseKB float64 // mean size of a response in kilobytes
+	// triedAt is when the last sample came, or when triesAgain let a request through. trying
+	// says that there was no sample since.
+	triedAt time.Duration
+	trying  bool
+}
+
+// Load pattern: a host is suspended while a request is under way, or all targets are slow for
+// a moment, and the mean service time exceeds what callers have. Without new samples all
+// requests of the route would be refused for good.
+const (
+	// estimateValidity is how long requests are refused by a mean without a new sample; after
+	// that it counts for half as much after each estimateHalfLife, until one request is sent.
+	estimateValidity = time.Second
+	estimateHalfLife = 500 * time.Millisecond
+	// trialWeight is the weight of the sample of that request.
+	trialWeight = 0.5
+)
+
+// aged returns the mean service time by which requests are refused.
+func (e *serviceEstimate) aged(now time.Duration) float64 {
+	return e.mean * math.Exp2(-float64(max(0, now-e.triedAt-estimateValidity))/float64(estimateHalfLife))
 }
 
 // outlierFactor limits a sample to this multiple of the mean, so that a slow target
@@ -190,12 +211,28 @@
 // addSample adds a service time without dividing it by the target's slowdown. With
 // the division the mean and the slowdowns drift together, since only their product
 // is measured.
-func (e *serviceEstimate) addSample(sample float64) {
+func (e *serviceEstimate) addSample(now time.Duration, sample float64) {
 	if e.samples > 0 {
 		sample = min(sample, outlierFactor*e.mean)
 	}
 	e.samples++
-	e.mean += max(0.05, 1/float64(e.samples)) * (sample - e.mean)
+	weight := max(0.05, 1/float64(e.samples))
+	if e.trying {
+		weight = max(weight, trialWeight)
+	}
+	e.mean += weight * (sample - e.mean)
+	e.triedAt, e.trying = now, false
+}
+
+// triesAgain reports whether a request is sent although by the mean service time of its
+// route it cannot end in time, since the mean is old.
+func (s *Scheduler) triesAgain(now time.Duration, r Request, timeLeft float64) bool {
+	e := s.routeEstimates[r.Route]
+	if e == nil || minServiceFraction*e.mean <= timeLeft || minServiceFraction*e.aged(now) > timeLeft {
+		return false
+	}
+	e.triedAt, e.trying = now, true
+	return true
 }
 
 func (s *Scheduler) meanServiceTime(route string) float64 {
@@ -405,7 +442,7 @@
 		estimate = &serviceEstimate{}
 		s.routeEstimates[outcome.Route] = estimate
 	}
-	estimate.addSample(serviceTime)
+	estimate.addSample(now, serviceTime)
 	t.stats.RecordServiceTime(now, serviceTime, estimate.mean)
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -218,7 +218,7 @@
 	switch {
 	case s.missesObjective(now, r, serviceTime, shortestWait):
 		return Decision{Action: Refuse, Reason: ReasonObjective, RetryAfter: s.objectiveRetryAfter(now, r, serviceTime, shortestWait)}
-	case best != nil && s.estimatedWait(now, best, serviceTime)+minServiceFraction*serviceTime > timeLeft:
+	case best != nil && s.estimatedWait(now, best, serviceTime)+minServiceFraction*serviceTime > timeLeft && !s.triesAgain(now, r, timeLeft):
 		return Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: toDuration(shortestWait)}
 	case best != nil:
 		best.inFlight++
