Pause the range that an owner refused, not the owner

A host that is cut off from the leader hears of moves by the stored table only, so that after one moved key it would have refused the others of the former owner for a second. Found by reading; TestKeysWithoutALeader holds as before.

--- a/internal/coordinator/ranges.go
+++ b/internal/coordinator/ranges.go
@@ -34,14 +34,22 @@
 // Owner returns the owner of a key and whether the key is granted to it. If it is not,
 // availableAt is the latest time at which the key can be granted.
 func (r *RangeMap) Owner(key int) (id string, ready bool, availableAt time.Duration) {
-	i := sort.Search(len(r.ranges), func(i int) bool { return r.ranges[i].To >= key })
-	if i == len(r.ranges) || r.ranges[i].From > key {
+	x, ok := r.RangeOf(key)
+	if !ok {
 		return "", false, r.asOf
 	}
-	x := r.ranges[i]
 	return x.Owner, x.Ready, r.asOf + time.Duration(x.GrantableInMS)*time.Millisecond
 }
 
+// RangeOf returns the range of a key, or false if none has it.
+func (r *RangeMap) RangeOf(key int) (lease.RangeView, bool) {
+	i := sort.Search(len(r.ranges), func(i int) bool { return r.ranges[i].To >= key })
+	if i == len(r.ranges) || r.ranges[i].From > key {
+		return lease.RangeView{}, false
+	}
+	return r.ranges[i], true
+}
+
 // Ranges returns the key ranges in order; the slice must not be changed.
 func (r *RangeMap) Ranges() []lease.RangeView { return r.ranges }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,7 +25,9 @@
 	deadline time.Duration
 	workload string
 	keyed    bool
-	outgoing targetRequest
+	// ownership is the range of the request's key as of the last placement.
+	ownership ownedRange
+	outgoing  targetRequest
 	// attempts counts sends that count against the route's MaxAttempts; tried names
 	// the targets that are not chosen again.
 	attempts int
@@ -384,7 +386,7 @@
 		c.tried = append(c.tried, id)
 	}
 	if c.keyed && res.metadata.WrongTarget && !c.g.cfg.Deployment.HasLeader() {
-		c.g.lapsedOwners.note(boottime.Now(), id)
+		c.g.lapsedOwners.note(boottime.Now(), c.ownership)
 		return nil, nil, true // waits until the keys are granted
 	}
 	if c.attempts >= c.route.MaxAttempts || !c.canRetryInTime() || c.keyed && (res.metadata.WrongTarget || hasFreeSlots) && !c.pause(ctx, shedRetryDelay) {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -16,8 +16,8 @@
 	// expectedHandover is the expected remaining time of a handover of keys between
 	// two targets that both respond: requests in flight for the keys finish first.
 	expectedHandover = 150 * time.Millisecond
-	// lapsedOwnerPause is how long a host without a leader sends no request for keys to an
-	// owner that refused one: only a leader can grant the keys again.
+	// lapsedOwnerPause is how long a host without a leader sends no request for the keys of a
+	// range to an owner that refused one: only a leader can grant the keys again.
 	lapsedOwnerPause = time.Second
 )
 
@@ -31,7 +31,11 @@
 		ownerReadyAt := now + expectedHandover
 		if r := c.g.cfg.Deployment.RangeMap(c.workload); r != nil {
 			id, ready, readyAt := r.Owner(c.req.Key)
-			lapsedUntil := c.lapsedUntil(now, id)
+			c.ownership = ownedRange{workload: c.workload, owner: id}
+			if x, ok := r.RangeOf(c.req.Key); ok {
+				c.ownership.from = x.From
+			}
+			lapsedUntil := c.lapsedUntil(now)
 			if t := snap.Targets[id]; ready && t != nil && snap.Usable(t) && now >= lapsedUntil {
 				return id, nil
 			}
@@ -60,37 +64,43 @@
 	}
 }
 
+// ownedRange identifies a key range and its owner.
+type ownedRange struct {
+	workload, owner string
+	from            int
+}
+
 // lapsedUntil returns until when requests for keys are not sent to their owner, since it
-// holds none and nobody can grant them.
-func (c *call) lapsedUntil(now time.Duration, id string) time.Duration {
+// does not hold them and nobody can grant them.
+func (c *call) lapsedUntil(now time.Duration) time.Duration {
 	if c.g.cfg.Deployment.HasLeader() {
 		return now
 	}
-	return c.g.lapsedOwners.until(now, id)
+	return c.g.lapsedOwners.until(now, c.ownership)
 }
 
-// lapsedOwners holds the targets that refused a request for their keys while the host had no
-// leader. A host may have none for as long as the leader reaches the targets, so that they
-// are asked again.
+// lapsedOwners holds the ranges of which a request was refused by their owner while the host
+// had no leader. A host may have none for as long as the leader reaches the targets, so that
+// they are asked again.
 type lapsedOwners struct {
 	mu        sync.Mutex
-	pauseEnds map[string]time.Duration
+	pauseEnds map[ownedRange]time.Duration
 }
 
-// note records that a target refused a request for its keys.
-func (l *lapsedOwners) note(now time.Duration, id string) {
+// note records that an owner refused a request for keys of a range.
+func (l *lapsedOwners) note(now time.Duration, r ownedRange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.pauseEnds, func(_ string, until time.Duration) bool { return now >= until })
+	maps.DeleteFunc(l.pauseEnds, func(_ ownedRange, until time.Duration) bool { return now >= until })
 	if l.pauseEnds == nil {
-		l.pauseEnds = map[string]time.Duration{}
+		l.pauseEnds = map[ownedRange]time.Duration{}
 	}
-	l.pauseEnds[id] = now + lapsedOwnerPause
+	l.pauseEnds[r] = now + lapsedOwnerPause
 }
 
-// until returns the end of the pause of a target, or now.
-func (l *lapsedOwners) until(now time.Duration, id string) time.Duration {
+// until returns the end of the pause of a range, or now.
+func (l *lapsedOwners) until(now time.Duration, r ownedRange) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(now, l.pauseEnds[id])
+	return max(now, l.pauseEnds[r])
 }
