--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -185,7 +185,7 @@
 		g.ApplyPreviousStopped()
 	}
 	t.c.cfg.Log.Info("earlier_leaders_ended", "term", t.record.Term, "hosts", t.c.roster.size(), "ago_ms", (now - at).Milliseconds(),
-		"unknown_ms", t.lease.UnknownHoldersLeft(boottime.Now()).Milliseconds())
+		"unknown_ms", t.lease.UnknownHoldersLeft(now).Milliseconds())
 }
 
 // notePeer records that a host follows this one while it leads.
