--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,9 @@
 	// An append without a response won a term that no host led; the next leader waited
 	// for that term to end.
 	{seed: 1033, cause: "term without a leader"},
+	// A host that was suspended during the first response of a route took its service time to
+	// be longer than any caller has, and refused the route for good.
+	{seed: 9015, restores: true, cause: "service time of a suspended host"},
 }
 
 // TestSoak checks the guarantees listed in the package comment under overlapping
