Count all requests of the window in TestKeysWithoutALeader

About 60 had been sent; those that still waited were not counted. Results are now read when the last caller of the window has given up waiting.

--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -56,9 +56,11 @@
 		// One request a second asks each target whether it holds its keys again; one more
 		// may be on its way.
 		So(f.refusedSends()-before, ShouldBeLessThanOrEqualTo, 2*targets*3)
+		until := time.Now()
+		time.Sleep(1500 * time.Millisecond) // callers wait for that long
 		keyed := 0
 		for _, r := range f.resultsSince(from) {
-			if r.keyed && r.status != 0 {
+			if r.keyed && r.status != 0 && r.at.Before(until) {
 				keyed++
 				So(r.status, ShouldEqual, http.StatusServiceUnavailable)
 				So(r.took, ShouldBeLessThan, 1500*time.Millisecond)
