--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -28,7 +28,7 @@
 )
 
 // restoreStore returns the store to older copies until the context ends. Half of the
-// restores follow shortly on the one before, and with a quarter of them all hosts end.
+// restores follow shortly on the one before.
 func (w *testbed) restoreStore(ctx context.Context, rnd, ends *rand.Rand) {
 	upTo := func(d time.Duration) time.Duration { return time.Duration(rnd.Int64N(int64(d))) }
 	for {
@@ -38,7 +38,7 @@
 			return
 		}
 		ended := func() {}
-		if ends.IntN(4) == 0 {
+		if w.cfg.AllHostsEnd && ends.IntN(4) == 0 {
 			ended = w.killAllHosts(ctx)
 		}
 		w.restoreOnce(c, age, outage, delay)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,8 @@
 	FaultTime time.Duration
 	// Restores makes the store return from older copies while faults are injected.
 	Restores bool
+	// AllHostsEnd makes all hosts end with a quarter of the restores.
+	AllHostsEnd bool
 }
 
 // Result is the result of a run.
