--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -32,6 +32,8 @@
 	// Speeds are the factors by which work takes longer on instances, in turn. In each
 	// noiseEvery it takes noiseFactor times as long on noiseShare of the instances.
 	Speeds []float64
+	// Answer returns the body of the answer to a path, if it is set.
+	Answer func(path string) string
 	// Unkeyed instances run requests without a key.
 	Unkeyed bool
 
@@ -411,6 +413,9 @@
 	f.mu.Unlock()
 	h["X-Boragelock-Instance-Load"] = load
 	h[standin.HeaderSignature] = x.ID + "." + id
+	if f.Answer != nil {
+		return http.StatusOK, h, f.Answer(r.URL.Path)
+	}
 	return http.StatusOK, h, "answer to " + id
 }
 
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -68,14 +69,21 @@
 	cmd *exec.Cmd
 }
 
+// The ports of hosts lie below the range from which the kernel takes those of outgoing
+// connections; one of these could otherwise hold the port of a host that starts again.
+const firstPort, lastPort = 10000, 32000
+
 // FreeAddress returns a loopback address with a port that is free now.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		l, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // NewHost writes the settings of a host, as deploy/settings.json.tmpl names them.
