--- a/review/3/main.go
+++ b/review/3/main.go
@@ -43,6 +43,11 @@
 	timeLimit     = 1500 * time.Millisecond
 	stopGap       = time.Second
 	length        = 95 * time.Second
+	// graceLimit is grace-s, after which the platform kills a process.
+	graceLimit = 6 * time.Second
+	// A run with less load or fewer stops does not count.
+	minSent  = 12000
+	minStops = 10
 )
 
 const desiredState = `{"version":"00000001","routes":[
@@ -147,7 +152,9 @@
 		rec.Add("SIGTERM to %s", h.Name)
 		h.Signal(syscall.SIGTERM)
 		stops++
+		kill := time.AfterFunc(graceLimit, func() { h.Signal(syscall.SIGKILL) })
 		h.Wait()
+		kill.Stop()
 		rec.Add("%s ended", h.Name)
 		s.mu.Lock()
 		delete(s.stoppedAt, h)
@@ -165,12 +172,12 @@
 		trouble, stops, s.sent.Load(), s.served.Load(), s.unread.Load(), s.other.Load(), s.lost.Load())
 	rec.Add("%s", line)
 	fmt.Println(line)
+	if s.sent.Load() < minSent || s.served.Load()*10 < s.sent.Load()*8 || trouble && stops < minStops {
+		return fail(fmt.Errorf("too little load, or too few stops"))
+	}
 	if s.lost.Load() > 0 {
 		return 1
 	}
-	if s.served.Load()*2 < s.sent.Load() {
-		return fail(fmt.Errorf("the deployment did not serve"))
-	}
 	return 0
 }
 
--- a/review/kit/link.go
+++ b/review/kit/link.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"syscall"
 	"time"
@@ -47,19 +46,21 @@
 	at time.Time
 }
 
-// carry carries bytes one way; the end of the connection follows them.
+// carry carries bytes one way; the end of the connection follows them. When the receiver is
+// gone, the rest is dropped, and what it sent before is still carried the other way.
 func carry(from, to net.Conn, delay time.Duration) {
 	queue := make(chan segment, linkQueue)
 	go func() {
+		gone := false
 		for s := range queue {
-			time.Sleep(time.Until(s.at))
-			if _, err := to.Write(s.b); err != nil {
-				break
+			if gone {
+				continue
 			}
+			time.Sleep(time.Until(s.at))
+			_, err := to.Write(s.b)
+			gone = err != nil
 		}
 		_ = to.Close()
-		for range queue {
-		}
 	}()
 	for {
 		b := make([]byte, linkSegment)
@@ -68,9 +69,6 @@
 			queue <- segment{b[:n], time.Now().Add(delay)}
 		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				_ = from.Close()
-			}
 			time.Sleep(delay)
 			close(queue)
 			return
