Count what closes of callers' connections leave behind

Two explanations fit what the callers see: bytes that the host has not read make the kernel reset the connection, or a request that was passed on is left without an answer. Neither a log nor a metric told them apart.

connection_closes_total counts closes, closes with unread bytes, and requests without an answer; the stopped line has these, and the requests and connections that the end of the process cuts off.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -159,7 +159,7 @@
 	case <-done:
 	case <-time.After(stopMargin / 2):
 	}
-	d.log.Info("stopped")
+	d.log.Info("stopped", "in_flight", d.gw.InFlight(), "connections", d.gw.OpenConnections(), "closes", d.gw.Closes())
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -350,5 +350,8 @@
 // OpenConnections returns the number of open caller connections.
 func (g *Gateway) OpenConnections() int64 { return g.openConns.Load() }
 
+// Closes returns the counters of what closes of callers' connections left behind.
+func (g *Gateway) Closes() string { return g.metrics.closes.String() }
+
 // Ready reports whether callers should be sent to this host.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.cfg.Deployment.Ready() }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -62,7 +62,9 @@
 	// conditionChanges counts changes of the health conditions of targets.
 	conditionChanges *expvar.Map
 	// sends counts requests to targets by result.
-	sends         *expvar.Map
+	sends *expvar.Map
+	// closes counts what a close of a caller's connection left behind, by kind.
+	closes        *expvar.Map
 	totalLatency  *histogram // arrival to response
 	queueWait     *histogram // wait for a target
 	targetLatency *histogram // send to response
@@ -71,7 +73,7 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
-		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(),
+		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(), closes: new(expvar.Map).Init(),
 		totalLatency: newHistogram(), queueWait: newHistogram(), targetLatency: newHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
@@ -79,6 +81,7 @@
 	m.vars.Set("refusals_total", m.refusals)
 	m.vars.Set("judgements_total", m.conditionChanges)
 	m.vars.Set("sends_total", m.sends)
+	m.vars.Set("connection_closes_total", m.closes)
 	m.vars.Set("request_latency", m.totalLatency)
 	m.vars.Set("queue_wait", m.queueWait)
 	m.vars.Set("target_latency", m.targetLatency)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,8 +12,11 @@
 	"net/http/httputil"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/guard"
@@ -327,13 +330,41 @@
 	}
 	c.mu.Lock()
 	c.pending--
+	unanswered := c.pending
 	c.broken = broken
 	c.mu.Unlock()
 	if broken && !early {
+		c.countClose(unanswered)
 		_ = c.nc.Close() // ends readLoop; after an early response serveConn closes it
 	}
 }
 
+// countClose counts what a close of the connection leaves behind: bytes that were not
+// read, which make the kernel reset the connection, and requests without an answer.
+func (c *callerConn) countClose(unanswered int) {
+	c.g.metrics.closes.Add("closed", 1)
+	if n := unreadBytes(c.nc); n > 0 {
+		c.g.metrics.closes.Add("unread_bytes", 1)
+	}
+	if unanswered > 0 {
+		c.g.metrics.closes.Add("unanswered_requests", int64(unanswered))
+	}
+}
+
+// unreadBytes returns the number of bytes that the kernel holds for the connection.
+func unreadBytes(nc net.Conn) (n int) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return n
+}
+
 // removeHopHeaders removes the headers that the Connection header names.
 func removeHopHeaders(h http.Header) {
 	for _, v := range h["Connection"] {
