Close callers' connections only when their last response was received

Cause: the host closed the connection when the write of the closing response had returned. A request that arrived afterwards made the kernel reset the connection and drop what it had not yet sent. Also, that a response is the last one was decided before its write, while requests were still read and passed on. Of 1,394 closes 3 had unread bytes and none left a request without an answer, so the resets come from bytes that arrive after the close; the second fault needs a write that lasts.

Now the decision that a response is the last one and that no further request is started is one, and the connection is closed for writing and read until the caller closes it (RFC 9112, 9.6). Closes of idle connections and after requests that could not be read go the same way.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,14 +12,12 @@
 	"net/http/httputil"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/guard"
+	"github.com/boragelock/boragelock/internal/listener"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -107,16 +105,19 @@
 	cancel    context.CancelFunc
 	// slots bounds the requests in flight.
 	slots chan struct{}
-	// lastWritten is closed when the response to the latest request was written.
-	lastWritten chan struct{}
-	wg          sync.WaitGroup
+	// latestWritten is closed when the response to the latest request was written.
+	latestWritten chan struct{}
+	wg            sync.WaitGroup
 
 	mu      sync.Mutex
 	pending int
+	// closing says that no further request is started. The response to the last
+	// pending one closes the connection.
+	closing bool
+	// lastWritten says that this response was written, so that reading ends.
+	lastWritten bool
 	// broken says that no further response can be written.
 	broken bool
-	// requestUnread says that the last request was answered before it was read.
-	requestUnread bool
 }
 
 // serveConn serves one connection: it starts each request once it was read.
@@ -127,35 +128,12 @@
 	close(done)
 	c := &callerConn{
 		g: g, nc: nc, headLimit: limited, br: bufio.NewReaderSize(limited, readBufferSize), ctx: ctx, cancel: cancel,
-		slots: make(chan struct{}, maxPipelined), lastWritten: done,
+		slots: make(chan struct{}, maxPipelined), latestWritten: done,
 	}
 	c.readLoop()
 	c.wg.Wait()
 	cancel()
-	if c.requestUnread {
-		c.lingeringClose()
-	}
-	_ = nc.Close() // all responses were written
-}
-
-// discardTimeout and maxDiscardBytes bound what is read and dropped after a response
-// that was sent before the request was read: closing at once would reset the
-// connection, and the caller could lose the response.
-const (
-	discardTimeout  = 500 * time.Millisecond
-	maxDiscardBytes = 1 << 20
-)
-
-// lingeringClose closes the connection for writing and reads what the caller still
-// sends.
-func (c *callerConn) lingeringClose() {
-	if half, ok := c.nc.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
-		return
-	}
-	if c.nc.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, c.nc, maxDiscardBytes) // the connection is closed in any case
+	g.metrics.closes.Add(string(listener.LingeringClose(nc)), 1)
 }
 
 // readLoop reads requests and starts each until the connection ends.
@@ -173,13 +151,14 @@
 			c.cancel()
 			return
 		}
-		previousWritten := c.lastWritten
+		last := failure != nil || r.Close
+		if !c.startRequest(last) {
+			c.g.metrics.closes.Add("requests_not_started", 1)
+			return
+		}
+		previousWritten := c.latestWritten
 		done := make(chan struct{})
-		c.lastWritten = done
-		c.mu.Lock()
-		c.pending++
-		c.mu.Unlock()
-		c.g.inFlight.Add(1)
+		c.latestWritten = done
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
@@ -192,17 +171,70 @@
 			}
 			<-c.slots
 		}()
-		if failure != nil {
-			c.requestUnread = true
-			return
-		}
-		if r.Close {
-			c.watchForClose()
+		if last {
+			if failure == nil {
+				c.watchForClose()
+			}
 			return
 		}
 	}
 }
 
+// startRequest counts a request as pending and reports whether it may be started. last
+// says that no further request will be.
+func (c *callerConn) startRequest(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.closing = last
+	c.pending++
+	c.g.inFlight.Add(1)
+	return true
+}
+
+// closesWithResponse reports whether the response that is written next, to the oldest
+// pending request, closes the connection. A stopping host closes it with the response to
+// the last pending request, and starts none from then on.
+func (c *callerConn) closesWithResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 1 {
+		return false
+	}
+	c.closing = c.closing || c.g.draining.Load()
+	return c.closing
+}
+
+// stopStarting lets no further request of the connection be started.
+func (c *callerConn) stopStarting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
+// stopReading ends readLoop after the last response was written.
+func (c *callerConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastWritten = true
+	if c.nc.SetReadDeadline(time.Now()) != nil {
+		_ = c.nc.Close() // ends readLoop too
+	}
+}
+
+// setReadDeadline sets the deadline of reads. It fails with net.ErrClosed when no
+// further request is read.
+func (c *callerConn) setReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastWritten {
+		return net.ErrClosed
+	}
+	return c.nc.SetReadDeadline(t)
+}
+
 // abandon closes the connection after a panic while a response was written, since
 // a part of it may have been sent.
 func (c *callerConn) abandon() {
@@ -216,7 +248,7 @@
 // watchForClose waits, after the last request, for the caller to close the
 // connection, and then cancels the requests in flight.
 func (c *callerConn) watchForClose() {
-	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.setReadDeadline(time.Time{}); err != nil {
 		c.cancel()
 		return
 	}
@@ -238,7 +270,7 @@
 			wait = min(wait, drainIdleTimeout)
 		}
 		// Short waits let a stopping host close its idle connections.
-		if err := c.nc.SetReadDeadline(time.Now().Add(min(max(wait, time.Millisecond), drainIdleTimeout))); err != nil {
+		if err := c.setReadDeadline(time.Now().Add(min(max(wait, time.Millisecond), drainIdleTimeout))); err != nil {
 			c.cancel()
 			return false
 		}
@@ -267,7 +299,7 @@
 // readRequest reads one request with its body. It returns all nil when the
 // connection failed or ended.
 func (c *callerConn) readRequest(l fleet.Limits) (*http.Request, []byte, *Failure) {
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
 		return nil, nil, nil
 	}
 	c.headLimit.N = int64(l.MaxHeaderBytes) + readBufferSize
@@ -296,7 +328,7 @@
 			return nil, nil, nil
 		}
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil {
 		return nil, nil, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, l.MaxBodyBytes+1))
@@ -312,57 +344,36 @@
 // handle serves one request and writes the response after the previous one.
 func (c *callerConn) handle(r *http.Request, body []byte, failure *Failure, arrived time.Duration, previousWritten chan struct{}) {
 	var res *response
-	early := failure != nil
-	if !early {
+	if failure == nil {
 		removeHopHeaders(r.Header)
 		res, failure = c.g.serve(c.ctx, r, body, arrived)
 	}
 	c.logOutcome(r, res, failure, arrived)
+	if failure != nil && failure.Code == CodeStopping {
+		c.stopStarting() // the next one would be refused too
+	}
 	<-previousWritten
 	c.mu.Lock()
 	broken := c.broken
 	c.mu.Unlock()
+	last := false
 	if !broken {
-		broken = !c.writeResponse(r, res, failure)
+		last = c.closesWithResponse()
+		broken = !c.writeResponse(r, res, failure, last)
 	}
 	if res != nil {
 		res.discard()
 	}
 	c.mu.Lock()
 	c.pending--
-	unanswered := c.pending
 	c.broken = broken
 	c.mu.Unlock()
-	if broken && !early {
-		c.countClose(unanswered)
-		_ = c.nc.Close() // ends readLoop; after an early response serveConn closes it
-	}
-}
-
-// countClose counts what a close of the connection leaves behind: bytes that were not
-// read, which make the kernel reset the connection, and requests without an answer.
-func (c *callerConn) countClose(unanswered int) {
-	c.g.metrics.closes.Add("closed", 1)
-	if n := unreadBytes(c.nc); n > 0 {
-		c.g.metrics.closes.Add("unread_bytes", 1)
-	}
-	if unanswered > 0 {
-		c.g.metrics.closes.Add("unanswered_requests", int64(unanswered))
-	}
-}
-
-// unreadBytes returns the number of bytes that the kernel holds for the connection.
-func unreadBytes(nc net.Conn) (n int) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
+	switch {
+	case broken:
+		_ = c.nc.Close() // ends readLoop
+	case last:
+		c.stopReading()
 	}
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return n
 }
 
 // removeHopHeaders removes the headers that the Connection header names.
@@ -394,17 +405,15 @@
 		"retry_after_ms", f.RetryAfter.Milliseconds(), "err", f.Err, "caller_left", c.ctx.Err() != nil)
 }
 
-// writeResponse writes a response and reports whether the connection stays usable.
-func (c *callerConn) writeResponse(r *http.Request, res *response, f *Failure) bool {
+// writeResponse writes a response and reports whether it was written whole. last says
+// that it closes the connection.
+func (c *callerConn) writeResponse(r *http.Request, res *response, f *Failure, last bool) bool {
 	if c.ctx.Err() != nil && res == nil {
 		return false
 	}
 	var b bytes.Buffer
-	closeAfter := r == nil || r.Close || c.g.draining.Load() && c.isLastPending()
 	chunked := res != nil && res.unread != nil && res.contentLength < 0 && r.ProtoAtLeast(1, 1)
 	if f != nil {
-		closeAfter = closeAfter || f.Status == http.StatusBadRequest || f.Status == http.StatusRequestTimeout ||
-			f.Status == http.StatusRequestEntityTooLarge || f.Status == http.StatusRequestHeaderFieldsTooLarge
 		writeStatus(&b, f.Status)
 		if f.RetryAfter > 0 {
 			b.WriteString("Retry-After: " + strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n")
@@ -417,14 +426,14 @@
 		case chunked:
 			b.WriteString("Transfer-Encoding: chunked\r\n")
 		case res.unread != nil && res.contentLength < 0:
-			closeAfter = true // the end of the connection marks the end of the body
+			// The end of the connection marks the end of the body (HTTP/1.0).
 		case res.unread != nil:
 			b.WriteString("Content-Length: " + strconv.FormatInt(res.contentLength, 10) + "\r\n")
 		case res.status != http.StatusNoContent && res.status != http.StatusNotModified:
 			b.WriteString("Content-Length: " + strconv.Itoa(len(res.body)) + "\r\n")
 		}
 	}
-	if closeAfter {
+	if last {
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
@@ -434,13 +443,13 @@
 	if f != nil {
 		b.WriteString(string(f.Code))
 		_, err := c.nc.Write(b.Bytes())
-		return err == nil && !closeAfter
+		return err == nil
 	}
 	if res.unread != nil {
-		return c.streamBody(b.Bytes(), res, chunked) && !closeAfter
+		return c.streamBody(b.Bytes(), res, chunked)
 	}
 	_, err := (&net.Buffers{b.Bytes(), res.body}).WriteTo(c.nc)
-	return err == nil && !closeAfter
+	return err == nil
 }
 
 // streamBody writes a response of which a part has not been read yet. If the body
@@ -485,14 +494,6 @@
 // Close implements io.Closer.
 func (unchunkedWriter) Close() error { return nil }
 
-// isLastPending reports whether no other request is pending. Requests behind a
-// response that closes the connection would have to be sent again.
-func (c *callerConn) isLastPending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending == 1
-}
-
 func writeStatus(b *bytes.Buffer, status int) {
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(status))
