Answer one request on an HTTP/1.0 connection

What callers saw: a caller that keeps an HTTP/1.0 connection open and sends a second request behind one with a streamed response got no answer to the second, though a target had run it.

Cause: a response without a length can end only with the connection in HTTP/1.0, which the host found out when it wrote the response; requests behind it had been passed on by then. A proxy keeps no connection with an HTTP/1.0 caller anyway (RFC 9112, 9.3), so no request is read behind one.

TestRequestsBehindAnUndelimitedAnswer failed before: the request behind ran.

--- a/internal/gateway/close_test.go
+++ b/internal/gateway/close_test.go
@@ -230,3 +230,29 @@
 		})
 	})
 }
+
+// TestRequestsBehindAnUndelimitedAnswer guards against passing on a request behind one
+// whose answer can end only with the connection.
+func TestRequestsBehindAnUndelimitedAnswer(t *testing.T) {
+	Convey("A request behind one of HTTP/1.0 is not passed on", t, func() {
+		var runs sync.Map
+		r := newHarness(t, 0)
+		r.announceTarget(fleet.Target{ID: "t", Workload: "w", Domain: "d", Slots: 2, Address: rawTarget(t, func(nc net.Conn, _, _ int, req *http.Request) {
+			id := req.Header.Get(standin.HeaderRequestID)
+			runs.Store(id, true)
+			size := 2 * maxBufferedBody
+			writeString(nc, "HTTP/1.1 200 OK\r\n"+signedHeader+standin.HeaderRequestID+": "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+			writeString(nc, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size)))
+		})})
+		nc := r.dialSlow(t)
+		old := strings.Replace(strings.Replace(rawRequest("a", "/s/x"), "HTTP/1.1", "HTTP/1.0", 1), "\r\n\r\n", "\r\nConnection: keep-alive\r\n\r\n", 1)
+		_, err := io.WriteString(nc, old+rawRequest("behind", "/s/x"))
+		So(err, ShouldBeNil)
+		b, err := io.ReadAll(nc)
+		So(err, ShouldBeNil)
+		_, body, _ := strings.Cut(string(b), "\r\n\r\n")
+		So(len(body), ShouldEqual, 2*maxBufferedBody)
+		_, behindRan := runs.Load("behind")
+		So(behindRan, ShouldBeFalse)
+	})
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -316,6 +316,9 @@
 		}
 		return nil, nil, &Failure{Code: CodeMalformed, Status: http.StatusBadRequest, Err: err}
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		r.Close = true // a response without a length ends the connection (RFC 9112, 9.3)
+	}
 	if r.ContentLength > l.MaxBodyBytes {
 		return r, nil, &Failure{Code: CodeTooLarge, Status: http.StatusRequestEntityTooLarge}
 	}
