boragelockd: linger when closing connections of callers and hosts

What callers saw: in a planned stop of boragelockd, a caller that had sent a further request lost a part of the closing response.

Its connections now close for writing only and are read until the peer closes; the drain waits for them.

TestDrainWithRequestsSentAhead failed before: connection reset by peer.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -21,6 +21,8 @@
 	name string
 	srv  *http.Server
 	ln   *listener.Listener
+	// lingering closes the connections of ln.
+	lingering *listener.Lingering
 	// tls is nil for plain TCP.
 	tls *tls.Config
 	// stopping is true once drain closes the listener, so that Serve does not
@@ -35,7 +37,7 @@
 }
 
 func newHTTPService(name string, ln *listener.Listener, tlsConfig *tls.Config, srv *http.Server) *httpService {
-	s := &httpService{name: name, srv: srv, ln: ln, tls: tlsConfig, busy: map[net.Conn]struct{}{}, drained: make(chan struct{})}
+	s := &httpService{name: name, srv: srv, ln: ln, lingering: &listener.Lingering{Listener: ln}, tls: tlsConfig, busy: map[net.Conn]struct{}{}, drained: make(chan struct{})}
 	srv.ConnState = s.connState
 	return s
 }
@@ -48,7 +50,7 @@
 func (s *httpService) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.srv.Close() })
 	defer stop()
-	var ln net.Listener = s.ln
+	var ln net.Listener = s.lingering
 	if s.tls != nil {
 		ln = tls.NewListener(ln, s.tls)
 	}
@@ -83,7 +85,7 @@
 const drainPollInterval = 5 * time.Millisecond
 
 // drain stops accepting connections and waits until no connection has a request
-// in progress. http.Server.Shutdown alone would drop requests whose header arrives
+// in progress and each closed one has delivered its responses. http.Server.Shutdown alone would drop requests whose header arrives
 // while it begins, so drain calls it only when no connection is busy.
 func (s *httpService) drain(ctx context.Context) error {
 	if s.stopping.CompareAndSwap(false, true) {
@@ -97,7 +99,7 @@
 	}
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
-	for s.busyConnections() > 0 {
+	for s.busyConnections() > 0 || s.lingering.Closing() > 0 {
 		select {
 		case <-ctx.Done():
 			return errors.Join(notDrained, ctx.Err())
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -51,3 +51,48 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// TestDrainWithRequestsSentAhead guards against a planned stop that resets a connection
+// while its last response is on the way, since the caller has sent further requests.
+func TestDrainWithRequestsSentAhead(t *testing.T) {
+	const bodyBytes, receiveBuffer = 600 << 10, 16 << 10
+	Convey("a response that closes the connection reaches a slow caller that sends ahead", t, func() {
+		ln, err := listener.Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		body := make([]byte, bodyBytes)
+		svc := newHTTPService("test", ln, nil, &http.Server{
+			ReadHeaderTimeout: time.Second,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Connection", "close")
+				_, _ = w.Write(body) // the caller checks
+			}),
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		served := make(chan error, 1)
+		go func() { served <- svc.Serve(ctx) }()
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = nc.Close() }()
+		So(nc.(*net.TCPConn).SetReadBuffer(receiveBuffer), ShouldBeNil)
+		So(nc.SetDeadline(time.Now().Add(6*time.Second)), ShouldBeNil)
+		ahead := func() error {
+			_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			return err
+		}
+		So(ahead(), ShouldBeNil)
+		time.Sleep(200 * time.Millisecond)
+		So(ahead(), ShouldBeNil)
+		drained := make(chan error, 1)
+		go func() { drained <- svc.drain(ctx) }()
+		time.Sleep(200 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReaderSize(nc, receiveBuffer), nil)
+		So(err, ShouldBeNil)
+		n, err := io.Copy(io.Discard, resp.Body)
+		So(err, ShouldBeNil)
+		So(n, ShouldEqual, bodyBytes)
+		So(nc.Close(), ShouldBeNil)
+		So(<-drained, ShouldBeNil)
+		<-served
+	})
+}
