Keep time for the answers of requests that a stopping host takes

What callers saw: orders that came late in the grace of a planned stop were passed on to a target and got no answer.

Cause: a stopping host took requests with deadlines up to the end of the process, but a target's silence is noticed 60 ms after the deadline, and the answer has to reach the caller. Their latest deadline now lies 0.6 s before the end; later ones are refused at once.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -49,6 +49,10 @@
 	memoryLimitShare = 0.6
 	// stopMargin is kept between the end of the process and the limit of a stop.
 	stopMargin = 400 * time.Millisecond
+	// answerTime is kept between the latest deadline of a request that a stopping host
+	// takes and the end of the process. In it a timeout is noticed and the answer
+	// travels to the caller.
+	answerTime = 600 * time.Millisecond
 	// balancerDelay is how long the balancer still sends new connections after a
 	// host reports that it is not ready: two probes, one a second.
 	balancerDelay = 2500 * time.Millisecond
@@ -193,7 +197,7 @@
 	start := time.Now()
 	limit := d.settings.StopLimit() - stopMargin
 	d.log.Info("stopping", "in_flight", d.gw.InFlight())
-	d.gw.Drain(boottime.Now() + limit)
+	d.gw.Drain(boottime.Now() + limit - answerTime)
 	d.coord.Retire()
 	idle := func() bool { return d.gw.InFlight() == 0 && d.gw.OpenConnections() == 0 }
 	waitUntil(start.Add(limit), func() bool {
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -160,6 +160,8 @@
 // endlessResponses are beginnings of responses and the text that follows without
 // end.
 var endlessResponses = map[string][2]string{
+	"line that is no head":  {"", "x"},
+	"text that is no head":  {"", "no answer\r\n"},
 	"status line":           {"HTTP/1.1 200 ", "x"},
 	"header line":           {"HTTP/1.1 200 OK\r\nA: ", "x"},
 	"headers":               {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,11 +86,12 @@
 	splitPositions   map[string]float64 // last position in the split of each route
 
 	draining atomic.Bool
-	// stopAt is when the process ends, on the boot-time clock.
-	stopAt    atomic.Int64
-	inFlight  atomic.Int64
-	openConns atomic.Int64
-	metrics   *metrics
+	// lastDeadline is the latest deadline of requests that a stopping host takes, on the
+	// boot-time clock.
+	lastDeadline atomic.Int64
+	inFlight     atomic.Int64
+	openConns    atomic.Int64
+	metrics      *metrics
 }
 
 // New returns a gateway.
@@ -333,15 +334,17 @@
 }
 
 // Drain makes the host report that it is not ready and close connections after
-// their next response. Requests that could still run at stopAt are refused.
-func (g *Gateway) Drain(stopAt time.Duration) {
-	g.stopAt.Store(int64(stopAt))
+// their next response. Requests whose deadline is after lastDeadline are refused; the
+// process must outlast it by the time that answers take to reach the callers.
+func (g *Gateway) Drain(lastDeadline time.Duration) {
+	g.lastDeadline.Store(int64(lastDeadline))
 	g.draining.Store(true)
 }
 
-// stopsBefore reports whether the process may stop before a deadline.
+// stopsBefore reports whether the process may stop before a request with the given
+// deadline is answered.
 func (g *Gateway) stopsBefore(deadline time.Duration) bool {
-	return g.draining.Load() && deadline > time.Duration(g.stopAt.Load())
+	return g.draining.Load() && deadline > time.Duration(g.lastDeadline.Load())
 }
 
 // InFlight returns the number of requests in flight.
