--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -71,10 +71,19 @@
 // sendRequest sends one request and records its result. It reports whether the
 // connection remains usable.
 func (w *testbed) sendRequest(h *host, nc net.Conn, br *bufio.Reader, r request, key int) bool {
+	path := "/safe/x"
+	if r.nonIdempotent {
+		path = "/order/x"
+	}
+	return w.sendTo(h, nc, br, r, path, key)
+}
+
+// sendTo is sendRequest for a path.
+func (w *testbed) sendTo(h *host, nc net.Conn, br *bufio.Reader, r request, path string, key int) bool {
 	start, _ := h.processState()
-	method, path := "GET", "/safe/x"
+	method := "GET"
 	if r.nonIdempotent {
-		method, path = "POST", "/order/x"
+		method = "POST"
 	}
 	if err := nc.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
 		return false
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -26,7 +26,7 @@
 	w := &testbed{cfg: Config{Dir: t.TempDir()}, startedAt: time.Now(), store: standin.NewStore()}
 	for i := range 2 {
 		x := &target{id: fmt.Sprint("t", i)}
-		x.startIncarnation(0)
+		x.startIncarnation()
 		w.targets = append(w.targets, x)
 		if status := serveRequest(x.current(), standin.GrantPath, "g", `{"from":0,"to":100,"fence":1,"hold-s":5}`); status != http.StatusOK {
 			t.Fatalf("grant: status %d", status)
@@ -58,7 +58,7 @@
 func TestLimitCheckFindsBreaks(t *testing.T) {
 	w := &testbed{cfg: Config{Callers: 3}, startedAt: time.Now()}
 	x := &target{id: "t0"}
-	x.startIncarnation(0)
+	x.startIncarnation()
 	serve := func(n int) {
 		for range n {
 			if status := serveRequest(x.current(), "/order/x", "x", ""); status != http.StatusMisdirectedRequest && status != http.StatusOK {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -101,10 +101,10 @@
 	w.logEvent("%s states a limit of %v a second for %v", t.id, perSecond, d.Round(time.Millisecond))
 	x := t.current()
 	e := limitEpisode{target: t, incarnation: x, perSecond: perSecond, from: time.Now()}
-	x.SetBehaviour(standin.Behaviour{ServiceTime: targetServiceTime, RequestLimit: fmt.Sprint(perSecond)})
+	x.SetBehaviour(t.behaviour(fmt.Sprint(perSecond)))
 	sleep(ctx, d)
 	e.to = time.Now()
-	x.SetBehaviour(standin.Behaviour{ServiceTime: targetServiceTime})
+	x.SetBehaviour(t.behaviour(""))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.limitEpisodes = append(w.limitEpisodes, e)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	Restores bool
 	// AllHostsEnd makes all hosts end with a quarter of the restores.
 	AllHostsEnd bool
+	// Deadly lets a caller repeat a request that ends each target that runs it.
+	Deadly bool
 }
 
 // Result is the result of a run.
@@ -44,6 +46,8 @@
 	// LimitWindows is the number of times at which the requests to a target with a
 	// limit were checked.
 	LimitWindows int
+	// DeadlyEnds is the number of targets that ended under the deadly request.
+	DeadlyEnds int
 }
 
 // limitStream is the first random stream of the limits of targets. Streams of their own
@@ -86,6 +90,7 @@
 	faultCount int
 
 	disturbances disturbances
+	deadly       deadlyRequest
 
 	mu           sync.Mutex
 	stateVersion int
@@ -147,16 +152,25 @@
 			w.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, restoreStream)), rand.New(rand.NewPCG(cfg.Seed, endStream)))
 		}()
 	}
+	if w.cfg.Deadly {
+		w.prepareDeadly(ctx)
+		othersEnded.Add(1)
+		go func() {
+			defer othersEnded.Done()
+			w.runDeadlyCaller(faultCtx, rand.New(rand.NewPCG(cfg.Seed, deadlyStream)))
+		}()
+	}
 	w.injectFaults(faultCtx)
 	stopFaults()
 	othersEnded.Wait()
+	w.deadly.restarts.Wait()
 	w.clearFaults()
 	if !w.waitUntilServing(ctx, recovery) {
 		w.reportViolation("some keys or hosts are not served %v after the last fault", recovery)
 	}
 	stopWatch()
 	wg.Wait()
-	r := &Result{Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests(), LimitWindows: w.checkLimits()}
+	r := &Result{DeadlyEnds: w.checkDeadly(), Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests(), LimitWindows: w.checkLimits()}
 	r.Violations = w.violations
 	return r, w.writeEvents()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,11 +18,14 @@
 	restores bool
 	// allHostsEnd makes all hosts end with some of the restores.
 	allHostsEnd bool
+	// deadly lets a request end each target that runs it.
+	deadly bool
 }{
 	{seed: 1},
 	{seed: 2},
 	{seed: 3, restores: true},
 	{seed: 4, restores: true},
+	{seed: 5, deadly: true},
 	// A host that was paused past its stop limit cut off requests that arrived during
 	// the pause. This is allowed, and the check considers the limit.
 	{seed: 1008, cause: "paused during a planned stop"},
@@ -51,7 +54,7 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Log(s.cause)
-			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd})
+			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Deadly: s.deadly})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -61,6 +64,9 @@
 			if r.Faults < 5 || r.Answered < 500 {
 				t.Errorf("%d faults and %d answered requests are too few for a meaningful check", r.Faults, r.Answered)
 			}
+			if s.deadly && r.DeadlyEnds < endsBefore {
+				t.Errorf("%d ends under the deadly request are too few for a meaningful check", r.DeadlyEnds)
+			}
 			t.Logf("%d faults, %d requests, %d answered, %d checks of limits", r.Faults, r.Requests, r.Answered, r.LimitWindows)
 		})
 	}
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -27,6 +27,11 @@
 	mu sync.Mutex
 	// incarnations are all stand-ins so far; the last one serves.
 	incarnations []*standin.Target
+	// down is set while the target does not run.
+	down bool
+	// endsOn and end are those of the behaviour of each incarnation.
+	endsOn string
+	end    func()
 }
 
 // ServeHTTP implements http.Handler.
@@ -49,12 +54,19 @@
 	return n
 }
 
-func (t *target) startIncarnation(work time.Duration) {
+// behaviour returns the behaviour of a target that states a limit, or none.
+func (t *target) behaviour(requestLimit string) standin.Behaviour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return standin.Behaviour{ServiceTime: targetServiceTime, EndsOn: t.endsOn, End: t.end, RequestLimit: requestLimit}
+}
+
+func (t *target) startIncarnation() {
 	x := standin.NewTarget(t.id, targetSlots, true)
-	x.SetBehaviour(standin.Behaviour{ServiceTime: work})
+	x.SetBehaviour(t.behaviour(""))
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.incarnations = append(t.incarnations, x)
-	t.mu.Unlock()
 }
 
 const (
@@ -66,7 +78,7 @@
 // addTarget starts a target and writes its record.
 func (w *testbed) addTarget(ctx context.Context, i int) error {
 	t := &target{id: fmt.Sprint("t", i)}
-	t.startIncarnation(targetServiceTime)
+	t.startIncarnation()
 	t.server = httptest.NewServer(t)
 	w.closers = append(w.closers, func() { t.server.CloseClientConnections(); t.server.Close() })
 	p, err := w.proxy(ctx, t.server)
@@ -92,7 +104,7 @@
 
 // restartTarget starts a new incarnation of a target and closes its connections.
 func (w *testbed) restartTarget(t *target) {
-	t.startIncarnation(targetServiceTime)
+	t.startIncarnation()
 	t.server.CloseClientConnections()
 	w.announce(t)
 }
