Relay announcements by what was read, not by what they change

Cause: the leader relayed each deletion, but an announcement only when it changed the leader's own directory. The leader had kept the targets during the outage, so that their announcements changed nothing there. The other hosts got the deletions and never the announcements.

An announcement is now relayed when it differs from the last record of its target, whatever the directory makes of it. Hosts also forgot the limits of targets that they dropped; the leader states them again with the announcement.

TestAnnouncementsAfterALapse and TestLimitsAfterALapse, known red before, pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -71,8 +72,10 @@
 	// incarnation distinguishes this process from earlier ones on the host.
 	incarnation string
 
-	mu        sync.Mutex
-	dir       *fleet.Directory
+	mu  sync.Mutex
+	dir *fleet.Directory
+	// announced has the last announcement of each target that was not deleted since.
+	announced map[string]fleet.Target
 	snapshot  atomic.Pointer[fleet.Snapshot]
 	rangeMaps atomic.Pointer[map[string]*RangeMap]
 
@@ -134,7 +137,7 @@
 	cfg.Ranges.KeyLease = cfg.Ranges.KeyLease.WithDefaults()
 	cfg.Ranges.TickEvery = leadTick
 	c := &Coordinator{
-		cfg: cfg, dir: fleet.NewDirectory(), changed: make(chan struct{}),
+		cfg: cfg, dir: fleet.NewDirectory(), announced: map[string]fleet.Target{}, changed: make(chan struct{}),
 		leavingReported: make(chan struct{}, 1), limitReported: make(chan struct{}, 1),
 		suspectsReported: make(chan struct{}, 1),
 		permitAsks:       make(chan *permitAsk, permitAskQueue),
@@ -281,7 +284,9 @@
 }
 
 // applyTargets applies records of the targets' topic and returns those to relay:
-// deletions, and announcements that changed something.
+// deletions, and announcements that differ from the last record of their target. Whether
+// they change anything here does not matter: other hosts may have dropped a target that
+// this one kept.
 func (c *Coordinator) applyTargets(records []platform.Record, full bool) (relevant []platform.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -290,6 +295,7 @@
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			relevant = append(relevant, r)
+			delete(c.announced, r.Key)
 			if c.dir.RemoveTarget(now, r.Key) {
 				c.cfg.Log.Info("target_gone", "target", r.Key, "offset", r.Offset)
 			}
@@ -305,13 +311,17 @@
 		if c.isNewRelease(t) {
 			c.retrySuspects(now)
 		}
-		if c.dir.PutTarget(t) {
+		if last, ok := c.announced[t.ID]; !ok || last != *t {
+			c.announced[t.ID] = *t
 			relevant = append(relevant, r)
+		}
+		if c.dir.PutTarget(t) {
 			c.cfg.Log.Info("target", "target", t.ID, "workload", t.Workload, "domain", t.Domain, "address", t.Address,
 				"leaving", t.Leaving, "cold_ms", max(0, t.ColdUntil-now).Milliseconds(), "offset", r.Offset)
 		}
 	}
 	if full {
+		maps.DeleteFunc(c.announced, func(id string, _ fleet.Target) bool { return !announced[id] })
 		for _, id := range c.dir.RemoveUnannounced(now, announced) {
 			c.cfg.Log.Info("target_gone", "target", id, "reason", "not announced")
 		}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -350,6 +350,9 @@
 	if relays && (len(relevant) > 0 || b.NextOffset != from) {
 		f.c.peers.send(methodRelay, m)
 	}
+	if relays && f.topic == platform.TopicTargets {
+		f.c.restateLimits(relevant)
+	}
 }
 
 // applyGuarded applies records. After a panic it applies them one at a time, so that
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -10,6 +10,7 @@
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/limits"
+	"github.com/boragelock/boragelock/platform"
 )
 
 // requestLimits is what a host knows of the limits that targets state for all hosts
@@ -116,6 +117,25 @@
 	c.publish()
 }
 
+// restateLimits tells the other hosts the limits of targets whose announcements are
+// relayed: a host forgets the limit of a target that it drops.
+func (c *Coordinator) restateLimits(announcements []platform.Record) {
+	var stated []limits.LimitStatement
+	snap := c.Snapshot()
+	for _, r := range announcements {
+		t := snap.Targets[r.Key]
+		if t == nil || len(r.Value) == 0 {
+			continue
+		}
+		if s, limited := c.limits.get(t.Ident()); limited {
+			stated = append(stated, s)
+		}
+	}
+	if len(stated) > 0 {
+		c.peers.send(methodLimits, newLimitsMessage(stated))
+	}
+}
+
 // unannouncedLimitAge is the age at which the limit of a target that is not announced
 // is dropped. A host that starts may hear of the limit before the target.
 const unannouncedLimitAge = 10 * time.Second
