Do not move the keys of targets that may be announced again

Cause: the new leader had started in the outage. It knew none of the targets that lapsed, took them for gone, moved their keys to the others, and then had to wait until all leases that the silent owners may have from the former leader had ended.

A host that starts counts the store as away until its first read, since it cannot know what was before, and a leader plans no moves for a workload while an owner is not announced and the grace period of the outage has not passed. TestNewLeaderAfterALapse failed before: keys of t1 and t2 at t0.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -204,7 +204,7 @@
 	if d.targets[id] == nil {
 		return false
 	}
-	if d.storeUnreachable || now < d.storeReturnedAt+RemovalGrace {
+	if d.MayBeAnnounced(now) {
 		if _, ok := d.removalDeadlines[id]; !ok {
 			d.removalDeadlines[id] = d.storeReturnedAt + RemovalGrace
 		}
@@ -230,6 +230,13 @@
 	}
 }
 
+// MayBeAnnounced reports whether targets that are not known may be announced again: their
+// announcements may have lapsed in an outage that has ended, also in one that the host did
+// not see since it started in it.
+func (d *Directory) MayBeAnnounced(now time.Duration) bool {
+	return d.storeUnreachable || now < d.storeReturnedAt+RemovalGrace
+}
+
 // RemoveUnannounced calls RemoveTarget for each target that is not in announced, the
 // complete set of announced IDs. It returns the IDs of the removed targets.
 func (d *Directory) RemoveUnannounced(now time.Duration, announced map[string]bool) (removed []string) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -336,7 +336,11 @@
 // serveExpiry informs the directory whether the store is reachable, and removes
 // targets that were not announced again after it became reachable.
 func (c *Coordinator) serveExpiry(ctx context.Context) error {
-	storeLost := false
+	// A host that starts cannot tell whether the store was away before.
+	c.mu.Lock()
+	c.dir.MarkStoreUnreachable()
+	c.mu.Unlock()
+	storeLost := true
 	for sleep(ctx, expireEvery) {
 		now := boottime.Now()
 		c.mu.Lock()
--- a/internal/coordinator/lapse_test.go
+++ b/internal/coordinator/lapse_test.go
@@ -175,3 +175,39 @@
 		So(limit(p.host), ShouldEqual, 2)
 	})
 }
+
+// TestNewLeaderAfterALapse guards against a leader that started in an outage of the store
+// and moves the keys of targets whose announcements lapsed in it: the targets live, and
+// their keys are ungranted until all leases of the former leader have ended for certain.
+func TestNewLeaderAfterALapse(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a leader that ends, announcements that lapsed, and a host that starts", t, func() {
+		k := newCluster(t, 1, 3)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
+		owners := map[int]string{}
+		for key := 0; key < 65536; key += 997 {
+			owners[key], _, _ = k.hosts[0].c.RangeMap("w").Owner(key)
+		}
+		k.hosts[0].stop()
+		k.hosts[0].c.leading.Store(false)
+		for _, id := range []string{"t1", "t2"} {
+			k.store.Put(platform.TopicTargets, id, nil)
+		}
+		k.addHost(1)
+		started := time.Now()
+		So(eventually(4*time.Second, func() bool { return k.hosts[1].c.Leading() }), ShouldBeTrue)
+		time.Sleep(time.Until(started.Add(fleet.RemovalGrace - 400*time.Millisecond)))
+		k.announce("t1")
+		k.announce("t2")
+
+		Convey("the targets keep their keys", func() {
+			So(eventually(5*time.Second, k.allHeldOnce), ShouldBeTrue)
+			for key, owner := range owners {
+				got, _, _ := k.hosts[1].c.RangeMap("w").Owner(key)
+				So(got, ShouldEqual, owner)
+			}
+		})
+	})
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -346,6 +346,9 @@
 			}
 			continue
 		}
+		if t.mayReturn(now, snap, table) {
+			continue
+		}
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
@@ -368,6 +371,22 @@
 	}
 }
 
+// mayReturn reports whether an owner of keys that is not announced may be back soon.
+func (t *term) mayReturn(now time.Duration, snap *fleet.Snapshot, table *ownership.RangeTable) bool {
+	t.c.mu.Lock()
+	unsettled := t.c.dir.MayBeAnnounced(now)
+	t.c.mu.Unlock()
+	if !unsettled {
+		return false
+	}
+	for owner := range table.KeyCounts() {
+		if snap.Targets[owner] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // defaultServiceTime is the time of a request on a target without measurements.
 const defaultServiceTime = 0.1 // seconds
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	Restores bool
 	// AllHostsEnd makes all hosts end with a quarter of the restores.
 	AllHostsEnd bool
+	// Lapses lets the announcements of targets lapse during outages of the store.
+	Lapses bool
 	// Deadly lets a caller repeat a request that ends each target that runs it.
 	Deadly bool
 }
@@ -152,6 +154,13 @@
 			w.restoreStore(faultCtx, rand.New(rand.NewPCG(cfg.Seed, restoreStream)), rand.New(rand.NewPCG(cfg.Seed, endStream)))
 		}()
 	}
+	if w.cfg.Lapses {
+		othersEnded.Add(1)
+		go func() {
+			defer othersEnded.Done()
+			w.lapseAnnouncements(faultCtx, rand.New(rand.NewPCG(cfg.Seed, lapseStream)))
+		}()
+	}
 	if w.cfg.Deadly {
 		w.prepareDeadly(ctx)
 		othersEnded.Add(1)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,12 +20,15 @@
 	allHostsEnd bool
 	// deadly lets a request end each target that runs it.
 	deadly bool
+	// lapses lets announcements lapse during outages of the store.
+	lapses bool
 }{
 	{seed: 1},
 	{seed: 2},
 	{seed: 3, restores: true},
 	{seed: 4, restores: true},
 	{seed: 5, deadly: true},
+	{seed: 6, lapses: true},
 	// A host that was paused past its stop limit cut off requests that arrived during
 	// the pause. This is allowed, and the check considers the limit.
 	{seed: 1008, cause: "paused during a planned stop"},
@@ -54,7 +57,7 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Log(s.cause)
-			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Deadly: s.deadly})
+			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Deadly: s.deadly, Lapses: s.lapses})
 			if err != nil {
 				t.Fatal(err)
 			}
