Wait for the requests that fill the target in TestDeadlineAndCancellation

Cause, in the test: it gave eight requests 50 ms to occupy the target's slots. It now waits until the target runs eight requests, and checks that it does; what is checked afterwards is as before.

--- a/internal/forward/front_test.go
+++ b/internal/forward/front_test.go
@@ -158,11 +158,13 @@
 func TestDeadlineAndCancellation(t *testing.T) {
 	Convey("a request that no slot becomes free for ends as not_run at its deadline", t, func() {
 		release := make(chan struct{})
+		var running atomic.Int64
 		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if strings.HasPrefix(r.URL.Path, "/v1/load") {
 				_, _ = io.WriteString(w, `{"in_flight":8}`)
 				return
 			}
+			running.Add(1)
 			select {
 			case <-release:
 			case <-r.Context().Done():
@@ -174,7 +176,10 @@
 		for range 8 {
 			wg.Go(func() { s.do("POST", "/v1/keyed/a", nil) })
 		}
-		time.Sleep(50 * time.Millisecond)
+		for end := time.Now().Add(5 * time.Second); running.Load() < 8 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		So(running.Load(), ShouldEqual, 8)
 		start := time.Now()
 		r := s.do("POST", "/v1/keyed/a", nil, "Boragelock-Deadline-Ms", "100")
 		So(r.e.Code, ShouldEqual, retry.CodeDeadline)
