Wait out errors of Accept that pass, and keep descriptors in reserve

Cause: EMFILE was taken for the end of the listener, and the listener that the supervisor then found closed for a planned stop.

Accept now waits out errors that do not concern the socket; a host that lost its listener ends, so that it is started again. Callers may use 0.7 of the descriptors; beyond, the longest idle connection makes room, or the new one is refused with 503.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -17,17 +17,20 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
@@ -104,6 +107,8 @@
 	log          *eventlog.Log
 	coord        *coordinator.Coordinator
 	gw           *gateway.Gateway
+	// stopping is set when a planned stop begins.
+	stopping atomic.Bool
 }
 
 func newDaemon(s *fleetsettings.Settings, file string, log *eventlog.Log) *daemon {
@@ -119,7 +124,7 @@
 	d.gw = gateway.New(gateway.Config{
 		Domain: s.Domain, Deployment: d.coord, Log: log,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
-		MemoryMB: s.MemoryMB,
+		MemoryMB: s.MemoryMB, MaxCallers: maxCallers(s.MaxFDs),
 	})
 	expvar.Publish("gateway", d.gw.Vars())
 	expvar.Publish("control", d.coord.Vars())
@@ -150,13 +155,14 @@
 	sup.Add(&namedService{"callers", func(ctx context.Context) error { return d.serveCallers(ctx, callers) }})
 	sup.Add(&namedService{"ready", func(ctx context.Context) error { return serveHTTP(ctx, ready, d.readiness()) }})
 	sup.Add(&namedService{"metrics", func(ctx context.Context) error { return serveHTTP(ctx, metrics, http.DefaultServeMux) }})
+	callers.OnAcceptError(func(err error, pause time.Duration) {
+		d.gw.CountAcceptFailure()
+		d.log.Warn("accept_failed", "address", d.settings.CallerAddress, "err", err, "pause_ms", pause.Milliseconds())
+	})
 	done := sup.ServeBackground(ctx)
 	d.log.Info("started", "host", d.settings.Host, "domain", d.settings.Domain)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		d.reload()
+	if err := d.awaitStop(signals, done); err != nil {
+		return err
 	}
 	d.stop(callers)
 	cancel()
@@ -168,6 +174,50 @@
 	return nil
 }
 
+// callerShare is the part of the descriptors that callers' connections may use. The rest is
+// for targets, other hosts, the store and files.
+const callerShare = 0.7
+
+// maxCallers returns the bound of callers' connections for a number of descriptors, of
+// which 0 is the limit that the process runs with, or 0 when there is none.
+func maxCallers(descriptors int) int {
+	if descriptors == 0 {
+		var limit unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+			return 0
+		}
+		descriptors = int(limit.Cur)
+	}
+	return int(callerShare * float64(descriptors))
+}
+
+// EndedError reports that the duties of a host ended though nothing stopped it, for
+// example since a listener was lost. The platform starts the process again.
+type EndedError struct{ Err error }
+
+// Error implements error.
+func (e *EndedError) Error() string { return fmt.Sprintf("the duties of the host ended: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *EndedError) Unwrap() error { return e.Err }
+
+// awaitStop waits for a signal that stops the process. It fails with *EndedError when the
+// supervisor ends before.
+func (d *daemon) awaitStop(signals <-chan os.Signal, done <-chan error) error {
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return nil
+			}
+			d.reload()
+		case err := <-done:
+			d.log.Error("ended", "err", err)
+			return &EndedError{err}
+		}
+	}
+}
+
 // reload checks the settings file and applies its log level. Addresses and budgets
 // are fixed for the life of a process, so other changes are only logged.
 func (d *daemon) reload() {
@@ -181,14 +231,17 @@
 }
 
 // serveCallers serves callers' connections until the context ends, also when the
-// listener was closed by a planned stop.
+// listener was closed by a planned stop. A host that lost its listener otherwise ends: it
+// would be ready and take no caller.
 func (d *daemon) serveCallers(ctx context.Context, callers *listener.Listener) error {
 	err := d.gw.ServeCallers(ctx, callers)
-	if errors.Is(err, net.ErrClosed) {
+	if d.stopping.Load() {
 		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return err
+	return errors.Join(err, suture.ErrTerminateSupervisorTree)
 }
 
 // stop drains the host so that no request is cut off. It waits, up to the stop
@@ -198,6 +251,7 @@
 	start := time.Now()
 	limit := d.settings.StopLimit() - stopMargin
 	d.log.Info("stopping", "in_flight", d.gw.InFlight())
+	d.stopping.Store(true)
 	d.gw.Drain(boottime.Now() + limit - answerTime)
 	d.coord.Retire()
 	idle := func() bool { return d.gw.InFlight() == 0 && d.gw.OpenConnections() == 0 }
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -15,6 +15,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/delta"
 	"github.com/boragelock/boragelock/internal/guard"
+	"github.com/boragelock/boragelock/internal/listener"
 	"github.com/boragelock/boragelock/internal/peer"
 	"github.com/boragelock/boragelock/lease"
 )
@@ -322,10 +323,13 @@
 
 // servePeers accepts connections from other hosts.
 func (c *Coordinator) servePeers(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.cfg.Peer)
+	l, err := listener.Listen(c.cfg.Peer)
 	if err != nil {
 		return err
 	}
+	l.OnAcceptError(func(err error, pause time.Duration) {
+		c.cfg.Log.Warn("accept_failed", "address", c.cfg.Peer, "err", err, "pause_ms", pause.Milliseconds())
+	})
 	defer func() { _ = l.Close() }() // the task ends
 	go func() {
 		<-ctx.Done()
--- a/internal/fleetsettings/settings.go
+++ b/internal/fleetsettings/settings.go
@@ -45,6 +45,9 @@
 	RetryWindowSeconds float64 `json:"retry_window_s"`
 	// MaxKeyLeaseSeconds is the longest key lease that targets accept.
 	MaxKeyLeaseSeconds float64 `json:"max_hold_s"`
+	// MaxFDs is the number of descriptors that the process may have, 0 for the limit that it
+	// runs with.
+	MaxFDs int `json:"max_fds"`
 	// QuarantineEnds is the number of targets that end under a request before it is
 	// refused, QuarantineSeconds the time from then to its first trial. 0 for the defaults
 	// of package quarantine.
@@ -106,7 +109,7 @@
 			return err
 		}
 	}
-	for _, f := range []numberRange{{"quarantine_ends", float64(s.QuarantineEnds), 2, 8}, {"quarantine_s", s.QuarantineSeconds, 1, 3600}} {
+	for _, f := range []numberRange{{"max_fds", float64(s.MaxFDs), 64, 1 << 24}, {"quarantine_ends", float64(s.QuarantineEnds), 2, 8}, {"quarantine_s", s.QuarantineSeconds, 1, 3600}} {
 		if err := f.check(); err != nil && f.value != 0 {
 			return err
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// MaxCallers bounds the callers' connections. From there on the one that is idle for
+	// longest is closed for a new one, or the new one refused. Default: no bound.
+	MaxCallers int
 	// MemoryMB is the memory of the process in MiB; a part of it buffers responses.
 	// Default: 184.
 	MemoryMB int
@@ -84,6 +87,7 @@
 	// responseMemory bounds the memory of buffered responses.
 	responseMemory *memoryBudget
 	lapsedOwners   lapsedOwners
+	callers        callerSet
 
 	mu           sync.Mutex
 	scheduler    *placement.Scheduler
@@ -367,5 +371,8 @@
 // Closes returns the counters of what closes of callers' connections left behind.
 func (g *Gateway) Closes() string { return g.metrics.closes.String() }
 
+// CountAcceptFailure counts an error of Accept that passes.
+func (g *Gateway) CountAcceptFailure() { g.metrics.acceptFailures.Add(1) }
+
 // Ready reports whether callers should be sent to this host.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.cfg.Deployment.Ready() }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,16 +64,18 @@
 	// sends counts requests to targets by result.
 	sends *expvar.Map
 	// closes counts what a close of a caller's connection left behind, by kind.
-	closes        *expvar.Map
-	totalLatency  *histogram // arrival to response
-	queueWait     *histogram // wait for a target
-	targetLatency *histogram // send to response
+	closes *expvar.Map
+	// acceptFailures counts errors of Accept that pass.
+	acceptFailures *expvar.Int
+	totalLatency   *histogram // arrival to response
+	queueWait      *histogram // wait for a target
+	targetLatency  *histogram // send to response
 }
 
 func newMetrics() *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
-		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(), closes: new(expvar.Map).Init(),
+		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(), closes: new(expvar.Map).Init(), acceptFailures: new(expvar.Int),
 		totalLatency: newHistogram(), queueWait: newHistogram(), targetLatency: newHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
@@ -82,6 +84,7 @@
 	m.vars.Set("judgements_total", m.conditionChanges)
 	m.vars.Set("sends_total", m.sends)
 	m.vars.Set("connection_closes_total", m.closes)
+	m.vars.Set("accept_failures_total", m.acceptFailures)
 	m.vars.Set("request_latency", m.totalLatency)
 	m.vars.Set("queue_wait", m.queueWait)
 	m.vars.Set("target_latency", m.targetLatency)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -61,10 +61,14 @@
 			}
 			return err
 		}
+		serve := func() { g.serveConn(ctx, nc) }
+		if !g.makeRoom() {
+			serve = func() { g.refuseConnection(nc) }
+		}
 		g.openConns.Add(1)
 		go func() {
 			defer g.openConns.Add(-1)
-			if err := guard.Call("connection", func() { g.serveConn(ctx, nc) }); err != nil {
+			if err := guard.Call("connection", serve); err != nil {
 				g.cfg.Log.Error("panic", "duty", "connection", "err", err)
 				_ = nc.Close() // its state is unknown after the panic
 			}
@@ -130,6 +134,8 @@
 		g: g, nc: nc, headLimit: limited, br: bufio.NewReaderSize(limited, readBufferSize), ctx: ctx, cancel: cancel,
 		slots: make(chan struct{}, maxPipelined), latestWritten: done,
 	}
+	g.callers.setIdle(c)
+	defer g.callers.remove(c)
 	c.readLoop()
 	c.wg.Wait()
 	cancel()
@@ -189,7 +195,9 @@
 		return false
 	}
 	c.closing = last
-	c.pending++
+	if c.pending++; c.pending == 1 {
+		c.g.callers.remove(c)
+	}
 	c.g.inFlight.Add(1)
 	return true
 }
@@ -370,6 +378,9 @@
 	c.mu.Lock()
 	c.pending--
 	c.broken = broken
+	if c.pending == 0 && !c.closing && !broken {
+		c.g.callers.setIdle(c)
+	}
 	c.mu.Unlock()
 	switch {
 	case broken:
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -29,6 +29,8 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	closeErr  error
+
+	onAcceptError func(err error, pause time.Duration)
 }
 
 // Listen listens on the TCP address host:port. It fails with a *net.OpError.
@@ -42,11 +44,16 @@
 	return &Listener{TCPListener: ln.(*net.TCPListener), closed: make(chan struct{})}, nil
 }
 
-// Accept implements net.Listener. Once Drain was called, it returns the connections
-// that wait, then closes the socket and fails with net.ErrClosed.
+// Accept implements net.Listener. It waits out errors that pass, such as a lack of
+// descriptors. Once Drain was called, it returns the connections that wait, then closes
+// the socket and fails with net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
-	for {
+	for pause := time.Duration(0); ; {
 		c, err := l.TCPListener.Accept()
+		if err != nil && Passes(err) {
+			pause = l.waitAfter(err, pause)
+			continue
+		}
 		if err == nil || !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
