--- a/cmd/boragelock-soak/main.go
+++ b/cmd/boragelock-soak/main.go
@@ -1,7 +1,7 @@
 // Command boragelock-soak injects random faults into a system with real entry hosts
 // and checks the guarantees listed in package internal/soak:
 //
-//	boragelock-soak [-seeds N] [-first SEED] [-at-once N] [-length D] [-restores [-all-hosts-end]] [-deadly] [-lapses] [-dir DIR]
+//	boragelock-soak [-seeds N] [-first SEED] [-at-once N] [-length D] [-restores [-all-hosts-end]] [-fatal] [-lapses] [-dir DIR]
 //
 // It builds boragelock-gateway from the module in the working directory. The settings,
 // logs and events of each seed that violated a guarantee stay in DIR. Exit codes: 0
@@ -32,7 +32,7 @@
 	length := flag.Duration("length", 15*time.Second, "how long each run injects faults")
 	allHostsEnd := flag.Bool("all-hosts-end", false, "let all hosts end with a quarter of the restores")
 	restores := flag.Bool("restores", false, "let the store return from older copies")
-	deadly := flag.Bool("deadly", false, "repeat a request that ends each target that runs it")
+	fatal := flag.Bool("fatal", false, "repeat a request that ends each target that runs it")
 	lapses := flag.Bool("lapses", false, "let the announcements of targets lapse during outages of the store")
 	dir := flag.String("dir", filepath.Join(os.TempDir(), "boragelock-soak"), "directory for settings, logs and events")
 	flag.Parse()
@@ -50,7 +50,7 @@
 	runOne := func(seed uint64) bool {
 		return runSeed(ctx, soak.Config{
 			Gateway: gateway, Dir: filepath.Join(*dir, fmt.Sprint("seed-", seed)), Seed: seed,
-			Hosts: *hosts, Targets: *targets, FaultTime: *length, Restores: *restores, AllHostsEnd: *allHostsEnd, Deadly: *deadly, Lapses: *lapses,
+			Hosts: *hosts, Targets: *targets, FaultTime: *length, Restores: *restores, AllHostsEnd: *allHostsEnd, Fatal: *fatal, Lapses: *lapses,
 		})
 	}
 	if failed := runSeeds(ctx, *first, *seeds, *atOnce, runOne); failed > 0 {
--- a/internal/gateway/suspect_test.go
+++ b/internal/gateway/suspect_test.go
@@ -20,7 +20,7 @@
 	"github.com/boragelock/boragelock/quarantine"
 )
 
-// mortalTarget is a target that ends when it runs a request whose path has "deadly" in it.
+// mortalTarget is a target that ends when it runs a request whose path has "fatal" in it.
 type mortalTarget struct {
 	id, address string
 
@@ -83,7 +83,7 @@
 			return
 		}
 		switch path := req.URL.Path; {
-		case strings.Contains(path, "deadly"):
+		case strings.Contains(path, "fatal"):
 			time.Sleep(20 * time.Millisecond)
 			x.end()
 			return
@@ -152,15 +152,15 @@
 		next := func() string { n++; return fmt.Sprint("id", n) }
 
 		Convey("it is refused at once after the third, with any identifier, and others are served", func() {
-			code, _ := status("GET", "/s/deadly?a=1", next(), "")
+			code, _ := status("GET", "/s/fatal?a=1", next(), "")
 			So(code, ShouldEqual, 502)
 			So(ends(), ShouldEqual, 2) // it was sent again once, and not a second time
-			code, _ = status("GET", "/s/deadly?a=1", next(), "")
+			code, _ = status("GET", "/s/fatal?a=1", next(), "")
 			So(code, ShouldEqual, 502)
 			So(ends(), ShouldEqual, 3)
 			for range 5 {
 				start := time.Now()
-				code, after := status("GET", "/s/deadly?a=1", next(), "")
+				code, after := status("GET", "/s/fatal?a=1", next(), "")
 				So(code, ShouldEqual, 503)
 				So(after, ShouldNotBeEmpty)
 				So(time.Since(start), ShouldBeLessThan, 200*time.Millisecond)
@@ -171,14 +171,14 @@
 		})
 		Convey("an order that ends a target is told by its body", func() {
 			for range 3 {
-				code, _ := status("POST", "/o/deadly", next(), "the body")
+				code, _ := status("POST", "/o/fatal", next(), "the body")
 				So(code, ShouldEqual, 502)
 			}
 			So(ends(), ShouldEqual, 3)
-			code, _ := status("POST", "/o/deadly", next(), "the body")
+			code, _ := status("POST", "/o/fatal", next(), "the body")
 			So(code, ShouldEqual, 503)
 			So(ends(), ShouldEqual, 3)
-			code, _ = status("POST", "/o/deadly", next(), "another body")
+			code, _ = status("POST", "/o/fatal", next(), "another body")
 			So(code, ShouldEqual, 502)
 			So(ends(), ShouldEqual, 4)
 		})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,8 +34,8 @@
 	AllHostsEnd bool
 	// Lapses lets the announcements of targets lapse during outages of the store.
 	Lapses bool
-	// Deadly lets a caller repeat a request that ends each target that runs it.
-	Deadly bool
+	// Fatal lets a caller repeat a request that ends each target that runs it.
+	Fatal bool
 }
 
 // Result is the result of a run.
@@ -48,8 +48,8 @@
 	// LimitWindows is the number of times at which the requests to a target with a
 	// limit were checked.
 	LimitWindows int
-	// DeadlyEnds is the number of targets that ended under the deadly request.
-	DeadlyEnds int
+	// FatalEnds is the number of targets that ended under the fatal request.
+	FatalEnds int
 }
 
 // limitStream is the first random stream of the limits of targets. Streams of their own
@@ -92,7 +92,7 @@
 	faultCount int
 
 	disturbances disturbances
-	deadly       deadlyRequest
+	fatal        fatalRequest
 
 	mu           sync.Mutex
 	stateVersion int
@@ -161,25 +161,25 @@
 			w.lapseAnnouncements(faultCtx, rand.New(rand.NewPCG(cfg.Seed, lapseStream)))
 		}()
 	}
-	if w.cfg.Deadly {
-		w.prepareDeadly(ctx)
+	if w.cfg.Fatal {
+		w.prepareFatal(ctx)
 		othersEnded.Add(1)
 		go func() {
 			defer othersEnded.Done()
-			w.runDeadlyCaller(faultCtx, rand.New(rand.NewPCG(cfg.Seed, deadlyStream)))
+			w.runFatalCaller(faultCtx, rand.New(rand.NewPCG(cfg.Seed, fatalStream)))
 		}()
 	}
 	w.injectFaults(faultCtx)
 	stopFaults()
 	othersEnded.Wait()
-	w.deadly.restarts.Wait()
+	w.fatal.restarts.Wait()
 	w.clearFaults()
 	if !w.waitUntilServing(ctx, recovery) {
 		w.reportViolation("some keys or hosts are not served %v after the last fault", recovery)
 	}
 	stopWatch()
 	wg.Wait()
-	r := &Result{DeadlyEnds: w.checkDeadly(), Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests(), LimitWindows: w.checkLimits()}
+	r := &Result{FatalEnds: w.checkFatal(), Faults: w.faultCount, Requests: len(w.ledger.requests), Answered: w.checkRequests(), LimitWindows: w.checkLimits()}
 	r.Violations = w.violations
 	return r, w.writeEvents()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,8 +18,8 @@
 	restores bool
 	// allHostsEnd makes all hosts end with some of the restores.
 	allHostsEnd bool
-	// deadly lets a request end each target that runs it.
-	deadly bool
+	// fatal lets a request end each target that runs it.
+	fatal bool
 	// lapses lets announcements lapse during outages of the store.
 	lapses bool
 }{
@@ -27,7 +27,7 @@
 	{seed: 2},
 	{seed: 3, restores: true},
 	{seed: 4, restores: true},
-	{seed: 5, deadly: true},
+	{seed: 5, fatal: true},
 	{seed: 6, lapses: true},
 	// A host that was paused past its stop limit cut off requests that arrived during
 	// the pause. This is allowed, and the check considers the limit.
@@ -57,7 +57,7 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Log(s.cause)
-			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Deadly: s.deadly, Lapses: s.lapses})
+			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Fatal: s.fatal, Lapses: s.lapses})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -67,8 +67,8 @@
 			if r.Faults < 5 || r.Answered < 500 {
 				t.Errorf("%d faults and %d answered requests are too few for a meaningful check", r.Faults, r.Answered)
 			}
-			if s.deadly && r.DeadlyEnds < endsBefore {
-				t.Errorf("%d ends under the deadly request are too few for a meaningful check", r.DeadlyEnds)
+			if s.fatal && r.FatalEnds < endsBefore {
+				t.Errorf("%d ends under the fatal request are too few for a meaningful check", r.FatalEnds)
 			}
 			t.Logf("%d faults, %d requests, %d answered, %d checks of limits", r.Faults, r.Requests, r.Answered, r.LimitWindows)
 		})
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -274,7 +274,7 @@
 	})
 }
 
-// TestRandomHistories plays targets that end under deadly requests and for other reasons,
+// TestRandomHistories plays targets that end under fatal requests and for other reasons,
 // with callers that repeat their requests.
 func TestRandomHistories(t *testing.T) {
 	const (
@@ -295,7 +295,7 @@
 			now := time.Duration(i) * step
 			l.Expire(now)
 			for _, e := range l.TakeEvents() {
-				if e.Kind == Excused && e.ID == request("deadly").ID {
+				if e.Kind == Excused && e.ID == request("fatal").ID {
 					excused++
 				}
 			}
@@ -305,28 +305,28 @@
 				}
 				// Each target runs a few requests; a quarter are about a few things.
 				var running []string
-				deadly := false
+				fatal := false
 				for range 1 + rnd.IntN(4) {
 					name := fmt.Sprint("r", rnd.IntN(requests))
 					if rnd.IntN(4) == 0 {
 						name = fmt.Sprint("r", rnd.IntN(3))
 					}
 					if rnd.IntN(20) == 0 {
-						name = "deadly"
+						name = "fatal"
 					}
 					total++
 					if granted, _ := l.TakeRun(now, request(name).ID, fmt.Sprint(n), step); !granted {
-						if name != "deadly" && l.suspects[request(name).ID].refused {
+						if name != "fatal" && l.suspects[request(name).ID].refused {
 							mistaken++
 							innocentRefusedFor += step
 						}
 						continue
 					}
 					running = append(running, name)
-					deadly = deadly || name == "deadly"
+					fatal = fatal || name == "fatal"
 				}
 				switch {
-				case deadly:
+				case fatal:
 					if refusedAt > 0 {
 						endsAfterRefusal++
 					}
@@ -342,13 +342,13 @@
 				for _, name := range running {
 					l.RecordEnd(now, request(name), End{Target: fleet.Incarnation{ID: fmt.Sprint("t", n), Born: int64(lives[n])}, At: now})
 				}
-				if refusedAt == 0 && l.refuses("deadly") {
+				if refusedAt == 0 && l.refuses("fatal") {
 					refusedAt = now
 				}
 			}
 		}
 		if refusedAt == 0 {
-			t.Fatalf("seed %d: the deadly request was never refused", seed)
+			t.Fatalf("seed %d: the fatal request was never refused", seed)
 		}
 		// In 200 s trials are due after 30, 60 and 120 s. Where other targets ended at the
 		// same time, so that the refusal was taken back, three more ends are needed.
