Bound the memory of all request bodies together

Cause: bodies were read whole into buffers that grow by copies, copied for each send, and bounded one by one only.

They are written to targets without a copy.

--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -14,7 +14,7 @@
 	CodeInternal    Code = "internal"     // a fault in this program
 	CodeNotReady    Code = "not_ready"    // no desired state is known yet
 	CodeStopping    Code = "stopping"     // the host stops before the request's deadline
-	CodeFull        Code = "full"         // the host has as many connections as it can
+	CodeFull        Code = "full"         // the host has as many connections, or as much in its memory, as it can
 	CodeNoRoute     Code = "no_route"     // no route matches
 	CodeMalformed   Code = "malformed"    // the request breaks the protocol
 	CodeTooLarge    Code = "too_large"    // headers or body are over the limit
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,7 +58,7 @@
 // serve handles one request, whose body has been read whole. A panic ends the
 // request with a failure that states its outcome correctly: it is refused only if
 // nothing was sent to a target.
-func (g *Gateway) serve(ctx context.Context, r *http.Request, body []byte, arrived time.Duration) (res *response, f *Failure) {
+func (g *Gateway) serve(ctx context.Context, r *http.Request, body *requestBody, arrived time.Duration) (res *response, f *Failure) {
 	c := &call{g: g, req: platform.ParseRequestHeaders(r.Header), arrived: arrived}
 	err := guard.Call("request", func() { res, f = c.serve(ctx, r, body) })
 	if err == nil {
@@ -75,7 +75,7 @@
 }
 
 // serve finds the route of a request and runs it.
-func (c *call) serve(ctx context.Context, r *http.Request, body []byte) (*response, *Failure) {
+func (c *call) serve(ctx context.Context, r *http.Request, body *requestBody) (*response, *Failure) {
 	g := c.g
 	snap := g.syncSnapshot()
 	if snap.DesiredState == nil {
@@ -100,7 +100,7 @@
 	}
 	c.workload = g.chooseWorkload(c.route)
 	c.keyed = c.req.Key >= 0 && snap.DesiredState.Workloads[c.workload] != nil && snap.DesiredState.Workloads[c.workload].Keyed
-	c.outgoing = targetRequest{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body, id: c.req.ID, ignoreCallerCancel: !c.route.Kind.Idempotent()}
+	c.outgoing = targetRequest{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body.bytes(), bodyMemory: body, id: c.req.ID, ignoreCallerCancel: !c.route.Kind.Idempotent()}
 	g.recordRequest(c.workload)
 	if c.keyed {
 		g.cfg.Deployment.CountKey(c.workload, c.req.Key)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,8 @@
 	// MaxCallers bounds the callers' connections. From there on the one that is idle for
 	// longest is closed for a new one, or the new one refused. Default: no bound.
 	MaxCallers int
-	// MemoryMB is the memory of the process in MiB; a part of it buffers responses.
+	// MemoryMB is the memory of the process in MiB; parts of it buffer requests and
+	// responses.
 	// Default: 184.
 	MemoryMB int
 }
@@ -86,8 +87,10 @@
 	pool *pool
 	// responseMemory bounds the memory of buffered responses.
 	responseMemory *memoryBudget
-	lapsedOwners   lapsedOwners
-	callers        callerSet
+	// bodyMemory bounds the memory of request bodies.
+	bodyMemory   *bodyMemory
+	lapsedOwners lapsedOwners
+	callers      callerSet
 
 	mu           sync.Mutex
 	scheduler    *placement.Scheduler
@@ -116,6 +119,7 @@
 	}
 	return &Gateway{
 		responseMemory: newMemoryBudget(int64(responseMemoryShare * float64(cfg.MemoryMB) * (1 << 20))),
+		bodyMemory:     newBodyMemory(cfg.MemoryMB),
 		cfg:            cfg, pool: newPool(), scheduler: placement.NewScheduler(placement.Config{Domain: cfg.Domain}),
 		waiters: map[uint64]chan placement.Decision{}, retryBudgets: map[string]*retry.Budget{}, loggedConditions: map[string]health.Condition{}, hostCount: 1,
 		splitPositions: map[string]float64{}, metrics: newMetrics(),
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -159,6 +159,7 @@
 		}
 		last := failure != nil || r.Close
 		if !c.startRequest(last) {
+			body.drop()
 			c.g.metrics.closes.Add("requests_not_started", 1)
 			return
 		}
@@ -170,6 +171,7 @@
 			defer c.wg.Done()
 			defer c.g.inFlight.Add(-1)
 			defer close(done)
+			defer body.drop()
 			err := guard.Call("answer", func() { c.handle(r, body, failure, arrived, previousWritten) })
 			if err != nil {
 				c.g.cfg.Log.Error("panic", "duty", "answer", "err", err)
@@ -305,8 +307,8 @@
 }
 
 // readRequest reads one request with its body. It returns all nil when the
-// connection failed or ended.
-func (c *callerConn) readRequest(l fleet.Limits) (*http.Request, []byte, *Failure) {
+// connection failed or ended. A body for which there is no memory stays unread.
+func (c *callerConn) readRequest(l fleet.Limits) (*http.Request, *requestBody, *Failure) {
 	if err := c.setReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
 		return nil, nil, nil
 	}
@@ -334,26 +336,25 @@
 		return r, nil, nil
 	}
 	c.headLimit.N = math.MaxInt64
-	if r.Header.Get("Expect") == "100-continue" {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, nil
+	body, err := c.g.bodyMemory.read(c.ctx, r.Body, r.ContentLength, l.MaxBodyBytes, func() error {
+		if r.Header.Get("Expect") == "100-continue" {
+			if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return err
+			}
 		}
+		return c.setReadDeadline(time.Now().Add(l.IdleTimeout))
+	})
+	if err == nil {
+		return r, body, nil
 	}
-	if err := c.setReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil {
-		return nil, nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, l.MaxBodyBytes+1))
-	if err != nil {
-		return nil, nil, nil
-	}
-	if int64(len(body)) > l.MaxBodyBytes {
-		return r, nil, &Failure{Code: CodeTooLarge, Status: http.StatusRequestEntityTooLarge}
+	if f := bodyFailure(err); f != nil {
+		return r, nil, f
 	}
-	return r, body, nil
+	return nil, nil, nil
 }
 
 // handle serves one request and writes the response after the previous one.
-func (c *callerConn) handle(r *http.Request, body []byte, failure *Failure, arrived time.Duration, previousWritten chan struct{}) {
+func (c *callerConn) handle(r *http.Request, body *requestBody, failure *Failure, arrived time.Duration, previousWritten chan struct{}) {
 	var res *response
 	if failure == nil {
 		removeHopHeaders(r.Header)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -114,7 +114,9 @@
 	method, uri, host string
 	header            http.Header
 	body              []byte
-	id                string // the caller's identifier
+	// bodyMemory holds the memory of body; it may be nil.
+	bodyMemory *requestBody
+	id         string // the caller's identifier
 	// timeout is the remaining time that is sent to the target.
 	timeout time.Duration
 	// ignoreCallerCancel says that the request, once sent, continues when the caller
@@ -122,10 +124,10 @@
 	ignoreCallerCancel bool
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func (o *targetRequest) encode(target string) []byte {
+// encodeHead returns the request without its body in the HTTP/1.1 wire format.
+func (o *targetRequest) encodeHead(target string) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(o.body))
+	b.Grow(512 + min(len(o.body), maxInlineWrite))
 	b.WriteString(o.method)
 	b.WriteByte(' ')
 	b.WriteString(o.uri)
@@ -140,7 +142,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(o.body)
 	return b.Bytes()
 }
 
@@ -235,18 +236,20 @@
 		return nil, &sendError{reason: "deadline", err: err}
 	}
 	u.sentIDHashes = append(u.sentIDHashes, maphash.String(idHashSeed, o.id))
-	payload := o.encode(id)
-	if len(payload) <= maxInlineWrite {
-		if n, err := u.nc.Write(payload); err != nil {
+	head := o.encodeHead(id)
+	if len(head)+len(o.body) <= maxInlineWrite {
+		if n, err := u.nc.Write(append(head, o.body...)); err != nil {
 			return nil, &sendError{sent: n > 0, reason: "write", err: err}
 		}
 	} else {
 		// A target may respond before it has read a long body.
-		go func() {
-			if _, err := u.nc.Write(payload); err != nil {
+		o.bodyMemory.hold()
+		go func(body []byte, memory *requestBody) {
+			defer memory.drop()
+			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil {
 				_ = u.nc.Close() // makes the read below fail
 			}
-		}()
+		}(o.body, o.bodyMemory)
 	}
 	for range maxResponseReads {
 		resp, err := u.readHead(o.method)
