Soak: end targets without restarting all of them first, and count ends apart when no host ran

Two targets of four state limits of 2 and 0.5 requests a second, two hosts of three are in planned stops at once, and the driver restarted all four targets as the faults began, so that each was cold for 3 s.

The check of the ends now counts those before and after a time without a running host apart, since hosts keep what they know in memory only (docs/fleet.md). TestFatalCheckFindsBreaks checks the check in both directions.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -83,3 +83,55 @@
 		t.Errorf("9 requests in a moment at 0.5 a second were not found: %v", w.violations)
 	}
 }
+
+// TestFatalCheckFindsBreaks guards against a check of the ends under a request that never
+// reports a violation, or that reports ends which are allowed.
+func TestFatalCheckFindsBreaks(t *testing.T) {
+	began := time.Now()
+	check := func(withoutHost []time.Duration, ends ...time.Duration) []string {
+		w := &testbed{startedAt: began}
+		for _, at := range withoutHost {
+			w.disturbances.withoutHost = append(w.disturbances.withoutHost, began.Add(at))
+		}
+		for _, at := range ends {
+			w.fatal.ends = append(w.fatal.ends, began.Add(at))
+		}
+		if n := w.checkFatal(); n != len(ends) {
+			t.Errorf("%d ends of %d were counted", n, len(ends))
+		}
+		return w.violations
+	}
+	const s = time.Second
+	for _, c := range []struct {
+		why         string
+		withoutHost []time.Duration
+		ends        []time.Duration
+		broken      int
+	}{
+		{"two trials", nil, []time.Duration{1 * s, 2 * s, 3 * s, 10 * s, 20 * s}, 0},
+		{"one end too many", nil, []time.Duration{1 * s, 2 * s, 3 * s, 10 * s, 20 * s, 21 * s}, 1},
+		{"no host ran before the last three", []time.Duration{15 * s}, []time.Duration{1 * s, 2 * s, 3 * s, 20 * s, 21 * s, 22 * s}, 0},
+		{"no host ran before the first", []time.Duration{s / 2}, []time.Duration{1 * s, 2 * s, 3 * s, 10 * s, 20 * s, 21 * s}, 1},
+		{"one end too many after no host ran", []time.Duration{4 * s}, []time.Duration{1 * s, 2 * s, 3 * s, 5 * s, 6 * s, 7 * s, 10 * s, 11 * s, 12 * s}, 1},
+	} {
+		if got := check(c.withoutHost, c.ends...); len(got) != c.broken {
+			t.Errorf("%s: %d violations are due, got %q", c.why, c.broken, got)
+		}
+	}
+}
+
+// TestNoHostRuns checks that the times in which no host ran are found.
+func TestNoHostRuns(t *testing.T) {
+	var d disturbances
+	d.noteProcessStarted()
+	d.noteProcessStarted()
+	d.noteProcessEnded()
+	if n := len(d.timesWithoutHost()); n != 0 {
+		t.Errorf("a host runs, and %d times without one were found", n)
+	}
+	d.noteProcessEnded()
+	d.noteProcessStarted()
+	if n := len(d.timesWithoutHost()); n != 1 {
+		t.Errorf("once no host ran, and %d such times were found", n)
+	}
+}
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -38,16 +38,6 @@
 	ends []time.Time
 }
 
-// prepareFatal makes the targets end under the fatal request.
-func (w *testbed) prepareFatal(ctx context.Context) {
-	for _, t := range w.targets {
-		t.mu.Lock()
-		t.endsOn, t.end = fatalPath, func() { w.endTarget(ctx, t) }
-		t.mu.Unlock()
-		w.restartTarget(t)
-	}
-}
-
 // endTarget ends a target: it refuses connections until a new incarnation starts.
 func (w *testbed) endTarget(ctx context.Context, t *target) {
 	t.mu.Lock()
@@ -91,21 +81,28 @@
 }
 
 // checkFatal checks that hosts stopped sending the fatal request on after the ends of
-// endsBefore targets. It returns the number of ends.
+// endsBefore targets. What they know is lost when no host runs (docs/fleet.md), so that
+// the ends before and after such a time are counted apart. It returns the number of ends.
 func (w *testbed) checkFatal() int {
 	w.fatal.mu.Lock()
 	defer w.fatal.mu.Unlock()
-	if len(w.fatal.ends) < endsBefore {
-		return len(w.fatal.ends)
+	rest := w.fatal.ends
+	for _, at := range w.disturbances.timesWithoutHost() {
+		n := firstNotBefore(rest, at)
+		w.checkEnds(rest[:n])
+		rest = rest[n:]
 	}
-	late, known := 0, w.fatal.ends[endsBefore-1].Add(spreadTime)
-	for _, at := range w.fatal.ends {
-		if at.After(known) {
-			late++
-		}
+	w.checkEnds(rest)
+	return len(w.fatal.ends)
+}
+
+// checkEnds is checkFatal for ends between which a host ran at any time.
+func (w *testbed) checkEnds(ends []time.Time) {
+	if len(ends) < endsBefore {
+		return
 	}
-	if late > trials {
+	known := ends[endsBefore-1].Add(spreadTime)
+	if late := len(ends) - firstNotBefore(ends, known); late > trials {
 		w.reportViolation("%d targets ended under a request after %d had ended under it", late, endsBefore)
 	}
-	return len(w.fatal.ends)
 }
--- a/internal/soak/hosts.go
+++ b/internal/soak/hosts.go
@@ -126,8 +126,10 @@
 	h.startCount++
 	h.mu.Unlock()
 	w.disturbances.noteHostBegan()
+	w.disturbances.noteProcessStarted()
 	go func() {
 		err := cmd.Wait()
+		w.disturbances.noteProcessEnded()
 		h.mu.Lock()
 		expected := h.exitExpected
 		h.mu.Unlock()
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -38,9 +38,12 @@
 	from, to    time.Time
 }
 
-// disturbances records what excuses requests beyond a limit.
+// disturbances records what excuses requests beyond a limit, or to a target that ends.
 type disturbances struct {
 	mu sync.Mutex
+	// running counts the processes of hosts. withoutHost holds when the last one ended.
+	running     int
+	withoutHost []time.Time
 	// hostsBegan holds when a host started or was resumed. It does not know the limits
 	// of targets yet, or sends what it had permission for.
 	hostsBegan []time.Time
@@ -54,6 +57,28 @@
 	d.hostsBegan = append(d.hostsBegan, time.Now())
 }
 
+// noteProcessStarted and noteProcessEnded count the processes of hosts.
+func (d *disturbances) noteProcessStarted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running++
+}
+
+func (d *disturbances) noteProcessEnded() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running--; d.running == 0 {
+		d.withoutHost = append(d.withoutHost, time.Now())
+	}
+}
+
+// timesWithoutHost returns when the last running host ended, in ascending order.
+func (d *disturbances) timesWithoutHost() []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.withoutHost)
+}
+
 func (d *disturbances) noteHeld(p *faultproxy.Proxy, from, to time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -162,7 +162,6 @@
 		}()
 	}
 	if w.cfg.Fatal {
-		w.prepareFatal(ctx)
 		othersEnded.Add(1)
 		go func() {
 			defer othersEnded.Done()
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -78,6 +78,9 @@
 // addTarget starts a target and writes its record.
 func (w *testbed) addTarget(ctx context.Context, i int) error {
 	t := &target{id: fmt.Sprint("t", i)}
+	if w.cfg.Fatal {
+		t.endsOn, t.end = fatalPath, func() { w.endTarget(ctx, t) }
+	}
 	t.startIncarnation()
 	t.server = httptest.NewServer(t)
 	w.closers = append(w.closers, func() { t.server.CloseClientConnections(); t.server.Close() })
