--- a/cmd/boragelock-gateway/main_test.go
+++ b/cmd/boragelock-gateway/main_test.go
@@ -40,21 +40,20 @@
 	return l.Addr().String()
 }
 
-// startDaemon runs a host with one target for each workload of the desired state.
-func startDaemon(t *testing.T, stopLimit time.Duration) (address string, targets []*standin.Target, signals chan os.Signal, stopped chan time.Time) {
+// announceTarget serves a target and writes its record.
+func announceTarget(t *testing.T, store *standin.Store, workload, id string, target http.Handler) {
+	t.Helper()
+	srv := httptest.NewServer(target)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	store.Put(platform.TopicTargets, id, map[string]any{
+		"service": workload, "address": strings.TrimPrefix(srv.URL, "http://"), "zone": "d", "slots": 1000, "state": "ready",
+		"cold-left-s": 0, "seq": 1, "born": 1,
+	})
+}
+
+// hostSettings serves the store and returns the settings of a host.
+func hostSettings(t *testing.T, store *standin.Store) *fleetsettings.Settings {
 	t.Helper()
-	store := standin.NewStore()
-	store.Put(platform.TopicOperator, "config", []byte(desiredState))
-	for _, workload := range []string{"w", "silent"} {
-		x := standin.NewTarget("t-"+workload, 1000, false)
-		srv := httptest.NewServer(x)
-		t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-		targets = append(targets, x)
-		store.Put(platform.TopicTargets, x.ID, map[string]any{
-			"service": workload, "address": strings.TrimPrefix(srv.URL, "http://"), "zone": "d", "slots": 1000, "state": "ready",
-			"cold-left-s": 0, "seq": 1, "born": 1,
-		})
-	}
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(func() { storeServer.CloseClientConnections(); storeServer.Close() })
 	port := func() int {
@@ -62,12 +61,26 @@
 		n, _ := strconv.Atoi(p)
 		return n
 	}
-	s := &fleetsettings.Settings{
+	return &fleetsettings.Settings{
 		Host: "host0", Domain: "d", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), IP: "127.0.0.1",
 		PeerPort: port(), MetricsPort: port(), StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
-		CPUShare: 1, LinkMbps: 1000, MemoryMB: 184, StopLimitSeconds: stopLimit.Seconds(),
+		CPUShare: 1, LinkMbps: 1000, MemoryMB: 184, StopLimitSeconds: 3,
 		RetryRatio: 0.2, RetryExtra: 60, RetryWindowSeconds: 10, MaxKeyLeaseSeconds: 10, LogLevel: "info",
 	}
+}
+
+// startDaemon runs a host with one target for each workload of the desired state.
+func startDaemon(t *testing.T, stopLimit time.Duration) (address string, targets []*standin.Target, signals chan os.Signal, stopped chan time.Time) {
+	t.Helper()
+	store := standin.NewStore()
+	store.Put(platform.TopicOperator, "config", []byte(desiredState))
+	for _, workload := range []string{"w", "silent"} {
+		x := standin.NewTarget("t-"+workload, 1000, false)
+		targets = append(targets, x)
+		announceTarget(t, store, workload, x.ID, x)
+	}
+	s := hostSettings(t, store)
+	s.StopLimitSeconds = stopLimit.Seconds()
 	log := eventlog.New(io.Discard, s.LogLevel)
 	t.Cleanup(log.Close)
 	d := newDaemon(s, "", log)
