Bound the callers' connections that are being refused or closed

What callers saw: in a storm of callers that neither read nor close, hosts could run out of descriptors, and requests of other callers failed since no target could be reached.

Cause: a refused connection, and an idle one that made room for another, wait up to 5 s for the caller to close, and counted against no bound. The reserve of descriptors for targets, hosts and the store was not one.

They may now use a further tenth of the descriptors. Beyond that a new connection is closed at once.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -121,10 +121,11 @@
 		Ranges: lease.RangeConfig{KeyLease: keyLease}, Cores: s.CPUShare, LinkMbps: s.LinkMbps,
 		Quarantine: s.Quarantine(),
 	})
+	callers, closing := callerBounds(s.MaxFDs)
 	d.gw = gateway.New(gateway.Config{
 		Domain: s.Domain, Deployment: d.coord, Log: log,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
-		MemoryMB: s.MemoryMB, MaxCallers: maxCallers(s.MaxFDs),
+		MemoryMB: s.MemoryMB, MaxCallers: callers, MaxClosing: closing,
 	})
 	expvar.Publish("gateway", d.gw.Vars())
 	expvar.Publish("control", d.coord.Vars())
@@ -174,21 +175,22 @@
 	return nil
 }
 
-// callerShare is the part of the descriptors that callers' connections may use. The rest is
-// for targets, other hosts, the store and files.
-const callerShare = 0.7
+// callerShare and closingShare are the parts of the descriptors for callers' connections and
+// for those that are being closed. The rest is for targets, other hosts, the store and files.
+const callerShare, closingShare = 0.7, 0.1
 
-// maxCallers returns the bound of callers' connections for a number of descriptors, of
-// which 0 is the limit that the process runs with, or 0 when there is none.
-func maxCallers(descriptors int) int {
+// callerBounds returns the bounds of callers' connections, and of those that are being
+// closed, for a number of descriptors, of which 0 is the limit that the process runs with.
+// They are 0 when there is none.
+func callerBounds(descriptors int) (callers, closing int) {
 	if descriptors == 0 {
 		var limit unix.Rlimit
 		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-			return 0
+			return 0, 0
 		}
 		descriptors = int(limit.Cur)
 	}
-	return int(callerShare * float64(descriptors))
+	return int(callerShare * float64(descriptors)), int(closingShare * float64(descriptors))
 }
 
 // EndedError reports that the duties of a host ended though nothing stopped it, for
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -17,11 +17,11 @@
 // TestCallersBeyondTheBound guards against callers that use up all descriptors, so that
 // targets and other hosts cannot be reached.
 func TestCallersBeyondTheBound(t *testing.T) {
-	const maxCallers = 4
+	const maxCallers, maxClosing = 4, 2
 	Convey("Given a host with as many connections as it may have", t, func() {
 		r := newHarness(t, 4)
 		cfg := r.gw.cfg
-		cfg.MaxCallers = maxCallers
+		cfg.MaxCallers, cfg.MaxClosing = maxCallers, maxClosing
 		gw := New(cfg)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
@@ -63,6 +63,24 @@
 			status, _ = ask(conns[0], readers[0], "kept")
 			So(status, ShouldEqual, 200)
 		})
+		Convey("further ones that neither read nor close take no more than those that are being closed may", func() {
+			r.setBehaviour(standin.Behaviour{ServiceTime: 300 * time.Millisecond})
+			// Half of the callers have a request, the others keep an idle connection.
+			for i := range maxCallers / 2 {
+				writeString(conns[i], rawRequest("busy"+strconv.Itoa(i), "/s/x"))
+			}
+			time.Sleep(50 * time.Millisecond)
+			for range 10 * maxCallers {
+				dial()
+				time.Sleep(time.Millisecond)
+				So(gw.OpenConnections(), ShouldBeLessThanOrEqualTo, maxCallers+maxClosing)
+			}
+			for i := range maxCallers / 2 {
+				resp, err := http.ReadResponse(readers[i], nil)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 200)
+			}
+		})
 		Convey("a new one is refused with a time to come back when all are in use", func() {
 			r.setBehaviour(standin.Behaviour{ServiceTime: 300 * time.Millisecond})
 			for i, nc := range conns {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// MaxCallers bounds the callers' connections. From there on the one that is idle for
 	// longest is closed for a new one, or the new one refused. Default: no bound.
 	MaxCallers int
+	// MaxClosing bounds the connections beyond these, which are being refused or closed and
+	// wait for the caller. From there on a new one is closed at once.
+	MaxClosing int
 	// MemoryMB is the memory of the process in MiB; parts of it buffer requests and
 	// responses.
 	// Default: 184.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -60,6 +60,11 @@
 			}
 			return err
 		}
+		if g.cfg.MaxCallers > 0 && g.openConns.Load() >= int64(g.cfg.MaxCallers+g.cfg.MaxClosing) {
+			g.metrics.closes.Add("refused_at_once", 1)
+			_ = nc.Close() // nothing of it was read
+			continue
+		}
 		serve := func() { g.serveConn(ctx, nc) }
 		if !g.makeRoom() {
 			serve = func() { g.refuseConnection(nc) }
