Write 100 Continue after the answers to earlier requests

What callers saw: a request with Expect: 100-continue behind another one on the same connection got its interim response before the answer to the first, or between two writes of it, which corrupts that answer. Found by reading.

Cause: answers wait for the earlier ones, the interim response did not.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -340,13 +341,16 @@
 		return r, nil, nil
 	}
 	c.headLimit.N = math.MaxInt64
+	expectsContinue := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	if expectsContinue {
+		<-c.latestWritten // interim responses keep the order of the requests
+	}
 	body, err := c.g.bodyMemory.read(c.ctx, r.Body, r.ContentLength, l.MaxBodyBytes, func() error {
-		if r.Header.Get("Expect") == "100-continue" {
-			if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return err
-			}
+		if err := c.setReadDeadline(time.Now().Add(l.IdleTimeout)); err != nil || !expectsContinue {
+			return err
 		}
-		return c.setReadDeadline(time.Now().Add(l.IdleTimeout))
+		_, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+		return err
 	})
 	if err == nil {
 		return r, body, nil
