Bound the leader's list of suspected requests by its link

What operators would have seen: at 295 hosts, a flood of different requests under which targets end takes the whole link of the leader, so that its other messages come late and hosts take it for gone.

Cause: the whole list is sent to each host with each change, up to 20 times a second. Its length is bounded, its rate was not bounded by size.

The list takes at most a quarter of the leader's link now. One request is told within a tick as before.

Evidence: TestListOfSuspectsLeavesRoomOnTheLink failed before (348 MB in 10 s on a link that bears 250); now 58 MB, and a change is told after 0.5 s at the latest.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -240,17 +240,19 @@
 
 func (p *peerSet) init() { p.conns = map[*peerConn]bool{} }
 
-// send queues a message for all peers. It is encoded once.
-func (p *peerSet) send(method string, params any) {
+// send queues a message for all peers and returns its bytes for all of them. It is encoded
+// once.
+func (p *peerSet) send(method string, params any) (sentBytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.conns) == 0 {
-		return
+		return 0
 	}
 	m := encode(method, params)
 	for pc := range p.conns {
 		pc.enqueue(m)
 	}
+	return len(p.conns) * len(m.params)
 }
 
 // minPackedBytes is the least size in bytes of parameters that are packed.
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -14,6 +14,10 @@
 	"github.com/boragelock/boragelock/quarantine"
 )
 
+// suspectsLinkShare is the part of the leader's link that its list may use. In a large
+// deployment a long list that changes with each tick would take all of it.
+const suspectsLinkShare = 0.25
+
 // maxUnreported bounds the observations that wait for the leader. Older ones are dropped.
 const maxUnreported = 256
 
@@ -25,7 +29,11 @@
 	ledger *quarantine.Ledger
 	// unreported has the observations that the leader has not been sent.
 	unreported []observation
-	list       atomic.Pointer[quarantine.List]
+	// untold says that the leader has changes to tell the other hosts, which it does from
+	// tellAt on.
+	untold bool
+	tellAt time.Duration
+	list   atomic.Pointer[quarantine.List]
 }
 
 // observation is what a host saw of a suspected request.
@@ -173,13 +181,28 @@
 	if s.ledger.Len() > 0 {
 		s.ledger.Expire(now)
 	}
-	if !s.ledger.TakeChanged() {
+	if s.ledger.TakeChanged() {
+		c.publishSuspects()
+		s.untold = true
+	}
+	if !c.Leading() {
+		s.untold = false // the leader tells
+	}
+	if !s.untold || now < s.tellAt {
 		return
 	}
-	c.publishSuspects()
-	if c.Leading() {
-		c.peers.send(methodSuspects, suspectsMessage{Requests: s.ledger.State(now)})
+	s.untold = false
+	bytes := c.peers.send(methodSuspects, suspectsMessage{Requests: s.ledger.State(now)})
+	s.tellAt = now + c.suspectsSendTime(bytes)
+}
+
+// suspectsSendTime returns the time that bytes take on the part of the link for the list.
+func (c *Coordinator) suspectsSendTime(bytes int) time.Duration {
+	if c.cfg.LinkMbps <= 0 {
+		return 0 // not known
 	}
+	seconds := float64(8*bytes) / (suspectsLinkShare * c.cfg.LinkMbps * 1e6)
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // retrySuspects makes trials due after a change of the desired state or of the targets.
--- a/internal/coordinator/suspects_test.go
+++ b/internal/coordinator/suspects_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/quarantine"
 )
 
@@ -113,3 +116,62 @@
 		So(eventually(time.Second, func() bool { return take(k.hosts[1]) }), ShouldBeTrue)
 	})
 }
+
+// TestListOfSuspectsLeavesRoomOnTheLink guards against a leader whose long list of suspected
+// requests, sent again with each change, takes its whole link.
+func TestListOfSuspectsLeavesRoomOnTheLink(t *testing.T) {
+	const (
+		hosts      = 294
+		linkMbps   = 200
+		tick       = 50 * time.Millisecond
+		playedTime = 10 * time.Second
+	)
+	play := func(requests, ends int) (bytes int, slowest time.Duration) {
+		log := eventlog.New(io.Discard, "error")
+		defer log.Close()
+		c := New(Config{LinkMbps: linkMbps, Log: log, Quarantine: quarantine.Config{}})
+		c.leading.Store(true)
+		outbox := make(chan peerMessage, hosts)
+		for range hosts {
+			c.peers.add(&peerConn{outbox: outbox})
+		}
+		drain := func() (told bool) {
+			for {
+				select {
+				case m := <-outbox:
+					bytes, told = bytes+len(m.params), true
+				default:
+					return told
+				}
+			}
+		}
+		changedAt := time.Duration(-1)
+		for now := time.Duration(0); now < playedTime; now += tick {
+			n := int(now / tick)
+			if n < requests*ends {
+				x := quarantine.RequestOf(quarantine.HeadOf("GET", "h", fmt.Sprint("/", n%requests), 0), nil)
+				c.suspects.mu.Lock()
+				c.suspects.apply(now, observation{kind: targetEnded, request: x, end: quarantine.End{Target: fleet.Incarnation{ID: fmt.Sprint("i-0123456789", n), Born: int64(n)}, At: now}})
+				c.suspects.mu.Unlock()
+				if changedAt < 0 {
+					changedAt = now
+				}
+			}
+			c.tickSuspects(now)
+			if drain() {
+				slowest, changedAt = max(slowest, now-changedAt), -1
+			}
+		}
+		return bytes, slowest
+	}
+	Convey("All hosts are told of one request at once", t, func() {
+		_, slowest := play(1, 8)
+		So(slowest, ShouldBeLessThanOrEqualTo, tick)
+	})
+	Convey("A flood of requests takes no more than its part of the link", t, func() {
+		bytes, slowest := play(200, 1)
+		t.Logf("%d hosts, 200 requests: %.1f MB in %v, a change is told after %v at the latest", hosts, float64(bytes)/1e6, playedTime, slowest)
+		So(float64(bytes), ShouldBeLessThan, suspectsLinkShare*linkMbps*1e6/8*playedTime.Seconds()*1.1)
+		So(slowest, ShouldBeLessThan, 2*time.Second)
+	})
+}
