Keep refused requests under a new leader

What callers could see: more than a minute after a request was refused, a leader that had just started made all hosts forget it, and it could end three further targets.

Cause: hosts told a new leader the ends that they knew. Ends older than a minute do not count as evidence, while a refusal lasts an hour.

Hosts now tell a refused request as a whole. An answer that came after its last end keeps it cleared.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -43,15 +43,18 @@
 	// host is the address of the host whose run ended.
 	host string
 	end  quarantine.End
+	// refused is the request as this host refuses it, at the time of end.
+	refused quarantine.Statement
 }
 
 // observationKind says what a host saw.
 type observationKind string
 
 const (
-	targetEnded observationKind = "end"    // a target ended before it answered
-	answered    observationKind = "answer" // a target answered
-	runEnded    observationKind = "done"   // the run that the host took has ended
+	targetEnded observationKind = "end"     // a target ended before it answered
+	answered    observationKind = "answer"  // a target answered
+	runEnded    observationKind = "done"    // the run that the host took has ended
+	refused     observationKind = "refused" // the host refuses it since before the leader
 )
 
 func (s *suspectedRequests) init(cfg quarantine.Config) { s.ledger = quarantine.NewLedger(cfg) }
@@ -154,6 +157,8 @@
 		s.ledger.RecordAnswer(now, o.request.ID)
 	case runEnded:
 		s.ledger.EndRun(now, o.request.ID, o.host)
+	case refused:
+		s.ledger.Adopt(o.end.At, o.refused)
 	}
 }
 
@@ -243,27 +248,34 @@
 	Host   string            `json:"host,omitempty"`
 	Target fleet.Incarnation `json:"run"`
 	AgeMS  int64             `json:"age_ms"`
+	// Refused is the request of kind refused.
+	Refused *quarantine.Statement `json:"refused,omitempty"`
 }
 
 // sendObservations sends the leader what it has not been sent.
 func (k *leaderLink) sendObservations(ctx context.Context) error {
-	s := &k.c.suspects
-	now := boottime.Now()
-	var m observationsMessage
-	s.mu.Lock()
-	for _, o := range s.unreported {
-		m.Observations = append(m.Observations, statedObservation{
-			Kind: o.kind, Request: o.request, Host: o.host, Target: o.end.Target, AgeMS: (now - o.end.At).Milliseconds(),
-		})
-	}
-	s.unreported = nil
-	s.mu.Unlock()
+	m := k.c.suspects.takeUnreported(boottime.Now())
 	if len(m.Observations) == 0 {
 		return nil
 	}
 	return notify(ctx, k.nc, k.conn, methodObservations, m)
 }
 
+// takeUnreported returns and forgets what the leader has not been sent.
+func (s *suspectedRequests) takeUnreported(now time.Duration) (m observationsMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.unreported {
+		x := statedObservation{Kind: o.kind, Request: o.request, Host: o.host, Target: o.end.Target, AgeMS: (now - o.end.At).Milliseconds()}
+		if o.kind == refused {
+			x.Refused = &o.refused
+		}
+		m.Observations = append(m.Observations, x)
+	}
+	s.unreported = nil
+	return m
+}
+
 // handleObservations handles another host's message to the leader.
 func (c *Coordinator) handleObservations(r *jsonrpc2.Request) error {
 	var m observationsMessage
@@ -276,7 +288,11 @@
 	defer s.mu.Unlock()
 	for _, o := range m.Observations {
 		at := now - time.Duration(max(0, o.AgeMS))*time.Millisecond
-		s.apply(now, observation{kind: o.Kind, request: o.Request, host: o.Host, end: quarantine.End{Target: o.Target, At: at}})
+		x := observation{kind: o.Kind, request: o.Request, host: o.Host, end: quarantine.End{Target: o.Target, At: at}}
+		if o.Refused != nil {
+			x.refused = *o.Refused
+		}
+		s.apply(now, x)
 	}
 	c.publishSuspects()
 	return nil
@@ -310,11 +326,18 @@
 	s := &c.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	add := func(o observation) {
+		if len(s.unreported) < maxUnreported {
+			s.unreported = append(s.unreported, o)
+		}
+	}
 	for _, x := range s.ledger.State(now) {
+		if x.Refused {
+			add(observation{kind: refused, request: x.Request, refused: x, end: quarantine.End{At: now}})
+			continue
+		}
 		for _, e := range x.Ends {
-			if len(s.unreported) < maxUnreported {
-				s.unreported = append(s.unreported, observation{kind: targetEnded, request: x.Request, end: quarantine.End{Target: e.Target, At: now - time.Duration(e.AgeMS)*time.Millisecond}})
-			}
+			add(observation{kind: targetEnded, request: x.Request, end: quarantine.End{Target: e.Target, At: now - time.Duration(e.AgeMS)*time.Millisecond}})
 		}
 	}
 	if len(s.unreported) > 0 {
--- a/internal/coordinator/suspects_test.go
+++ b/internal/coordinator/suspects_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
@@ -175,3 +176,52 @@
 		So(slowest, ShouldBeLessThan, 2*time.Second)
 	})
 }
+
+// TestNewLeaderKeepsRefusals guards against a new leader that drops a refusal, since the
+// ends that led to it are older than ends may be that count.
+func TestNewLeaderKeepsRefusals(t *testing.T) {
+	const evidenceAge = 50 * time.Millisecond
+	Convey("Given a host that refuses a request for longer than ends count, and a leader that does not know it", t, func() {
+		log := eventlog.New(io.Discard, "error")
+		defer log.Close()
+		newHost := func() *testHost {
+			return &testHost{c: New(Config{Log: log, Quarantine: quarantine.Config{EvidenceAge: evidenceAge}})}
+		}
+		host, leader := newHost(), newHost()
+		leader.c.leading.Store(true)
+		x := quarantine.RequestOf(quarantine.HeadOf("GET", "h", "/x", 0), nil)
+		for i := range 3 {
+			host.endTarget(x, int64(i))
+		}
+		time.Sleep(2 * evidenceAge)
+		host.c.tickSuspects(boottime.Now())
+		So(host.refuses(x), ShouldBeTrue)
+		report := func() {
+			host.c.suspects.takeUnreported(boottime.Now())
+			host.c.reportOwnSuspects()
+			params := marshal(methodObservations, host.c.suspects.takeUnreported(boottime.Now()))
+			So(leader.c.handleObservations(&jsonrpc2.Request{Params: &params}), ShouldBeNil)
+		}
+		Convey("the leader takes the refusal over, with the time of its trial", func() {
+			report()
+			So(leader.refuses(x), ShouldBeTrue)
+			a, _ := host.c.SuspectedRequests().Lookup(x)
+			b, _ := leader.c.SuspectedRequests().Lookup(x)
+			So(b.NextTrial, ShouldAlmostEqual, a.NextTrial, 20*time.Millisecond)
+			So(b.Ends, ShouldEqual, 3)
+		})
+		Convey("the leader's list, made before it heard of it, does not end the refusal", func() {
+			host.c.suspects.takeUnreported(boottime.Now())
+			host.c.reportOwnSuspects()
+			host.c.applySuspects(suspectsMessage{})
+			So(host.refuses(x), ShouldBeTrue)
+		})
+		Convey("a request that was answered since stays served", func() {
+			report()
+			leader.c.RecordAnswer(x)
+			So(leader.refuses(x), ShouldBeFalse)
+			report()
+			So(leader.refuses(x), ShouldBeFalse)
+		})
+	})
+}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -128,14 +128,16 @@
 	cfg      Config
 	suspects map[Digest]*suspect
 	// recent has the ends of all targets within EvidenceAge, by time.
-	recent  []End
-	changed bool
-	events  []Event
+	recent []End
+	// answered has when requests that were refused were answered, for refusedAge.
+	answered map[Digest]time.Duration
+	changed  bool
+	events   []Event
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(cfg Config) *Ledger {
-	return &Ledger{cfg: cfg.withDefaults(), suspects: map[Digest]*suspect{}}
+	return &Ledger{cfg: cfg.withDefaults(), suspects: map[Digest]*suspect{}, answered: map[Digest]time.Duration{}}
 }
 
 // Len returns the number of suspected requests.
@@ -293,6 +295,7 @@
 	if !s.refused {
 		return
 	}
+	l.noteAnswered(now, id)
 	l.addEvent(Answered, s, now)
 	// What remains of an ambiguous group is at fault, and needs no trial to show it.
 	for _, o := range l.suspects {
@@ -302,6 +305,15 @@
 	}
 }
 
+// noteAnswered keeps the last MaxSuspects answers.
+func (l *Ledger) noteAnswered(now time.Duration, id Digest) {
+	if len(l.answered) >= l.cfg.MaxSuspects {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.answered)), func(a, b Digest) int { return cmp.Compare(l.answered[a], l.answered[b]) })
+		delete(l.answered, oldest)
+	}
+	l.answered[id] = now
+}
+
 // RetrySoon makes trials due after a change that may have mended the targets.
 func (l *Ledger) RetrySoon(now time.Duration) {
 	for _, s := range l.suspects {
@@ -315,6 +327,7 @@
 // Expire forgets requests whose last end is too long ago.
 func (l *Ledger) Expire(now time.Duration) {
 	l.recent = slices.DeleteFunc(l.recent, func(e End) bool { return now-e.At > l.cfg.EvidenceAge })
+	maps.DeleteFunc(l.answered, func(_ Digest, at time.Duration) bool { return now-at > refusedAge })
 	for id, s := range l.suspects {
 		limit := l.cfg.EvidenceAge
 		if s.refused {
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -374,3 +374,73 @@
 	}
 	b.ReportAllocs()
 }
+
+func TestAdoptRefusals(t *testing.T) {
+	Convey("Given a request that another host refuses since a while", t, func() {
+		other, l := NewLedger(Config{}), NewLedger(Config{})
+		for i := range 3 {
+			other.endAll(time.Duration(i)*time.Second, i, "x")
+		}
+		at := 5 * time.Minute
+		other.Expire(at)
+		So(other.refuses("x"), ShouldBeTrue)
+		stated := other.State(at)[0]
+		Convey("it is refused here too, for as long as there", func() {
+			l.Adopt(at, stated)
+			So(l.refuses("x"), ShouldBeTrue)
+			l.Expire(refusedAge + 2*time.Second)
+			So(l.refuses("x"), ShouldBeTrue)
+			l.Expire(refusedAge + 3*time.Second)
+			So(l.Len(), ShouldEqual, 0)
+		})
+		Convey("ends that are known here only stay", func() {
+			l.endAll(at, 9, "x")
+			l.Adopt(at, stated)
+			So(l.refuses("x"), ShouldBeTrue)
+			So(l.Ends(request("x").ID), ShouldEqual, 4)
+		})
+		Convey("more failed trials here count", func() {
+			l.Adopt(at, stated)
+			granted, _ := l.TakeRun(at, request("x").ID, "h", time.Second)
+			So(granted, ShouldBeTrue)
+			l.endAll(at, 10, "x")
+			tries := l.State(at)[0].Tries
+			So(tries, ShouldEqual, 1)
+			l.Adopt(at, stated)
+			So(l.State(at)[0].Tries, ShouldEqual, tries)
+		})
+		Convey("an answer that came later clears it, and one that came before does not", func() {
+			l.Adopt(at, stated)
+			l.RecordAnswer(at, request("x").ID)
+			l.Adopt(at, stated)
+			So(l.Len(), ShouldEqual, 0)
+			for i := range 3 {
+				other.endAll(at+time.Duration(i+1)*time.Second, 20+i, "x")
+			}
+			l.Adopt(at+10*time.Second, other.State(at + 10*time.Second)[0])
+			So(l.refuses("x"), ShouldBeTrue)
+		})
+		Convey("what is kept stays bounded", func() {
+			small := NewLedger(Config{MaxSuspects: 8})
+			for i := range 100 {
+				x := stated
+				x.Request = request(fmt.Sprint("r", i))
+				small.Adopt(at, x)
+				small.RecordAnswer(at, x.ID)
+				x.Request = request(fmt.Sprint("s", i))
+				small.Adopt(at, x)
+			}
+			So(small.Len(), ShouldBeLessThanOrEqualTo, 8)
+			So(len(small.answered), ShouldBeLessThanOrEqualTo, 8)
+		})
+		Convey("a statement without ends, or of a request that is not refused, adds nothing", func() {
+			x := stated
+			x.Ends = nil
+			l.Adopt(at, x)
+			x = stated
+			x.Refused = false
+			l.Adopt(at, x)
+			So(l.Len(), ShouldEqual, 0)
+		})
+	})
+}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -59,20 +59,57 @@
 		if len(x.Ends) == 0 || len(l.suspects) == l.cfg.MaxSuspects {
 			continue
 		}
-		s := &suspect{
-			Request: x.Request, copies: x.Copies, refused: x.Refused, tries: max(0, x.Tries),
-			nextTrial: now + milliseconds(x.TrialInMS), trialAfter: min(max(milliseconds(x.TrialAfterMS), l.cfg.TrialAfter), l.cfg.MaxTrialAfter),
-			runner: x.Runner, runEnds: now + min(milliseconds(x.RunLeftMS), maxRun),
-		}
-		for _, e := range x.Ends[max(0, len(x.Ends)-maxEndsKept):] {
-			end := End{Target: e.Target, At: now - milliseconds(e.AgeMS)}
-			s.ends = append(s.ends, end)
-			l.noteRecent(end)
+		s := l.restore(now, x)
+		for _, e := range s.ends {
+			l.noteRecent(e)
 		}
 		l.suspects[x.ID] = s
 	}
 }
 
+// restore returns a request as another host stated it.
+func (l *Ledger) restore(now time.Duration, x Statement) *suspect {
+	s := &suspect{
+		Request: x.Request, copies: x.Copies, refused: x.Refused, tries: max(0, x.Tries),
+		nextTrial: now + milliseconds(x.TrialInMS), trialAfter: min(max(milliseconds(x.TrialAfterMS), l.cfg.TrialAfter), l.cfg.MaxTrialAfter),
+		runner: x.Runner, runEnds: now + min(milliseconds(x.RunLeftMS), maxRun),
+	}
+	for _, e := range x.Ends[max(0, len(x.Ends)-maxEndsKept):] {
+		s.ends = append(s.ends, End{Target: e.Target, At: now - milliseconds(e.AgeMS)})
+	}
+	return s
+}
+
+// Adopt adds a request that another host refuses, as it stated it at the given time,
+// unless a target has answered the request since. Its ends may be too old for RecordEnd.
+func (l *Ledger) Adopt(at time.Duration, x Statement) {
+	if !x.Refused || len(x.Ends) == 0 {
+		return
+	}
+	stated := l.restore(at, x)
+	if answeredAt, ok := l.answered[x.ID]; ok && answeredAt >= stated.lastEnd() {
+		return
+	}
+	known := l.suspects[x.ID]
+	switch {
+	case known == nil:
+		l.makeRoom()
+	case known.refused && known.tries >= stated.tries:
+		return
+	default:
+		for _, e := range known.ends {
+			if len(stated.ends) < maxEndsKept && !stated.hasEnd(e.Target) {
+				stated.ends = append(stated.ends, e)
+			}
+		}
+	}
+	l.suspects[x.ID] = stated
+	l.changed = true
+	if known == nil || !known.refused {
+		l.addEvent(Refused, stated, at)
+	}
+}
+
 func milliseconds(n int64) time.Duration {
 	const longest = int64(24 * time.Hour / time.Millisecond)
 	return time.Duration(min(max(0, n), longest)) * time.Millisecond
