Do not take the host's lack of descriptors for unreachable targets

What callers saw: while a host had no descriptor for a connection to a target, their requests were refused at once, and afterwards the host went on without targets that were sound.

Cause: a dial that failed with EMFILE was recorded like a target that cannot be reached. What a failure says depends on whose it is.

The request now waits for a descriptor until its deadline, and nothing is recorded of the target.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -236,6 +236,9 @@
 func (c *call) handleSendFailure(ctx context.Context, t *fleet.Target, e *sendError, took time.Duration) (*response, *Failure, bool) {
 	id := t.ID
 	c.g.metrics.sends.Add(e.reason, 1)
+	if e.reason == reasonShortage {
+		return c.handleShortage(ctx, id, e)
+	}
 	callerGone := ctx.Err() != nil && !(e.sent && c.outgoing.ignoreCallerCancel)
 	outcome := placement.Outcome{Route: c.route.Name, Failed: !callerGone, Unreachable: !e.sent && !callerGone, ColdRemaining: -1, ConnectionReset: e.connectionReset()}
 	c.requestEnded(id, outcome)
@@ -268,6 +271,18 @@
 	return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: e}, false
 }
 
+// handleShortage decides how a request continues for which this host lacked a descriptor or
+// the like. That says nothing about the target.
+func (c *call) handleShortage(ctx context.Context, id string, e *sendError) (*response, *Failure, bool) {
+	c.placedOn = ""
+	c.g.releaseUnsent(id)
+	c.g.cfg.Log.Warn("send_shortage", "request", c.req.ID, "target", id, "err", e.err)
+	if !c.pause(ctx, shedRetryDelay) {
+		return nil, c.finalFailure(newRefusal(CodeFull, shedRetryDelay)), false
+	}
+	return nil, nil, true
+}
+
 // requestEnded reports to the scheduler that the request has ended at a target.
 func (c *call) requestEnded(id string, outcome placement.Outcome) {
 	c.placedOn = ""
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -187,11 +187,28 @@
 	return errors.As(e.err, &ne) && ne.Timeout()
 }
 
+// reasonShortage is the reason of a send that failed since this host lacks something.
+const reasonShortage = "shortage"
+
+// isShortage reports whether a connection was not opened since this host lacks descriptors
+// or memory.
+func isShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // roundTrip sends a request to a target and reads its response. It fails with
 // *sendError.
 func (p *pool) roundTrip(ctx context.Context, o *targetRequest, id, address string, memory *memoryBudget) (*response, *sendError) {
 	u, err := p.get(ctx, id, address, o.id)
-	if err != nil {
+	switch {
+	case isShortage(err):
+		return nil, &sendError{reason: reasonShortage, err: err}
+	case err != nil:
 		return nil, &sendError{reason: "connect", err: err}
 	}
 	if err := ctx.Err(); err != nil {
