Do not let the leader's list replace what a host has not told it

Cause: the leader's list replaces what a host knows. A leader that had just started sent its list with its answer to the greeting, before the host told what it knew, so that nothing was left to tell. An observation on its way to the leader could be lost in the same manner.

The host now queues what it knows before the greeting, and applies what it has sent again to each list until one says that it has it.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -58,7 +58,9 @@
 
 // cluster is a set of coordinators with a stand-in store and targets.
 type cluster struct {
-	t testing.TB
+	// beforeStart is called with each host before it starts, if set.
+	beforeStart func(*Coordinator)
+	t           testing.TB
 	// loopback is the address on which the hosts listen for each other.
 	loopback string
 	store    *standin.Store
@@ -137,6 +139,9 @@
 		Host: fmt.Sprint("host", i), Fleet: k.loopback, Peer: peer, Store: platform.NewStore(strings.TrimPrefix(srv.URL, "http://")),
 		Grants: platform.NewGrants(), Log: k.log, Cores: 1, LinkMbps: 1000, Ranges: k.ranges,
 	})
+	if k.beforeStart != nil {
+		k.beforeStart(c)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	sup := suture.New("test", suture.Spec{EventHook: func(suture.Event) {}})
 	c.AddTo(sup)
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -88,6 +88,7 @@
 		}
 		return nil, k.handle(r)
 	})
+	c.reportOwnSuspects() // before the leader's list replaces them
 	k.conn = jsonrpc2.NewConn(ctx, peer.NewStream(nc), c.recoverPanics(handler), discardLog)
 	defer func() { _ = k.conn.Close() }() // the connection is no longer used
 	if reason := k.sendHello(ctx, l); reason != "" {
@@ -97,7 +98,6 @@
 		return lossClosed
 	}
 	c.reportAllLimits()
-	c.reportOwnSuspects()
 	c.cfg.Log.Info("leader_found", "leader", l.Host, "term", l.Term)
 	c.link.Store(k)
 	defer c.link.Store(nil)
--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,8 +29,11 @@
 type suspectedRequests struct {
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
-	// unreported has the observations that the leader has not been sent.
-	unreported []observation
+	// unreported has the observations that the leader has not been sent, sent those that
+	// its list may not have yet.
+	unreported, sent []observation
+	// applied has, for the leader, the last observations of each host that its list has.
+	applied map[string]appliedObservations
 	// untold says that the leader has changes to tell the other hosts, which it does from
 	// tellAt on.
 	untold bool
@@ -45,8 +50,20 @@
 	end  quarantine.End
 	// refused is the request as this host refuses it, at the time of end.
 	refused quarantine.Statement
+	// repeated says that an earlier leader may have been told.
+	repeated bool
+	// sentAt is when the leader was sent it.
+	sentAt time.Duration
 }
 
+// appliedObservations says until which time, on the clock of the host that sent them, a
+// leader's list has the observations of a host, and when they came.
+type appliedObservations struct{ sentAt, at time.Duration }
+
+// appliedTime is how long a leader's list says which observations it has. A host waits no
+// longer for that.
+const appliedTime = 2 * time.Second
+
 // observationKind says what a host saw.
 type observationKind string
 
@@ -57,7 +74,9 @@
 	refused     observationKind = "refused" // the host refuses it since before the leader
 )
 
-func (s *suspectedRequests) init(cfg quarantine.Config) { s.ledger = quarantine.NewLedger(cfg) }
+func (s *suspectedRequests) init(cfg quarantine.Config) {
+	s.ledger, s.applied = quarantine.NewLedger(cfg), map[string]appliedObservations{}
+}
 
 // SuspectedRequests returns the requests under which targets ended, or nil when there are
 // none.
@@ -197,10 +216,23 @@
 		return
 	}
 	s.untold = false
-	bytes := c.peers.send(methodSuspects, suspectsMessage{Requests: s.ledger.State(now)})
+	bytes := c.peers.send(methodSuspects, s.message(now))
 	s.tellAt = now + c.suspectsSendTime(bytes)
 }
 
+// message returns the leader's list; s.mu is held.
+func (s *suspectedRequests) message(now time.Duration) suspectsMessage {
+	m := suspectsMessage{Requests: s.ledger.State(now)}
+	maps.DeleteFunc(s.applied, func(_ string, a appliedObservations) bool { return now-a.at > appliedTime })
+	for host, a := range s.applied {
+		if m.Applied == nil {
+			m.Applied = map[string]time.Duration{}
+		}
+		m.Applied[host] = a.sentAt
+	}
+	return m
+}
+
 // suspectsSendTime returns the time that bytes take on the part of the link for the list.
 func (c *Coordinator) suspectsSendTime(bytes int) time.Duration {
 	if c.cfg.LinkMbps <= 0 {
@@ -234,12 +266,18 @@
 // suspectsMessage is the leader's list of suspected requests.
 type suspectsMessage struct {
 	Requests []quarantine.Statement `json:"requests"`
+	// Applied has, by the address of a host, the SentAt of its last observations that the
+	// list has.
+	Applied map[string]time.Duration `json:"applied,omitempty"`
 }
 
 // observationsMessage reports observations to the leader. The ages count from when the
 // message was made.
 type observationsMessage struct {
 	Observations []statedObservation `json:"observations"`
+	// Host is the address of the host, SentAt the time on its clock in ns.
+	Host   string        `json:"host"`
+	SentAt time.Duration `json:"sent_at"`
 }
 
 type statedObservation struct {
@@ -258,20 +296,25 @@
 	if len(m.Observations) == 0 {
 		return nil
 	}
+	m.Host = k.c.cfg.Peer
 	return notify(ctx, k.nc, k.conn, methodObservations, m)
 }
 
-// takeUnreported returns and forgets what the leader has not been sent.
+// takeUnreported returns what the leader has not been sent.
 func (s *suspectedRequests) takeUnreported(now time.Duration) (m observationsMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	m.SentAt = now
 	for _, o := range s.unreported {
+		o.sentAt = now
+		s.sent = append(s.sent, o)
 		x := statedObservation{Kind: o.kind, Request: o.request, Host: o.host, Target: o.end.Target, AgeMS: (now - o.end.At).Milliseconds()}
 		if o.kind == refused {
 			x.Refused = &o.refused
 		}
 		m.Observations = append(m.Observations, x)
 	}
+	s.sent = s.sent[max(0, len(s.sent)-maxUnreported):]
 	s.unreported = nil
 	return m
 }
@@ -294,6 +337,7 @@
 		}
 		s.apply(now, x)
 	}
+	s.applied[m.Host] = appliedObservations{sentAt: m.SentAt, at: now}
 	c.publishSuspects()
 	return nil
 }
@@ -305,7 +349,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Replace(now, m.Requests)
-	for _, o := range s.unreported {
+	applied := m.Applied[c.cfg.Peer]
+	s.sent = slices.DeleteFunc(s.sent, func(o observation) bool { return o.sentAt <= applied || now-o.sentAt > appliedTime })
+	for _, o := range slices.Concat(s.sent, s.unreported) {
 		s.apply(now, o)
 	}
 	c.publishSuspects()
@@ -316,18 +362,22 @@
 func (c *Coordinator) suspectsState() (suspectsMessage, bool) {
 	c.suspects.mu.Lock()
 	defer c.suspects.mu.Unlock()
-	m := suspectsMessage{Requests: c.suspects.ledger.State(boottime.Now())}
+	m := c.suspects.message(boottime.Now())
 	return m, len(m.Requests) > 0
 }
 
-// reportOwnSuspects makes the connection to a new leader send what this host knows.
+// reportOwnSuspects makes the connection to a new leader send what this host knows. The
+// leader's list replaces the rest, so that it must be called before the list can arrive.
 func (c *Coordinator) reportOwnSuspects() {
 	now := boottime.Now()
 	s := &c.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sent = nil                                                                                   // a former leader has them
+	s.unreported = slices.DeleteFunc(s.unreported, func(o observation) bool { return o.repeated }) // no leader took them
 	add := func(o observation) {
 		if len(s.unreported) < maxUnreported {
+			o.repeated = true
 			s.unreported = append(s.unreported, o)
 		}
 	}
--- a/internal/coordinator/suspects_test.go
+++ b/internal/coordinator/suspects_test.go
@@ -225,3 +225,36 @@
 		})
 	})
 }
+
+// TestRefusalsMeetTheLeadersList guards against a host that connects to a new leader and
+// gets its list before it has told its own: the list replaced what the host knew.
+func TestRefusalsMeetTheLeadersList(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	const newHosts = 5
+	Convey("Given a leader that knows one request, and hosts that refuse another one each when they connect", t, func() {
+		k := newCluster(t, 1, 1)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil }), ShouldBeTrue)
+		leader, start := k.leader(), boottime.Now()
+		leader.endTarget(quarantine.RequestOf(quarantine.HeadOf("GET", "h", "/known", 0), nil), 1)
+		for i := 1; i <= newHosts; i++ {
+			x := quarantine.RequestOf(quarantine.HeadOf("GET", "h", fmt.Sprint("/", i), 0), nil)
+			k.beforeStart = func(c *Coordinator) {
+				for n := range 3 {
+					// Ends of different requests within half a second would excuse each other.
+					at := start - time.Duration(2*i)*time.Second
+					c.observe(observation{kind: targetEnded, request: x, end: quarantine.End{Target: fleet.Incarnation{ID: "gone", Born: int64(10*i + n)}, At: at}})
+				}
+				c.suspects.takeUnreported(boottime.Now()) // told to an earlier leader
+			}
+			k.addHost(i)
+			h := k.hosts[i]
+			So(eventually(4*time.Second, func() bool {
+				So(h.refuses(x), ShouldBeTrue)
+				return h.c.HasLeader() && leader.refuses(x)
+			}), ShouldBeTrue)
+			So(h.refuses(x), ShouldBeTrue)
+		}
+	})
+}
