Fault proxy: keep the port while connections are refused

The listener's port is ephemeral, and closing it gave the port away. Any test whose targets refuse connections could fail so.

A bound socket that does not listen now keeps the port. TestProxy checks it, and failed before.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -58,11 +58,13 @@
 
 	mu    sync.Mutex
 	pairs map[*connPair]struct{}
-	// refusing is set while the listener is closed to refuse new connections.
-	refusing bool
-	reopened chan struct{}
-	stopped  bool
-	wg       sync.WaitGroup
+	// refusing is set while the listener is closed to refuse new connections. releasePort
+	// then ends the reservation of its port.
+	refusing    bool
+	releasePort func() error
+	reopened    chan struct{}
+	stopped     bool
+	wg          sync.WaitGroup
 }
 
 // New opens the listener of a proxy. Serve accepts the connections.
@@ -70,7 +72,7 @@
 	if o.Listen == "" {
 		o.Listen = "127.0.0.1:0"
 	}
-	ln, err := net.Listen("tcp", o.Listen)
+	ln, err := listen(o.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -94,10 +96,14 @@
 		return nil
 	}
 	if refuse {
-		p.refusing = true
+		release, err := reservePort(p.ln.Addr())
+		if err != nil {
+			return err
+		}
+		p.refusing, p.releasePort = true, release
 		return p.ln.Close()
 	}
-	ln, err := net.Listen("tcp", p.opts.Listen)
+	ln, err := listen(p.opts.Listen)
 	if err != nil {
 		return err
 	}
@@ -106,7 +112,7 @@
 	case p.reopened <- struct{}{}:
 	default:
 	}
-	return nil
+	return p.releasePort()
 }
 
 // String implements fmt.Stringer.
@@ -190,6 +196,9 @@
 	defer p.mu.Unlock()
 	p.stopped = true
 	_ = p.ln.Close()
+	if p.refusing {
+		_ = p.releasePort()
+	}
 }
 
 func (p *Proxy) closeAll() {
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -105,6 +107,8 @@
 				_, took, err := call()
 				So(err, ShouldNotBeNil)
 				So(took, ShouldBeLessThan, 100*time.Millisecond)
+				_, err = net.Listen("tcp", p.Addr())
+				So(errors.Is(err, syscall.EADDRINUSE), ShouldBeTrue) // the port stays its own
 				So(p.RefuseConnections(false), ShouldBeNil)
 				_, _, err = call()
 				So(err, ShouldBeNil)
