Give the requests of TestStopWithRequestsSentAhead time for slow callers

Traced: each cut was the read of a streamed body from the target that ran into the request's own time limit of 1.5 s. The callers read slowly, the answers of 16 requests each do not all fit into memory under load, and those that are streamed take longer than their limit. That happens with and without a stop.

The requests have a limit of 15 s now, and the host takes requests in for 3.5 s after the stop began, as before.

--- a/internal/gateway/close_test.go
+++ b/internal/gateway/close_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,20 @@
 	return tcp
 }
 
+// setRouteTimeouts sets the time limit of all routes.
+func (r *harness) setRouteTimeouts(limit time.Duration) {
+	d := *r.deployment.Snapshot().DesiredState
+	d.Version++
+	d.Routes = slices.Clone(d.Routes)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = limit
+	}
+	d.IndexRoutes()
+	r.deployment.mu.Lock()
+	defer r.deployment.mu.Unlock()
+	r.deployment.directory.PutDesiredState(&d)
+}
+
 // slowReader reads in small parts with a pause before each.
 type slowReader struct {
 	r     io.Reader
@@ -96,14 +111,23 @@
 // leaves requests that were passed on without one, when callers send further requests
 // before the earlier ones are answered.
 func TestStopWithRequestsSentAhead(t *testing.T) {
-	const callers = 8
+	const (
+		callers = 8
+		// timeLimit is that of the requests. An answer that is streamed to a slow caller is
+		// cut off at its time limit whether the host stops or not.
+		timeLimit = 15 * time.Second
+		// takenFor is how long a stopping host takes requests in.
+		takenFor = 3500 * time.Millisecond
+	)
 	Convey("Given a stopping host and callers that read slowly and send ahead", t, func() {
 		r := newHarness(t, 0)
+		r.setRouteTimeouts(timeLimit)
 		ran := r.addLargeTarget(t, largeBody, 20*time.Millisecond)
 		var wg sync.WaitGroup
 		var cut, unanswered atomic.Int64
 		for i := range callers {
 			nc := r.dialSlow(t)
+			So(nc.SetDeadline(time.Now().Add(3*timeLimit)), ShouldBeNil)
 			name := fmt.Sprint("c", i, "-")
 			var sent atomic.Int64
 			closing := make(chan struct{})
@@ -114,7 +138,7 @@
 						return
 					case <-time.After(3 * time.Millisecond):
 					}
-					if _, err := io.WriteString(nc, rawRequest(name+strconv.Itoa(k), "/s/x")); err != nil {
+					if _, err := io.WriteString(nc, rawRequestWithin(name+strconv.Itoa(k), "/s/x", timeLimit)); err != nil {
 						return
 					}
 					sent.Add(1)
@@ -151,7 +175,7 @@
 			})
 		}
 		time.Sleep(100 * time.Millisecond)
-		r.gw.Drain(boottime.Now() + 5*time.Second)
+		r.gw.Drain(boottime.Now() + takenFor + timeLimit)
 		wg.Wait()
 		t.Logf("closes: %s", r.gw.Closes())
 		So(cut.Load(), ShouldEqual, 0)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -367,8 +367,12 @@
 	})
 }
 
-func rawRequest(id, path string) string {
-	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.HeaderRequestID + ": " + id + "\r\n" + standin.HeaderDeadline + ": 1500\r\n\r\n"
+func rawRequest(id, path string) string { return rawRequestWithin(id, path, 1500*time.Millisecond) }
+
+// rawRequestWithin returns a request with a time limit.
+func rawRequestWithin(id, path string, limit time.Duration) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.HeaderRequestID + ": " + id + "\r\n" +
+		standin.HeaderDeadline + ": " + strconv.FormatInt(limit.Milliseconds(), 10) + "\r\n\r\n"
 }
 
 func TestConnection(t *testing.T) {
