Soak: inject faults until a run has the load that a check needs

Cause: how much load meets the faults in a fixed 10 s is up to the draw: two targets state limits of 2 and 0.5 requests a second, two of three hosts are stopped at once, so that few copies of the fatal request reach the owner of its key. The floors (500 answered requests, 3 ends) were checked afterwards only.

A run now injects faults for at least FaultTime and until both floors are met and copies of the fatal request went on for 3 s after the third end, but not beyond 40 s. The floors stay, and a run that does not meet them in that time still fails. The faults of a seed are the same ones, in the same order.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,12 +26,22 @@
 type ledger struct {
 	mu       sync.Mutex
 	requests []request
+	answered int // with 200
 }
 
 func (l *ledger) add(r request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests = append(l.requests, r)
+	if r.status == http.StatusOK {
+		l.answered++
+	}
+}
+
+func (l *ledger) answeredCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered
 }
 
 const (
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -28,6 +28,9 @@
 	endsBefore = 3
 	spreadTime = time.Second
 	trials     = 2
+	// sustainTime is how long copies of the request go on after the ends that a run asks
+	// for, so that a host which does not refuse them ends further targets.
+	sustainTime = 3 * time.Second
 )
 
 // fatalRequest observes the request that ends targets.
@@ -38,6 +41,13 @@
 	ends []time.Time
 }
 
+// sustained reports whether n targets have ended, the last of them sustainTime ago.
+func (f *fatalRequest) sustained(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n == 0 || len(f.ends) >= n && time.Since(f.ends[n-1]) >= sustainTime
+}
+
 // endTarget ends a target: it refuses connections until a new incarnation starts.
 func (w *testbed) endTarget(ctx context.Context, t *target) {
 	t.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,11 @@
 	Hosts, Targets, Callers int
 	// FaultTime is how long faults are injected. Default: 15 s.
 	FaultTime time.Duration
+	// MinAnswered and MinFatalEnds are the load without which a run says little: faults go
+	// on until so many requests were answered and, with Fatal, so many targets have ended
+	// and sustainTime has passed since, but not beyond MaxFaultTime. Default: 0, FaultTime.
+	MinAnswered, MinFatalEnds int
+	MaxFaultTime              time.Duration
 	// Restores makes the store return from older copies while faults are injected.
 	Restores bool
 	// AllHostsEnd makes all hosts end with a quarter of the restores.
@@ -138,7 +143,9 @@
 			start(func(ctx context.Context) { w.runCaller(ctx, h, fmt.Sprintf("r%d-%d", i, j), rnd) })
 		}
 	}
-	faultCtx, stopFaults := context.WithTimeout(ctx, w.cfg.FaultTime)
+	faultCtx, stopFaults := context.WithTimeout(ctx, w.cfg.MaxFaultTime)
+	defer stopFaults()
+	go func() { w.waitForLoad(faultCtx); stopFaults() }()
 	var othersEnded sync.WaitGroup
 	for i, targets := range [][]*target{w.targets[:len(w.targets)/2], w.targets[len(w.targets)/2:]} {
 		rnd := rand.New(rand.NewPCG(cfg.Seed, limitStream+uint64(i)))
@@ -169,7 +176,6 @@
 		}()
 	}
 	w.injectFaults(faultCtx)
-	stopFaults()
 	othersEnded.Wait()
 	w.fatal.restarts.Wait()
 	w.clearFaults()
@@ -195,9 +201,19 @@
 	if c.FaultTime == 0 {
 		c.FaultTime = 15 * time.Second
 	}
+	c.MaxFaultTime = max(c.MaxFaultTime, c.FaultTime)
 	return c
 }
 
+// waitForLoad waits for FaultTime and until the run has the load that its configuration
+// asks for.
+func (w *testbed) waitForLoad(ctx context.Context) {
+	ok := sleep(ctx, w.cfg.FaultTime)
+	for ok && (w.ledger.answeredCount() < w.cfg.MinAnswered || w.cfg.Fatal && !w.fatal.sustained(w.cfg.MinFatalEnds)) {
+		ok = sleep(ctx, 50*time.Millisecond)
+	}
+}
+
 func (w *testbed) setUp(ctx context.Context) error {
 	w.newStoreServer()
 	w.writeDesiredState()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,7 @@
 	{seed: 3, restores: true},
 	{seed: 4, restores: true},
 	// Two targets state limits of 2 and 0.5 requests a second, two hosts are in planned stops
-	// at once, and a target ends: few requests are answered.
+	// at once, and a target ends: few requests are answered, and few reach the fatal one's owner.
 	{seed: 5, fatal: true, callers: 6},
 	{seed: 6, lapses: true},
 	// A host that was paused past its stop limit cut off requests that arrived during
@@ -47,6 +47,9 @@
 	{seed: 9015, restores: true, allHostsEnd: true, cause: "service time of a suspended host"},
 }
 
+// minAnswered is the number of answered requests without which a run says little.
+const minAnswered = 500
+
 // TestSoak checks the guarantees listed in the package comment under overlapping
 // faults. cmd/boragelock-soak runs more seeds.
 func TestSoak(t *testing.T) {
@@ -61,20 +64,20 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Log(s.cause)
-			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Callers: s.callers, Fatal: s.fatal, Lapses: s.lapses})
+			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Callers: s.callers, Fatal: s.fatal, Lapses: s.lapses, MinAnswered: minAnswered, MinFatalEnds: endsBefore, MaxFaultTime: 40 * time.Second})
 			if err != nil {
 				t.Fatal(err)
 			}
 			for _, b := range r.Violations {
 				t.Error(b)
 			}
-			if r.Faults < 5 || r.Answered < 500 {
+			if r.Faults < 5 || r.Answered < minAnswered {
 				t.Errorf("%d faults and %d answered requests are too few for a meaningful check", r.Faults, r.Answered)
 			}
 			if s.fatal && r.FatalEnds < endsBefore {
 				t.Errorf("%d ends under the fatal request are too few for a meaningful check", r.FatalEnds)
 			}
-			t.Logf("%d faults, %d requests, %d answered, %d checks of limits", r.Faults, r.Requests, r.Answered, r.LimitWindows)
+			t.Logf("%d faults, %d requests, %d answered, %d checks of limits, %d ends", r.Faults, r.Requests, r.Answered, r.LimitWindows, r.FatalEnds)
 		})
 	}
 }
