Do not send grants after the time that their lease is counted from

Cause, shown by a test: the 0.6 s were a deadline of the call's context, which began when the call's goroutine began to run. On a leader short of processor time that is long after the decision, and over an open connection nothing else bounded the call: the time until which a call may open a connection counts for new ones only. Even in time, a write that waits for the processor does not notice that its deadline has passed, and Go's timers stand still while a machine is suspended.

A call now has a latest time on the boot-time clock, counted from the decision.

--- a/internal/coordinator/targetcalls.go
+++ b/internal/coordinator/targetcalls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/lease"
 	"github.com/boragelock/boragelock/platform"
@@ -16,11 +17,11 @@
 
 // startTargetCalls starts the calls that the granters request.
 func (t *term) startTargetCalls(now time.Duration, snap *fleet.Snapshot) {
-	dialUntil := time.Now().Add(t.c.cfg.Ranges.KeyLease.CallTimeout)
+	sendUntil := now + t.c.cfg.Ranges.KeyLease.CallTimeout
 	for _, g := range t.granters {
 		calls := g.Tick(now, func(id string) bool { return t.address(snap, id) != "" })
 		for _, o := range calls {
-			go t.guardedCall(g, o, t.address(snap, o.Target), dialUntil)
+			go t.guardedCall(g, o, t.address(snap, o.Target), sendUntil)
 		}
 	}
 }
@@ -33,8 +34,8 @@
 }
 
 // guardedCall makes one call to a target. After a panic the outcome is unknown.
-func (t *term) guardedCall(g *lease.RangeGranter, o lease.TargetCall, address string, dialUntil time.Time) {
-	err := guard.Call("grant call", func() { t.callTarget(g, o, address, dialUntil) })
+func (t *term) guardedCall(g *lease.RangeGranter, o lease.TargetCall, address string, sendUntil time.Duration) {
+	err := guard.Call("grant call", func() { t.callTarget(g, o, address, sendUntil) })
 	if err == nil {
 		return
 	}
@@ -48,10 +49,11 @@
 	})
 }
 
-// callTarget makes one call to a target and posts its result. The call opens a connection
-// until the given time, or none at all.
-func (t *term) callTarget(g *lease.RangeGranter, o lease.TargetCall, address string, dialUntil time.Time) {
-	parent := platform.WithDialingUntil(t.ctx, dialUntil)
+// callTarget makes one call to a target and posts its result. The call opens a connection,
+// if it may, and leaves this host until the given time on the boot-time clock, or not at all:
+// it may start late when the host is short of processor time.
+func (t *term) callTarget(g *lease.RangeGranter, o lease.TargetCall, address string, sendUntil time.Duration) {
+	parent := platform.WithSendingUntil(platform.WithDialingUntil(t.ctx, time.Now().Add(sendUntil-boottime.Now())), sendUntil)
 	if o.OpenOnly {
 		parent = platform.WithoutDialing(t.ctx)
 	}
