Wait for a slow leader before a suspected request runs

What callers would see: when the leader takes more than 250 ms to answer, a host sent a copy of a request that may end targets beside one that the leader knew of, and one target more ended.

Cause: after 250 ms the host decided by itself, from a list without the copies that run. A leader counts as silent after 900 ms. The host now waits as long; when the connection to the leader ends sooner, it decides at once as before.

Evidence: TestSuspectedRequestsOfAllHosts, "a leader that is slow to answer": before the change the second copy was granted. Its bound for the time of two refusals stays 500 ms, which was written as twice the timeout.

--- a/internal/coordinator/suspects.go
+++ b/internal/coordinator/suspects.go
@@ -97,8 +97,10 @@
 	c.observe(observation{kind: runEnded, request: r, host: c.cfg.Peer})
 }
 
-// runTimeout bounds the wait for the leader's answer to a request for a run.
-const runTimeout = 250 * time.Millisecond
+// runTimeout bounds the wait for the leader's answer to a request for a run. A leader that
+// is silent for as long is given up. A host that decided sooner could send a copy beside one
+// that the leader knows of.
+const runTimeout = silentAfter
 
 // TakeRun asks the leader whether a copy of a suspected request may be sent, which ends
 // within lasts. If not, wait is the time after which to ask again. A host without a leader
--- a/internal/coordinator/suspects_test.go
+++ b/internal/coordinator/suspects_test.go
@@ -112,10 +112,33 @@
 		start := boottime.Now()
 		So(take(k.hosts[1]), ShouldBeFalse)
 		So(take(k.hosts[2]), ShouldBeFalse)
-		So(boottime.Now()-start, ShouldBeLessThan, 2*runTimeout)
+		So(boottime.Now()-start, ShouldBeLessThan, 500*time.Millisecond)
 		k.hosts[0].c.EndRun(x)
 		So(eventually(time.Second, func() bool { return take(k.hosts[1]) }), ShouldBeTrue)
 	})
+	Convey("Given a leader that is slow to answer, a host waits for it and sends no second copy", t, func() {
+		k := newCluster(t, 2, 3)
+		So(eventually(8*time.Second, func() bool {
+			return k.leader() != nil && k.hosts[0].c.HasLeader() && k.hosts[1].c.HasLeader()
+		}), ShouldBeTrue)
+		leader, follower := k.leader(), k.hosts[0]
+		if follower == leader {
+			follower = k.hosts[1]
+		}
+		x := quarantine.RequestOf(quarantine.HeadOf("GET", "h", "/x", 0), nil)
+		leader.endTarget(x, 1)
+		So(eventually(time.Second, func() bool {
+			_, ok := follower.c.SuspectedRequests().Lookup(x)
+			return ok
+		}), ShouldBeTrue)
+		granted, _ := leader.c.TakeRun(context.Background(), x, 5*time.Second)
+		So(granted, ShouldBeTrue)
+		leader.c.suspects.mu.Lock()
+		time.AfterFunc(500*time.Millisecond, leader.c.suspects.mu.Unlock)
+		granted, wait := follower.c.TakeRun(context.Background(), x, 5*time.Second)
+		So(granted, ShouldBeFalse)
+		So(wait, ShouldBeGreaterThan, 0)
+	})
 }
 
 // TestListOfSuspectsLeavesRoomOnTheLink guards against a leader whose long list of suspected
