Check again before a request is sent over a new connection

What callers saw: while a connection to a target was being opened, up to 0.3 s and longer on a host short of processor time, a request went to a target that had left meanwhile; a target was told the time that had been left before; an order whose deadline had passed was sent and ran after its caller had given up.

Cause: the target and the time left were determined before the connection was opened. It is the class of: what was decided is sent later, by what was true before.

Both are now determined again immediately before the write. A request for a target that has left is placed again, one whose deadline has passed is not sent, the connection is kept, and nothing counts against the target.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -215,7 +215,10 @@
 		return nil, c.finalFailure(newRefusal(CodeShed, shedRetryDelay)), false
 	}
 	now := boottime.Now()
-	c.outgoing.timeout = c.deadline - now
+	c.outgoing.timeLeft = func() (time.Duration, bool) {
+		left := c.deadline - boottime.Now()
+		return left, left > 0 && c.g.isInUse(t)
+	}
 	c.sending = true
 	res, failure := c.g.pool.roundTrip(ctx, &c.outgoing, id, t.Address, c.g.responseMemory)
 	took := boottime.Now() - now
@@ -236,8 +239,11 @@
 func (c *call) handleSendFailure(ctx context.Context, t *fleet.Target, e *sendError, took time.Duration) (*response, *Failure, bool) {
 	id := t.ID
 	c.g.metrics.sends.Add(e.reason, 1)
-	if e.reason == reasonShortage {
+	switch e.reason {
+	case reasonShortage:
 		return c.handleShortage(ctx, id, e)
+	case reasonTooLate:
+		return c.handleTooLate(id)
 	}
 	callerGone := ctx.Err() != nil && !(e.sent && c.outgoing.ignoreCallerCancel)
 	outcome := placement.Outcome{Route: c.route.Name, Failed: !callerGone, Unreachable: !e.sent && !callerGone, ColdRemaining: -1, ConnectionReset: e.connectionReset()}
@@ -283,6 +289,17 @@
 	return nil, nil, true
 }
 
+// handleTooLate decides how a request continues that was not sent, since the target left or
+// the deadline passed before a connection was open.
+func (c *call) handleTooLate(id string) (*response, *Failure, bool) {
+	c.placedOn = ""
+	c.g.releaseUnsent(id)
+	if boottime.Now() < c.deadline {
+		return nil, nil, true
+	}
+	return nil, c.finalFailure(&Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: context.DeadlineExceeded}), false
+}
+
 // requestEnded reports to the scheduler that the request has ended at a target.
 func (c *call) requestEnded(id string, outcome placement.Outcome) {
 	c.placedOn = ""
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -19,9 +20,18 @@
 	idle map[poolKey][]*targetConn
 	// idleCount is the number of idle connections of each target.
 	idleCount map[string]int
+	// dial opens a connection to an address.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-func newPool() *pool { return &pool{idle: map[poolKey][]*targetConn{}, idleCount: map[string]int{}} }
+func newPool() *pool {
+	return &pool{
+		idle: map[poolKey][]*targetConn{}, idleCount: map[string]int{},
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return platform.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+		},
+	}
+}
 
 // hasIdle reports whether the pool holds a connection to a target.
 func (p *pool) hasIdle(id string) bool {
@@ -45,7 +55,7 @@
 		}
 		_ = u.nc.Close() // expired, closed by the target or holding unexpected data
 	}
-	nc, err := platform.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+	nc, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -119,6 +119,9 @@
 	id         string // the caller's identifier
 	// timeout is the remaining time that is sent to the target.
 	timeout time.Duration
+	// timeLeft returns timeout once a connection is open, or false if the request may no
+	// longer be sent. It may be nil.
+	timeLeft func() (timeout time.Duration, ok bool)
 	// ignoreCallerCancel says that the request, once sent, continues when the caller
 	// leaves.
 	ignoreCallerCancel bool
@@ -187,8 +190,13 @@
 	return errors.As(e.err, &ne) && ne.Timeout()
 }
 
-// reasonShortage is the reason of a send that failed since this host lacks something.
-const reasonShortage = "shortage"
+// Reasons of sends that failed for a reason of this host, and say nothing about the target.
+const (
+	// reasonShortage means that this host lacks something.
+	reasonShortage = "shortage"
+	// reasonTooLate means that the request may no longer be sent to the target.
+	reasonTooLate = "too late"
+)
 
 // isShortage reports whether a connection was not opened since this host lacks descriptors
 // or memory.
@@ -215,6 +223,13 @@
 		p.put(u, id, address)
 		return nil, &sendError{reason: "caller left", err: err}
 	}
+	if o.timeLeft != nil {
+		var ok bool
+		if o.timeout, ok = o.timeLeft(); !ok {
+			p.put(u, id, address)
+			return nil, &sendError{reason: reasonTooLate}
+		}
+	}
 	if o.ignoreCallerCancel {
 		ctx = context.WithoutCancel(ctx)
 	}
