Log what a leader's load is and why hosts read the store

The logs did not say who reads the store, why, and how long a read takes, nor whether the leader is short of processor time, of its link, or behind with its messages.

Added: topic_reads_total by topic, cause and result; store_reads_fail, store_reads_again and store_read_slow with cause and time; leader_load once a second on the host that leads, with the delay of its loop, processor time, bytes sent and the longest queue of messages.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -48,6 +48,8 @@
 	// recoveredAt is when the follower last caught up after it had been behind for longer
 	// than topicLostAfter.
 	recoveredAt time.Duration
+	// failedReads counts the reads in a row that the store did not answer; only Serve uses it.
+	failedReads int
 }
 
 func newFollower(c *Coordinator, topic string, apply func([]platform.Record, bool) []platform.Record) *follower {
@@ -125,33 +127,57 @@
 	return p
 }
 
-// mustRead reports whether the host must read the topic from the store. The leader
+// readCause is why a host reads a topic from the store; noRead means that it does not.
+type readCause string
+
+const (
+	noRead       readCause = ""
+	readToLead   readCause = "leading"
+	readNoLeader readCause = "no_leader"   // the control topic tells the next leader
+	readUnknown  readCause = "no_position" // nothing is known of the topic, or not of this era
+	readStale    readCause = "relay_stale" // what the leader relays is too old
+)
+
+// readCause returns why the host must read the topic from the store. The leader
 // reads all topics but the control topic, which only it writes. A host without a
 // connection to the leader waits on the control topic for the next leader, so that it
 // finds it before it has to read the other topics.
-func (f *follower) mustRead(now time.Duration) bool {
-	if f.c.Leading() {
-		return f.topic != platform.TopicControl
-	}
-	if f.topic == platform.TopicControl && !f.c.leadership.isConnected() {
-		return true
-	}
-	if f.position() == unknownOffset {
-		return !f.c.awaitsRelay(now)
+func (f *follower) readCause(now time.Duration) readCause {
+	switch {
+	case f.c.Leading():
+		if f.topic == platform.TopicControl {
+			return noRead
+		}
+		return readToLead
+	case f.topic == platform.TopicControl && !f.c.leadership.isConnected():
+		return readNoLeader
+	case f.position() == unknownOffset:
+		if f.c.awaitsRelay(now) {
+			return noRead
+		}
+		return readUnknown
+	case f.age(now) > staleAfter:
+		return readStale
 	}
-	return f.age(now) > staleAfter
+	return noRead
 }
 
+// mustRead reports whether the host must read the topic from the store.
+func (f *follower) mustRead(now time.Duration) bool { return f.readCause(now) != noRead }
+
 // Serve implements suture.Service.
 func (f *follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !f.mustRead(boottime.Now()) {
+		start := boottime.Now()
+		cause := f.readCause(start)
+		if cause == noRead {
 			sleep(ctx, 100*time.Millisecond)
 			continue
 		}
-		start := boottime.Now()
 		lost := f.age(start) > topicLostAfter
-		if err := f.read(ctx); err != nil {
+		records, err := f.readRecords(ctx)
+		f.noteRead(cause, records, boottime.Now()-start, err)
+		if err != nil {
 			f.handleReadError(err)
 			sleep(ctx, retryPause+jitter(retryPause))
 			continue
@@ -173,6 +199,28 @@
 	f.next = unknownOffset
 }
 
+// slowRead is the time from which an answered read of new records is logged.
+const slowRead = 300 * time.Millisecond
+
+// noteRead counts a read of the topic, and logs the first of a row of failed reads, their end,
+// and reads that took long. A read without new records waits for them, and is not slow.
+func (f *follower) noteRead(cause readCause, records int, took time.Duration, err error) {
+	f.c.metrics.topicRead(f.topic, cause, err)
+	log, ms := f.c.cfg.Log, took.Milliseconds()
+	switch {
+	case errors.Is(err, context.Canceled): // it was no longer needed
+	case err != nil:
+		if f.failedReads++; f.failedReads == 1 {
+			log.Info("store_reads_fail", "topic", f.topic, "cause", cause, "took_ms", ms, "err", err)
+		}
+	case f.failedReads > 0:
+		log.Info("store_reads_again", "topic", f.topic, "cause", cause, "failed", f.failedReads)
+		f.failedReads = 0
+	case took >= slowRead && records > 0:
+		log.Info("store_read_slow", "topic", f.topic, "cause", cause, "took_ms", ms, "records", records)
+	}
+}
+
 func (f *follower) handleReadError(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Outcome == platform.Expired {
@@ -184,6 +232,13 @@
 
 // read makes one call to the store and applies the records that it returns.
 func (f *follower) read(ctx context.Context) error {
+	_, err := f.readRecords(ctx)
+	return err
+}
+
+// readRecords makes one call to the store, applies the records that it returns and returns their
+// number.
+func (f *follower) readRecords(ctx context.Context) (records int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, maxReadWait+storeTimeout)
 	defer cancel()
 	f.mu.Lock()
@@ -200,18 +255,18 @@
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
 		f.c.noteStoreCall("newest", b.Era, err)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		f.applyBatch(from, b, true, sent)
-		return nil
+		return len(b.Records), nil
 	}
 	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, maxReadWait)
 	f.c.noteStoreCall("read", b.Era, err)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.applyBatch(from, b, false, boottime.Now())
-	return nil
+	return len(b.Records), nil
 }
 
 // cancelStalledReads makes the other followers that are cut off from the store retry at
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -15,6 +15,8 @@
 	root *expvar.Map
 	// storeCalls counts calls to the store by "CALL/RESULT".
 	storeCalls *expvar.Map
+	// topicReads counts the reads by which this host follows topics, by "TOPIC/CAUSE/RESULT".
+	topicReads *expvar.Map
 	// targetCalls counts calls to targets by "grant/RESULT" and "release/RESULT".
 	targetCalls *expvar.Map
 	// moves counts planned moves of key ranges, terms the terms led by this host.
@@ -36,8 +38,9 @@
 }
 
 func newMetrics(c *Coordinator) *metrics {
-	m := &metrics{root: new(expvar.Map).Init(), storeCalls: new(expvar.Map).Init(), targetCalls: new(expvar.Map).Init(), peerBytes: new(expvar.Map).Init(), permits: new(expvar.Map).Init(), suspects: new(expvar.Map).Init()}
+	m := &metrics{root: new(expvar.Map).Init(), storeCalls: new(expvar.Map).Init(), topicReads: new(expvar.Map).Init(), targetCalls: new(expvar.Map).Init(), peerBytes: new(expvar.Map).Init(), permits: new(expvar.Map).Init(), suspects: new(expvar.Map).Init()}
 	m.root.Set("store_calls_total", m.storeCalls)
+	m.root.Set("topic_reads_total", m.topicReads)
 	m.root.Set("target_calls_total", m.targetCalls)
 	m.root.Set("moves_total", &m.moves)
 	m.root.Set("terms_total", &m.terms)
@@ -69,6 +72,11 @@
 // storeCall counts a call to the store.
 func (m *metrics) storeCall(call string, err error) { m.storeCalls.Add(call+"/"+resultOf(err), 1) }
 
+// topicRead counts a read of a topic.
+func (m *metrics) topicRead(topic string, cause readCause, err error) {
+	m.topicReads.Add(topic+"/"+string(cause)+"/"+resultOf(err), 1)
+}
+
 // targetCall counts a grant or a release.
 func (m *metrics) targetCall(call string, err error) { m.targetCalls.Add(call+"/"+resultOf(err), 1) }
 
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -236,6 +237,8 @@
 type peerSet struct {
 	mu    sync.Mutex
 	conns map[*peerConn]bool
+	// sentBytes counts the bytes of the parameters of the messages that were sent.
+	sentBytes atomic.Int64
 }
 
 func (p *peerSet) init() { p.conns = map[*peerConn]bool{} }
@@ -323,6 +326,17 @@
 	return len(p.conns)
 }
 
+// longestQueue returns the most messages that are queued for one peer.
+func (p *peerSet) longestQueue() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest := 0
+	for pc := range p.conns {
+		longest = max(longest, len(pc.outbox))
+	}
+	return longest
+}
+
 // servePeers accepts connections from other hosts.
 func (c *Coordinator) servePeers(ctx context.Context) error {
 	l, err := listener.Listen(c.cfg.Peer)
@@ -395,6 +409,7 @@
 				_ = conn.Close() // the peer is gone
 				return
 			}
+			c.peers.sentBytes.Add(int64(len(m.params)))
 			c.metrics.peerBytes.Add(m.innerMethod, int64(len(m.params)))
 		}
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -81,6 +81,7 @@
 	nextPlan                  time.Duration
 	nextPositions, nextDigest time.Duration
 	endReason                 string
+	load                      leadLoad
 }
 
 // leadTerm leads until the term ends.
@@ -159,6 +160,7 @@
 }
 
 func (t *term) tick(now time.Duration) {
+	t.load.noteTick(now, t.c)
 	if !t.lease.MayGrant(now) {
 		t.endReason = endAuthority
 		return
