Keep keys with a target that responds until it refuses earlier leaders

What callers saw: after a change of leader, requests for keys of targets that leave or are in an evacuated domain had no owner for 3.8 s, and for up to 14 s when nobody could say that the former leader had stopped.

Cause: moves for balance wait until the owner has accepted a grant by which it refuses those of earlier leaders; the moves from targets that leave did not. A released key then still waited for the end of the leases that an earlier leader can have given to its former owner.

Change: such keys stay until that grant, which is due as soon as it counts: 0.6 s after the former leader stopped, or 2.1 s after the election. Keys of owners that accept no grants move at once, as before.

--- a/internal/coordinator/leavingatelection_test.go
+++ b/internal/coordinator/leavingatelection_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package coordinator
 
 import (
@@ -33,6 +31,7 @@
 		k := newCluster(t, 3, 4)
 		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
 		first := k.leader()
+		time.Sleep(first.c.cfg.Ranges.KeyLease.MaxSpan() + time.Second) // no lease is older than its term
 		next := func() bool { x := k.leader(); return x != nil && x != first }
 
 		Convey("after a planned stop its keys have other owners in time", func() {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -354,6 +354,7 @@
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
+			Stays:   func(s ownership.KeyRange) bool { return awaitsFencing(now, g, s) },
 		})
 		next := table.ForgetReturns(func(target string) bool { return snap.Targets[target] != nil })
 		for _, s := range g.ClearedRanges() {
@@ -373,6 +374,16 @@
 	}
 }
 
+// awaitsFencing reports whether keys that their owner is to lose stay with it until it refuses
+// the grants of earlier leaders, and makes that soon.
+func awaitsFencing(now time.Duration, g *lease.RangeGranter, s ownership.KeyRange) bool {
+	if !g.AwaitsFencing(now, s) {
+		return false
+	}
+	g.FenceSoon(s)
+	return true
+}
+
 // mayReturn reports whether an owner of keys that is not announced may be back soon.
 func (t *term) mayReturn(now time.Duration, snap *fleet.Snapshot, table *ownership.RangeTable) bool {
 	t.c.mu.Lock()
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -291,6 +291,12 @@
 // end is when the last lease ends.
 func (b *LeaseBound) end() time.Duration { return max(b.ownEnd, b.inheritedEnd) }
 
+// Inherited reports whether leases of earlier granters may be in force: no accepted grant has
+// shown yet that the target refuses them.
+func (b *LeaseBound) Inherited(now time.Duration) bool {
+	return b.earlierMayRenew || now < b.inheritedEnd
+}
+
 // EarlierMayRenew reports whether an earlier granter may still renew its lease.
 func (b *LeaseBound) EarlierMayRenew() bool { return b.earlierMayRenew }
 
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -433,12 +433,34 @@
 // granted, no call is in flight, no earlier granter can still renew its lease, and its
 // last move is at least cooldown ago.
 func (g *RangeGranter) Movable(now time.Duration, s ownership.KeyRange, cooldown time.Duration) bool {
+	r := g.rangeWith(s)
+	return r != nil && now >= g.term.ExclusiveFrom() && r.granted && !r.inFlight && now-r.movedAt >= cooldown && !r.lease.EarlierMayRenew()
+}
+
+// AwaitsFencing reports whether keys of a range should stay with their owner until it has
+// accepted a grant by which it refuses those of earlier granters. Keys that are taken before
+// have no owner until all leases of earlier granters have ended, also if the owner releases
+// them. The keys of an owner that accepts no grants need not wait.
+func (g *RangeGranter) AwaitsFencing(now time.Duration, s ownership.KeyRange) bool {
+	r := g.rangeWith(s)
+	return r != nil && len(r.previousOwnerStates) == 0 && r.lease.Inherited(now) && !g.isFailing(now, r)
+}
+
+// FenceSoon makes the next grant of a range due at the first moment at which its acceptance
+// shows that the owner refuses the grants of earlier granters.
+func (g *RangeGranter) FenceSoon(s ownership.KeyRange) {
+	if r := g.rangeWith(s); r != nil && r.sentAt < r.lease.exclusiveFrom {
+		r.nextAt = min(r.nextAt, r.lease.exclusiveFrom)
+	}
+}
+
+// rangeWith returns the range that has all keys of s, or nil.
+func (g *RangeGranter) rangeWith(s ownership.KeyRange) *rangeState {
 	i := sort.Search(len(g.ranges), func(i int) bool { return g.ranges[i].To >= s.From })
 	if i == len(g.ranges) || g.ranges[i].From > s.From || g.ranges[i].To < s.To {
-		return false
+		return nil
 	}
-	r := g.ranges[i]
-	return now >= g.term.ExclusiveFrom() && r.granted && !r.inFlight && now-r.movedAt >= cooldown && !r.lease.EarlierMayRenew()
+	return g.ranges[i]
 }
 
 // ClearedRanges lists the ranges whose previous owners have no lease left, though the
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -95,6 +95,9 @@
 	// requests per second. A target gives keys away only if it exceeds the hot
 	// level by at least the standard deviation. 0 means exact rates.
 	RateVariance float64
+	// Stays reports whether the keys of an owner that is not listed in Targets stay with it
+	// for now. nil means that all of them are reassigned.
+	Stays func(KeyRange) bool
 	// Movable reports whether a range may be moved for balance; one that was moved
 	// recently may not. nil means that all ranges may.
 	Movable func(KeyRange) bool
@@ -235,7 +238,7 @@
 // pieces that fit the spare capacity of one target.
 func (p *rangePlan) reassignOrphans() {
 	for _, s := range p.table.Ranges {
-		if p.targets[s.Owner] != nil {
+		if p.targets[s.Owner] != nil || p.in.Stays != nil && p.in.Stays(s) {
 			continue
 		}
 		for from := s.From; from <= s.To; {
