Read a topic without waiting when its end is not known

What callers saw: requests to targets that were gone, and keys without an owner after a change of leader.

Cause: a host whose relayed topic is 1 s old reads it from the store, and waits up to 0.6 s for a record. When none comes, the topic is 1.7 s old by then, and from 1.6 s on the host takes the store for unreachable. It then keeps targets whose announcements are deleted for 2 s more, and a leader in that state moves no keys while an owner is not announced.

TestLateRelayIsNoOutage failed before and passes.

Change: a read of a topic whose end is not known does not wait. Views of hosts behind a late leader are up to 0.6 s younger for it.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -260,7 +260,11 @@
 		f.applyBatch(from, b, true, sent)
 		return len(b.Records), nil
 	}
-	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, maxReadWait)
+	wait := maxReadWait
+	if f.age(boottime.Now()) > staleAfter {
+		wait = 0 // the end of the topic must be known at once, also when no record comes
+	}
+	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, wait)
 	f.c.noteStoreCall("read", b.Era, err)
 	if err != nil {
 		return 0, err
