Move other keys while the announcement of an owner is awaited

Cause: a leader that was cut off from the store, or took it for cut off, planned no move for 2 s while a single owner was not announced. In a fleet where targets are replaced all the time there always is one.

Change: only the keys of owners that may be back stay with them. While more than half of the owners are awaited, nothing is planned, as before.

Evidence: TestMovesWhileAnOwnerIsAwaited failed in its first case and passes; the tests of announcements that lapse pass.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -348,13 +348,14 @@
 			}
 			continue
 		}
-		if t.mayReturn(now, snap, table) {
+		awaited := t.awaitedOwners(now, snap, table)
+		if 2*len(awaited) > len(table.KeyCounts()) {
 			continue
 		}
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
 			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
-			Stays:   func(s ownership.KeyRange) bool { return awaitsFencing(now, g, s) },
+			Stays:   func(s ownership.KeyRange) bool { return awaited[s.Owner] || awaitsFencing(now, g, s) },
 		})
 		next := table.ForgetReturns(func(target string) bool { return snap.Targets[target] != nil })
 		for _, s := range g.ClearedRanges() {
@@ -384,20 +385,22 @@
 	return true
 }
 
-// mayReturn reports whether an owner of keys that is not announced may be back soon.
-func (t *term) mayReturn(now time.Duration, snap *fleet.Snapshot, table *ownership.RangeTable) bool {
+// awaitedOwners returns the owners of keys that are not announced and may be back soon: their
+// keys stay with them.
+func (t *term) awaitedOwners(now time.Duration, snap *fleet.Snapshot, table *ownership.RangeTable) map[string]bool {
+	awaited := map[string]bool{}
 	t.c.mu.Lock()
 	unsettled := t.c.dir.MayBeAnnounced(now)
 	t.c.mu.Unlock()
 	if !unsettled {
-		return false
+		return awaited
 	}
 	for owner := range table.KeyCounts() {
 		if snap.Targets[owner] == nil {
-			return true
+			awaited[owner] = true
 		}
 	}
-	return false
+	return awaited
 }
 
 // defaultServiceTime is the time of a request on a target without measurements.
