Leave keys with their owners while a new leader grants them

What callers saw: after a change of leader all requests for keys waited until the new leader had opened a connection to the owner and granted it the keys again, though it held them.

Cause: a granter stated of a range that it is granted only after its own first grant. The stored table says who owns the keys, a target without a lease refuses requests, and hosts without a leader went by that already.

Change: a range that the new granter takes over counts as granted unless its keys were being moved, the tables may not be the newest, or the owner accepts no grant in time.

Evidence: TestOwnersAtAChangeOfGranter failed in three of its cases and passes; go test ./lease passes.

--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -96,11 +96,13 @@
 	fence               uint64
 	sentAt              time.Duration
 	previousOwnerStates []previousOwnerState
-	// granted says that the owner accepted a grant from this granter.
-	granted  bool
-	handover string
-	inFlight bool
-	nextAt   time.Duration
+	// granted says that the owner accepted a grant from this granter, inherited that it may
+	// have the keys from an earlier one and nobody else may.
+	granted   bool
+	inherited bool
+	handover  string
+	inFlight  bool
+	nextAt    time.Duration
 	// movedAt is when the range was last given to another owner.
 	movedAt time.Duration
 	// acceptedAt is the time of the last accepted grant; before the first one, the
@@ -142,6 +144,7 @@
 		r := &rangeState{KeyRange: s, acceptedAt: term.beganAt, movedAt: -time.Hour}
 		if !isNew {
 			r.lease = InheritedBound(term)
+			r.inherited = len(s.PreviousOwners) == 0 && term.UnknownHoldersEnd() <= term.beganAt
 		}
 		for _, id := range s.PreviousOwners {
 			r.previousOwnerStates = append(r.previousOwnerStates, previousOwnerState{target: id, lease: InheritedBound(term)})
@@ -172,7 +175,7 @@
 		old[first].KeyRange = s
 		return old[first]
 	}
-	r := &rangeState{KeyRange: s, granted: true, movedAt: -time.Hour, acceptedAt: now}
+	r := &rangeState{KeyRange: s, granted: true, inherited: true, movedAt: -time.Hour, acceptedAt: now}
 	bounds := map[string]LeaseBound{}
 	for _, o := range old[first:] {
 		if o.From > s.To {
@@ -183,16 +186,17 @@
 			bounds[f.target] = bounds[f.target].merge(f.lease)
 		}
 		if o.Owner != s.Owner {
-			r.granted, r.movedAt = false, now
+			r.granted, r.inherited, r.movedAt = false, false, now
 			continue
 		}
+		r.inherited = r.inherited && (o.granted || o.inherited)
 		r.granted = r.granted && o.granted
 		r.movedAt = max(r.movedAt, o.movedAt)
 		r.acceptedAt = min(r.acceptedAt, o.acceptedAt)
 		r.inFlight = r.inFlight || o.inFlight
 	}
 	if len(s.PreviousOwners) > 0 {
-		r.granted = false
+		r.granted, r.inherited = false, false
 	}
 	r.lease = bounds[s.Owner]
 	r.inFlight = false
@@ -314,7 +318,8 @@
 	r.nextAt, r.acceptedAt, r.handover = now+g.cfg.RenewEvery, now, ""
 	r.lease.NoteAccepted(g.cfg.KeyLease, r.sentAt, now)
 	if !r.granted {
-		r.granted, g.viewChanged = true, true
+		g.viewChanged = g.viewChanged || !r.inherited
+		r.granted = true
 		r.previousOwnerStates = nil
 	}
 }
@@ -480,7 +485,8 @@
 	From  int    `json:"f"`
 	To    int    `json:"t"`
 	Owner string `json:"o"`
-	// Ready says that the owner accepted a grant of the keys and is not failing.
+	// Ready says that the owner accepted a grant of the keys, from this granter or, as the
+	// stored table says, from an earlier one, and is not failing.
 	Ready bool `json:"r"`
 	// GrantableInMS is the longest time in milliseconds, as of the view, until the keys
 	// of a range that is not ready can be granted.
@@ -499,7 +505,7 @@
 	g.viewChanged = false
 	view := make([]RangeView, len(g.ranges))
 	for i, r := range g.ranges {
-		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: r.granted && !r.failing}
+		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: (r.granted || r.inherited) && !r.failing}
 		if !view[i].Ready {
 			view[i].GrantableInMS = g.untilGrantable(now, r).Milliseconds()
 		}
