Let a leader that the store turns away name its successor

What callers saw: a leader that lost the store was replaced 1.6 s after its last record. Until then no key moved, views of all hosts aged, and from 1 s on every host read all topics itself.

Cause: only the others' clocks ended such a term. The leader knew 0.2 s after the first refused call, and some of the hosts that follow it reached the store.

Change: after two failed calls and 0.4 s without an answer the leader asks the host with most resources to succeed it, and then others, at growing intervals. That host reads the control topic, and campaigns only if the store answers it. The leader goes on until it hears of the next term: at once, since a new leader asks the former one without a pause and a leader ends its term when it hears of a later one. While the store answers nobody, nothing changes.

Evidence: TestLeaderThatTheStoreTurnsAway failed (no other leader within 1 s, in which the views of hosts become stale) and passes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,10 @@
 	changed   chan struct{}
 
 	leadership leadership
+	// storeAnswers tells whether the store answers this host.
+	storeAnswers storeAnswers
+	// offered holds the term of a leader that asks this host to succeed it.
+	offered chan uint64
 	// unansweredTerm is a term whose append got no response; only serveLead uses it.
 	unansweredTerm *wonTerm
 	counts         requestCounts
@@ -139,9 +143,9 @@
 	c := &Coordinator{
 		cfg: cfg, dir: fleet.NewDirectory(), announced: map[string]fleet.Target{}, changed: make(chan struct{}),
 		leavingReported: make(chan struct{}, 1), limitReported: make(chan struct{}, 1),
-		suspectsReported: make(chan struct{}, 1),
-		permitAsks:       make(chan *permitAsk, permitAskQueue),
-		incarnation:      fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
+		suspectsReported: make(chan struct{}, 1), offered: make(chan uint64, 1),
+		permitAsks:  make(chan *permitAsk, permitAskQueue),
+		incarnation: fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
 	}
 	c.restoredAt.Store(int64(neverCaughtUp))
 	c.snapshot.Store(c.dir.Snapshot())
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -25,7 +25,8 @@
 // storeProxy passes a host's requests to the store unless it is blocked.
 type storeProxy struct {
 	handler http.Handler
-	blocked atomic.Bool
+	// blocked requests get no response, rejected ones status 503.
+	blocked, rejected atomic.Bool
 }
 
 func (d *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,6 +37,10 @@
 		}
 		return
 	}
+	if d.rejected.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	d.handler.ServeHTTP(w, r)
 }
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -328,7 +328,17 @@
 
 // serveLead campaigns when there is no leader, and leads the terms that it wins.
 func (c *Coordinator) serveLead(ctx context.Context) error {
-	for sleep(ctx, 100*time.Millisecond) {
+	for ctx.Err() == nil {
+		select {
+		case term := <-c.offered:
+			if w := c.acceptOffer(ctx, term); w != nil {
+				c.leadTerm(ctx, w)
+			}
+			continue
+		case <-ctx.Done():
+			continue
+		case <-time.After(campaignCheckEvery):
+		}
 		if w := c.claimUnansweredTerm(); w != nil {
 			c.leadTerm(ctx, w)
 			continue
@@ -354,18 +364,28 @@
 	leaderMbps  = 150
 	// maxCampaignDelay bounds how much later a host with fewer resources campaigns.
 	maxCampaignDelay = 600 * time.Millisecond
+	// campaignCheckEvery is how often a host considers whether to campaign.
+	campaignCheckEvery = 100 * time.Millisecond
 )
 
+// room returns the part that the host has of the resources that suffice to lead.
+func (c *Coordinator) room() float64 {
+	return min(1, c.cfg.Cores/leaderCores, c.cfg.LinkMbps/leaderMbps)
+}
+
 // campaignDelay returns how long the host lets hosts with more resources go first.
 func (c *Coordinator) campaignDelay() time.Duration {
-	share := min(1, c.cfg.Cores/leaderCores, c.cfg.LinkMbps/leaderMbps)
-	return time.Duration((1 - share) * float64(maxCampaignDelay))
+	return time.Duration((1 - c.room()) * float64(maxCampaignDelay))
 }
 
 func (c *Coordinator) mayCampaign() bool {
 	now := boottime.Now()
-	return !c.retired.Load() && c.control.position() != unknownOffset && c.control.age(now) < topicLostAfter &&
-		!c.awaitsRestatement(now) && c.leadership.shouldCampaign(now, c.cfg.Peer, c.incarnation)
+	return c.mayLead(now) && c.control.age(now) < topicLostAfter && c.leadership.shouldCampaign(now, c.cfg.Peer, c.incarnation)
+}
+
+// mayLead reports whether the host may lead the next term.
+func (c *Coordinator) mayLead(now time.Duration) bool {
+	return !c.retired.Load() && c.control.position() != unknownOffset && !c.awaitsRestatement(now)
 }
 
 // awaitsRestatement reports whether a leader that lives may still store its tables in the
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -284,7 +284,7 @@
 
 // helloFor returns the hello message to the leader of a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	m := helloMessage{Host: c.cfg.Host, Address: c.cfg.Peer, Term: l.Term, Protocol: protocolVersion, Positions: map[string]topicPosition{}, Leader: c.leadership.current(), Lost: c.witnesses.position(), LostHosts: c.recentHosts(boottime.Now()), processState: c.processState()}
+	m := helloMessage{Host: c.cfg.Host, Address: c.cfg.Peer, Room: c.room(), Term: l.Term, Protocol: protocolVersion, Positions: map[string]topicPosition{}, Leader: c.leadership.current(), Lost: c.witnesses.position(), LostHosts: c.recentHosts(boottime.Now()), processState: c.processState()}
 	for _, f := range c.followers() {
 		if p := f.report(boottime.Now()); p.Next != unknownOffset {
 			m.Positions[f.topic] = p
@@ -295,12 +295,15 @@
 
 // askPreviousEvery is the interval at which a new leader asks the previous one whether
 // it has stopped: a host that is cut off from the store does not learn of the new leader.
-const askPreviousEvery = 300 * time.Millisecond
+const askPreviousEvery = 100 * time.Millisecond
 
 // askPreviousLeader asks the previous leader until it has stopped or the context ends.
 func (c *Coordinator) askPreviousLeader(ctx context.Context, previous leaderRecord) {
-	for !c.leadership.hasEnded(previous.Term) && sleep(ctx, askPreviousEvery) {
+	for !c.leadership.hasEnded(previous.Term) {
 		c.askPreviousOnce(ctx, previous)
+		if !sleep(ctx, askPreviousEvery) {
+			return
+		}
 	}
 }
 
@@ -351,6 +354,12 @@
 		k.applyPositions(m)
 	case methodLeaving:
 		return c.handleLeaving(r)
+	case methodOffer:
+		var m offerMessage
+		if err := unmarshalParams(r, &m); err != nil {
+			return err
+		}
+		c.noteOffer(m)
 	case methodLimits:
 		var m limitsMessage
 		if err := unmarshalParams(r, &m); err != nil {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -49,6 +49,8 @@
 	methodRun = "run"
 	// methodTables sends the leader tables of owners that the store has lost.
 	methodTables = "tables"
+	// methodOffer asks a host to succeed the leader.
+	methodOffer = "offer"
 )
 
 // protocolVersion is the version of the messages between hosts. A leader does not serve
@@ -71,6 +73,8 @@
 	LostHosts int           `json:"lost_hosts,omitempty"`
 	// Address is where the host listens for other hosts.
 	Address string `json:"address,omitempty"`
+	// Room is the part that the host has of the resources that suffice to lead.
+	Room float64 `json:"room,omitempty"`
 	processState
 }
 
@@ -225,6 +229,10 @@
 	// nc is closed to drop the connection.
 	nc     net.Conn
 	outbox chan peerMessage
+	// host and room are the name and resources of the host, as its hello states them; the
+	// mutex of peerSet guards them.
+	host string
+	room float64
 }
 
 // peerMessage is an encoded message. innerMethod is its method before it was packed.
@@ -305,6 +313,13 @@
 	p.conns[pc] = true
 }
 
+// describe notes the name and resources of a connection's host.
+func (p *peerSet) describe(pc *peerConn, host string, room float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pc.host, pc.room = host, room
+}
+
 func (p *peerSet) remove(pc *peerConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -482,6 +497,7 @@
 	}
 	c.leadership.noteHello(m)
 	c.witnesses.addHost(m.Host, m.Lost, m.LostHosts)
+	c.peers.describe(pc, m.Host, m.Room)
 	c.notePeer(pc, m)
 	// The peer receives messages to all peers from here on, so that it misses nothing between
 	// them and the state that is queued below.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -82,6 +82,7 @@
 	nextPositions, nextDigest time.Duration
 	endReason                 string
 	load                      leadLoad
+	offers                    offers
 }
 
 // leadTerm leads until the term ends.
@@ -165,6 +166,10 @@
 		t.endReason = endAuthority
 		return
 	}
+	if l := t.c.leadership.current(); l.Term > t.record.Term && l.Incarnation != t.record.Incarnation {
+		t.endReason = endConflict
+		return
+	}
 	if t.c.retired.Load() && now-t.confirmedAt < storeLostAfter {
 		t.endReason = endStopped
 		return
@@ -195,6 +200,7 @@
 	t.startTargetCalls(now, snap)
 	t.publishRanges(now)
 	t.confirmIfDue(now)
+	t.offerLead(now)
 	t.sendPositions(now)
 }
 
@@ -520,14 +526,10 @@
 
 // readControlTopic reads the control topic from an offset after a failed append.
 func (t *term) readControlTopic(offset int64) {
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
-	defer cancel()
-	b, err := t.c.cfg.Store.Read(ctx, platform.TopicControl, offset, 0)
-	t.c.noteStoreCall("read", b.Era, err)
-	if err != nil {
-		return // if the outage lasts, the term's authority lapses
+	if err := t.c.readControl(t.ctx, offset); err != nil {
+		// If the outage lasts, the term's authority lapses.
+		t.c.cfg.Log.Debug("store_read_failed", "topic", platform.TopicControl, "err", err)
 	}
-	t.c.control.applyBatch(offset, b, false, boottime.Now())
 }
 
 // handleAppendError handles a failed append: a record of another term ends this
