Do not take the first answer of a target for its service time

What callers saw: a few targets of a large fleet refused most of their requests and reset connections, after a domain was evacuated early or another host had begun to lead.

Cause: the first answer that a leader hears of became the mean of all targets, and that mean became the estimate of each target on its first answer, at any later time. A target whose first answer took 4 ms seemed to bear 50 times what it does, and was given the keys of many. Each new leader starts without estimates.

Change: moving means count how much they have seen. The mean of all targets stands for what is missing of a target.

--- a/internal/coordinator/loads.go
+++ b/internal/coordinator/loads.go
@@ -37,7 +37,7 @@
 func newKeyLoads() *keyLoads {
 	return &keyLoads{
 		fast: make([]float32, ownership.RangeKeys), slow: make([]float32, ownership.RangeKeys),
-		targets: map[string]*targetLoad{}, rateBuffer: make([]float32, ownership.RangeKeys),
+		targets: map[string]*targetLoad{}, meanService: movingMean{sampleWeight: meanSampleWeight}, rateBuffer: make([]float32, ownership.RangeKeys),
 	}
 }
 
@@ -87,8 +87,11 @@
 	return math.Round(sum*10) / 10
 }
 
-// sampleWeight is the weight of one response in a target's mean service time.
-const sampleWeight = 0.1
+// Weights of one response in a target's mean service time, and in that of all targets.
+const (
+	sampleWeight     = 0.1
+	meanSampleWeight = 0.02
+)
 
 // failurePenalty multiplies the service time of a target by 1 + penalty x the
 // share of its requests that fail, because a failed request is wasted work.
@@ -96,8 +99,8 @@
 
 // targetLoad holds what all hosts observed of one target.
 type targetLoad struct {
-	serviceTime  float64 // seconds
-	failureShare float64 // share of its requests
+	serviceTime  movingMean // seconds
+	failureShare float64    // share of its requests
 }
 
 // addTargetStats adds what a host observed of targets.
@@ -105,16 +108,13 @@
 	for _, t := range targets {
 		x := l.targets[t.ID]
 		if x == nil {
-			x = &targetLoad{}
+			x = &targetLoad{serviceTime: movingMean{sampleWeight: sampleWeight}}
 			l.targets[t.ID] = x
 		}
 		if t.Responses > 0 {
 			mean := float64(t.ServiceMS) / 1000 / float64(t.Responses)
 			l.meanService.add(mean, t.Responses)
-			if x.serviceTime == 0 {
-				x.serviceTime = l.meanService.value
-			}
-			x.serviceTime += (1 - math.Pow(1-sampleWeight, float64(t.Responses))) * (mean - x.serviceTime)
+			x.serviceTime.add(mean, t.Responses)
 		}
 		if n := t.Responses + t.Failed; n > 0 {
 			share := float64(t.Failed) / float64(n)
@@ -124,25 +124,41 @@
 }
 
 // movingMean is an exponential moving mean over responses.
-type movingMean struct{ value float64 }
+type movingMean struct {
+	// sampleWeight is the weight of one response.
+	sampleWeight float64
+	// sum is the weighted sum of the responses, weight the sum of their weights, at most 1.
+	sum, weight float64
+}
 
+// add adds n responses with the mean x.
 func (m *movingMean) add(x float64, n int) {
-	if m.value == 0 {
-		m.value = x
+	w := 1 - math.Pow(1-m.sampleWeight, float64(n))
+	m.sum += w * (x - m.sum)
+	m.weight += w * (1 - m.weight)
+}
+
+// over returns the mean, in which a prior stands for the responses that are missing.
+func (m *movingMean) over(prior float64) float64 { return m.sum + (1-m.weight)*prior }
+
+// estimate returns the mean of the responses, or 0 without any.
+func (m *movingMean) estimate() float64 {
+	if m.weight == 0 {
+		return 0
 	}
-	const weight = 0.02
-	m.value += (1 - math.Pow(1-weight, float64(n))) * (x - m.value)
+	return m.sum / m.weight
 }
 
 // serviceTime returns the mean time of a request on a target in seconds, increased
 // by the penalty for failed requests.
 func (l *keyLoads) serviceTime(id string) float64 {
+	mean := l.meanService.estimate()
+	if mean == 0 {
+		mean = defaultServiceTime
+	}
 	x := l.targets[id]
-	switch {
-	case x != nil && x.serviceTime > 0:
-		return x.serviceTime * (1 + failurePenalty*x.failureShare)
-	case l.meanService.value > 0:
-		return l.meanService.value
+	if x == nil || x.serviceTime.weight == 0 {
+		return mean
 	}
-	return defaultServiceTime
+	return x.serviceTime.over(mean) * (1 + failurePenalty*x.failureShare)
 }
