--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -178,7 +178,7 @@
 			code = CodeLimit
 		}
 		c.g.metrics.refusals.Add(string(d.Reason), 1)
-		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "target", r.Target,
+		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", r.Target,
 			"reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(), "left_ms", (c.deadline - boottime.Now()).Milliseconds())
 		return d, newRefusal(code, d.RetryAfter)
 	}
