Relay only what changed when the leader reads all keys anew

What callers saw: requests to targets that had left, and late changes, while records of the store were being deleted.

Cause: a leader that found records deleted which it had yet to read sent the newest records of all keys to all hosts. With 989 targets and 295 hosts that fills its link for longer than changes may take, and each later message waits behind it.

Change: hosts that follow have what the leader had relayed; it sends them the difference, with the keys that are gone. A restore of the store still sends all.

TestLateRelayIsNoOutage starts the task that notices outages itself: with it in all tests of late hosts, a target that is gone is kept for the grace period after a real outage, which TestReturnBehindASlowStore does not expect.

--- a/internal/coordinator/lapse_test.go
+++ b/internal/coordinator/lapse_test.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// announcement returns the value of a target's announcement.
+func announcement(id, state string, seq int) []byte {
+	return fmt.Appendf(nil, `{"service":"w","address":"%s:1","zone":"z","slots":2,"state":"%s","cold-left-s":0,"seq":%d,"born":1}`, id, state, seq)
+}
+
 // read lets the leader read records of targets: announcements, or deletions of those with
 // an empty state.
 func (p *relayPair) read(state string, ids ...string) {
@@ -75,7 +80,7 @@
 		p.next++
 		if state != "" {
 			p.seq++
-			r.Value = fmt.Appendf(nil, `{"service":"w","address":"%s:1","zone":"z","slots":2,"state":"%s","cold-left-s":0,"seq":%d,"born":1}`, id, state, p.seq)
+			r.Value = announcement(id, state, p.seq)
 		}
 		b.Records = append(b.Records, r)
 	}
--- a/internal/coordinator/late_test.go
+++ b/internal/coordinator/late_test.go
@@ -43,7 +43,6 @@
 	for _, f := range h.c.followers() {
 		sup.Add(f)
 	}
-	sup.Add(&task{"expire", h.c.serveExpiry})
 	sup.Add(&task{"peer client", func(ctx context.Context) error {
 		for ctx.Err() == nil {
 			l := leader.leadership.current()
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -43,9 +43,42 @@
 	// completeFrom is the offset from which on newest is complete.
 	completeFrom int64
 	tombstones   int
+	// end is the position up to which records were put.
+	end topicPosition
 }
 
-func newTopicState() topicState { return topicState{newest: map[string]platform.Record{}} }
+func newTopicState() topicState {
+	return topicState{newest: map[string]platform.Record{}, end: topicPosition{Next: unknownOffset}}
+}
+
+// continuedBy reports whether the newest records of all keys, as of the end of a batch, can
+// be told as changes to hosts that have the records of this state.
+func (s *topicState) continuedBy(b platform.Batch) bool {
+	return s.end.Next != unknownOffset && s.end.Era == b.Era && s.end.Next <= b.NextOffset
+}
+
+// changesTo returns what changed up to the newest records of all keys: those of the relevant
+// ones that are new, and tombstones of keys that are gone.
+func (s *topicState) changesTo(b platform.Batch, relevant []platform.Record) []platform.Record {
+	var changed []platform.Record
+	for _, r := range relevant {
+		if r.Offset >= s.end.Next {
+			changed = append(changed, r)
+		}
+	}
+	present := make(map[string]bool, len(b.Records))
+	for _, r := range b.Records {
+		present[r.Key] = true
+	}
+	for key, r := range s.newest {
+		if len(r.Value) > 0 && !present[key] {
+			// Its offset is not known, but it is the last record of the key.
+			changed = append(changed, platform.Record{Offset: max(s.end.Next, b.NextOffset-1), Key: key})
+		}
+	}
+	slices.SortFunc(changed, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return changed
+}
 
 // reset clears the state before the newest records of all keys are put, which were read
 // when the topic ended at the offset next.
--- a/internal/coordinator/stalerelay_test.go
+++ b/internal/coordinator/stalerelay_test.go
@@ -28,6 +28,9 @@
 		k := newCluster(t, 1, 2)
 		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
 		h := newLaggingHost(t, k)
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); _ = h.c.serveExpiry(t.Context()) }()
+		t.Cleanup(func() { <-stopped })
 		So(eventually(5*time.Second, func() bool { return !h.mayBeAnnounced() }), ShouldBeTrue)
 		h.increaseDelay(2, 4*time.Second)
 		outage := false
