Do not resign over grants that later ones of the same term overtook

What callers saw: a change of leader for no reason: all hosts lost their leader, and keys that were being moved waited.

Cause: a leader ends its term after two refused fencing tokens of one target in a row. A target that owns several ranges gets a grant for each; when they are split or merged, later grants overtake those in flight, and the target refuses these with reason.

Change: a refused token counts only if this term has sent the target no later call for keys of the grant.

--- a/internal/coordinator/targetcalls.go
+++ b/internal/coordinator/targetcalls.go
@@ -85,7 +85,7 @@
 			g.HandleGrantResult(now, o, lease.GrantNotSent)
 		default:
 			g.HandleGrantResult(now, o, lease.GrantUnknown)
-			if e != nil && e.Outcome == platform.Conflict {
+			if e != nil && e.Outcome == platform.Conflict && !g.Superseded(o) {
 				t.noteFenceRefusal(o.Target)
 			}
 		}
@@ -93,10 +93,8 @@
 	})
 }
 
-// maxFenceRefusals is the number of consecutive refused fencing tokens of one target
-// after which another leader must have granted it keys. A single refusal also happens
-// within a term: when a key range is split, a grant of the whole range may arrive after
-// a grant of a part.
+// maxFenceRefusals is the number of consecutive fencing tokens that one target refused for no
+// call of this term after which another leader must have granted it keys.
 const maxFenceRefusals = 2
 
 // noteFenceRefusal counts a refused fencing token, and ends the term if there are too many.
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -193,6 +193,7 @@
 		r.granted = r.granted && o.granted
 		r.movedAt = max(r.movedAt, o.movedAt)
 		r.acceptedAt = min(r.acceptedAt, o.acceptedAt)
+		r.fence = max(r.fence, o.fence)
 		r.inFlight = r.inFlight || o.inFlight
 	}
 	if len(s.PreviousOwners) > 0 {
@@ -324,6 +325,26 @@
 	}
 }
 
+// Superseded reports whether this granter itself has sent the target a later call for some of
+// the keys of a grant: the target may have refused the grant since that one overtook it, after
+// a key range was split, merged or moved.
+func (g *RangeGranter) Superseded(call TargetCall) bool {
+	for _, r := range g.ranges {
+		if r.To < call.From || r.From > call.To {
+			continue
+		}
+		if r.Owner == call.Target && r.fence > call.Fence {
+			return true
+		}
+		for _, p := range r.previousOwnerStates {
+			if p.target == call.Target && p.fence > call.Fence {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // HandleReleaseResult processes the result of a release.
 func (g *RangeGranter) HandleReleaseResult(now time.Duration, call TargetCall, handover string, ok bool) {
 	r := g.rangeOf(call)
