Assume a former leader's leases only while they can be in force

Change: a new leader assumes the leases of the former one for 1.9 s from when it last saw that one confirm its term: a lease that is renewed every 0.93 s lasts so long at least. A host that has just started assumes nothing.

Evidence: TestOwnersAtAChangeOfGranter, with the cases of a former leader that was heard of some time ago or not at all.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -73,7 +73,10 @@
 	record leaderRecord
 	// recordSeenAt is when this host last applied a record of the leader.
 	recordSeenAt time.Duration
-	tables       map[string]*ownership.RangeTable
+	// confirmedAt is when this host last applied a record by which a leader confirmed its term
+	// while this host knew it; 0 if it never did.
+	confirmedAt time.Duration
+	tables      map[string]*ownership.RangeTable
 	// tablesEra is the newest era in which this host read tables that a leader had stored in
 	// that era.
 	tablesEra uint64
@@ -140,6 +143,14 @@
 	return p
 }
 
+// lastConfirmed returns when this host last saw a leader confirm its term, or false if it did
+// not see any.
+func (l *leadership) lastConfirmed() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmedAt, l.confirmedAt > 0
+}
+
 // previousRecord returns the record of the term before the current one.
 func (l *leadership) previousRecord() leaderRecord {
 	l.mu.Lock()
@@ -307,6 +318,8 @@
 	}
 	if l.Term != c.leadership.record.Term {
 		c.leadership.previous = c.leadership.record
+	} else if l.Heartbeat > c.leadership.record.Heartbeat {
+		c.leadership.confirmedAt = boottime.Now()
 	}
 	c.leadership.record, c.leadership.recordSeenAt = l, boottime.Now()
 }
@@ -449,6 +462,7 @@
 	if earlier.RecordsLost {
 		r.TablesEra = previous.TablesEra
 	}
+	formerConfirmedAt, _ := c.leadership.lastConfirmed()
 	offset := c.control.position()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -462,7 +476,7 @@
 		c.cfg.Log.Info("election_append_failed", "term", r.Term, "err", err)
 		var e *platform.Error
 		if errors.As(err, &e) && e.Outcome == platform.Unknown {
-			c.unansweredTerm = &wonTerm{record: r, previousTerm: previous.Term, earlier: earlier, sentAt: sent}
+			c.unansweredTerm = &wonTerm{record: r, previousTerm: previous.Term, earlier: earlier, sentAt: sent, formerConfirmedAt: formerConfirmedAt}
 		}
 		// Read the topic to find out whether the record was appended or another host
 		// was first, which the next attempt has to know.
@@ -476,7 +490,7 @@
 	if now := c.leadership.current(); now.Term != r.Term || now.Incarnation != c.incarnation || c.storeEra.Load() != era {
 		return nil
 	}
-	return &wonTerm{record: r, previousTerm: previous.Term, earlier: earlier, sentAt: sent, acknowledgedAt: boottime.Now()}
+	return &wonTerm{record: r, previousTerm: previous.Term, earlier: earlier, sentAt: sent, acknowledgedAt: boottime.Now(), formerConfirmedAt: formerConfirmedAt}
 }
 
 // claimUnansweredTerm returns the term of an append without a response when the topic
@@ -511,4 +525,6 @@
 	// earlier is the knowledge about earlier leaders.
 	earlier                lease.EarlierGranters
 	sentAt, acknowledgedAt time.Duration
+	// formerConfirmedAt is when this host last saw a former leader confirm its term, or 0.
+	formerConfirmedAt time.Duration
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -58,6 +58,8 @@
 	fenceRefusals map[string]int
 
 	beganAt time.Duration
+	// formerConfirmedAt is when this host last saw a former leader confirm its term, or 0.
+	formerConfirmedAt time.Duration
 	// tables has the tables of owners that are in force.
 	tables map[string]*ownership.RangeTable
 	// firstTables has the workloads whose keys this term assigned first.
@@ -95,7 +97,7 @@
 		granters: map[string]*lease.RangeGranter{}, loads: map[string]*keyLoads{}, sentRanges: map[string]*RangeMap{},
 		discoveries: map[string]targetDiscovery{}, startTimes: map[string]int64{}, addresses: map[string]string{}, fenceRefusals: map[string]int{},
 		limitedSince: map[fleet.Incarnation]time.Duration{}, tables: map[string]*ownership.RangeTable{}, firstTables: map[string]bool{}, previousTerm: w.previousTerm, storeAllTables: w.earlier.RecordsLost, collecting: w.earlier.RecordsLost,
-		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
+		unstoredTables: map[string]*ownership.RangeTable{}, beganAt: w.acknowledgedAt, formerConfirmedAt: w.formerConfirmedAt, confirmedAt: w.acknowledgedAt, nextConfirm: w.acknowledgedAt + confirmEvery,
 	}
 	if t.storeAllTables {
 		t.nextConfirm = w.acknowledgedAt
@@ -275,7 +277,11 @@
 
 // startGranter starts granting the keys of a workload.
 func (t *term) startGranter(workload string, table *ownership.RangeTable, isNew bool) {
-	t.granters[workload] = lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, isNew)
+	g := lease.NewRangeGranter(t.c.cfg.Ranges, t.lease, table, isNew)
+	if t.formerConfirmedAt > 0 {
+		g.AssumeLeases(t.formerConfirmedAt)
+	}
+	t.granters[workload] = g
 	t.tables[workload] = table
 	t.loads[workload] = newKeyLoads()
 }
--- a/lease/inherited_test.go
+++ b/lease/inherited_test.go
@@ -20,6 +20,7 @@
 		table = table.Move(ownership.RangeMove{From: moved.From, To: moved.To, Owner: "b"})
 		term := BeginTerm(cfg.KeyLease, 3, began, began, EarlierGranters{PreviousStopped: true})
 		g := NewRangeGranter(cfg, term, table, false)
+		g.AssumeLeases(began)
 		ready := func(now time.Duration, key int) bool {
 			view, _ := g.View(now)
 			for _, x := range view {
@@ -43,6 +44,25 @@
 			_, changed := g.View(began)
 			So(changed, ShouldBeFalse)
 		})
+		Convey("when the former granter was last heard of some time ago, for as long as its leases last", func() {
+			renewed := began - 1600*time.Millisecond
+			g.AssumeLeases(renewed)
+			until := renewed + cfg.KeyLease.Duration - cfg.RenewEvery
+			So(ready(until-time.Millisecond, first.From), ShouldBeTrue)
+			_, _ = g.View(until - time.Millisecond)
+			_, changed := g.View(until)
+			So(changed, ShouldBeTrue)
+			So(ready(until, first.From), ShouldBeFalse)
+			for _, c := range g.Tick(until, func(string) bool { return true }) {
+				g.HandleGrantResult(until, c, GrantAccepted)
+			}
+			_, changed = g.View(until)
+			So(changed, ShouldBeTrue)
+			So(ready(until, first.From), ShouldBeTrue)
+		})
+		Convey("nothing is assumed of a former granter that was not heard of", func() {
+			So(NewRangeGranter(cfg, term, table, false).inheritedUntil, ShouldEqual, 0)
+		})
 		Convey("an owner that accepts no grant does not keep them", func() {
 			So(ready(began+cfg.FailingAfter+time.Millisecond, first.From), ShouldBeFalse)
 		})
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -128,6 +128,8 @@
 	// lastAccepted is when each target last accepted a grant.
 	lastAccepted map[string]time.Duration
 	unanswered   unansweredGrants
+	// inheritedUntil is until when inherited keys count as granted by an earlier granter.
+	inheritedUntil time.Duration
 	// viewChanged says that the next View differs from the last one.
 	viewChanged bool
 	// tickStart is the index of the range at which the next Tick begins: the first
@@ -157,6 +159,14 @@
 	return g
 }
 
+// AssumeLeases says that the earlier granter still renewed its leases at a time: the owners of
+// the stored table have the keys until the oldest of these leases end. Without it nothing is
+// assumed, since the earlier granter may have been gone for long.
+func (g *RangeGranter) AssumeLeases(renewedAt time.Duration) {
+	g.inheritedUntil = renewedAt + g.cfg.KeyLease.Duration - g.cfg.RenewEvery
+	g.viewChanged = true
+}
+
 // SetTable replaces the table by one that has been stored.
 func (g *RangeGranter) SetTable(now time.Duration, table *ownership.RangeTable) {
 	g.unanswered.prune(now) // also of targets that are gone
@@ -319,7 +329,7 @@
 	r.nextAt, r.acceptedAt, r.handover = now+g.cfg.RenewEvery, now, ""
 	r.lease.NoteAccepted(g.cfg.KeyLease, r.sentAt, now)
 	if !r.granted {
-		g.viewChanged = g.viewChanged || !r.inherited
+		g.viewChanged = g.viewChanged || !r.inherited || now >= g.inheritedUntil
 		r.granted = true
 		r.previousOwnerStates = nil
 	}
@@ -506,8 +516,8 @@
 	From  int    `json:"f"`
 	To    int    `json:"t"`
 	Owner string `json:"o"`
-	// Ready says that the owner accepted a grant of the keys, from this granter or, as the
-	// stored table says, from an earlier one, and is not failing.
+	// Ready says that the owner accepted a grant of the keys, from this granter or, as far as
+	// AssumeLeases says, from an earlier one, and is not failing.
 	Ready bool `json:"r"`
 	// GrantableInMS is the longest time in milliseconds, as of the view, until the keys
 	// of a range that is not ready can be granted.
@@ -522,11 +532,15 @@
 			r.failing, g.viewChanged = failing, true
 		}
 	}
+	inherited := now < g.inheritedUntil
+	if g.inheritedUntil > 0 && !inherited {
+		g.inheritedUntil, g.viewChanged = 0, true
+	}
 	changed := g.viewChanged
 	g.viewChanged = false
 	view := make([]RangeView, len(g.ranges))
 	for i, r := range g.ranges {
-		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: (r.granted || r.inherited) && !r.failing}
+		view[i] = RangeView{From: r.From, To: r.To, Owner: r.Owner, Ready: (r.granted || r.inherited && inherited) && !r.failing}
 		if !view[i].Ready {
 			view[i].GrantableInMS = g.untilGrantable(now, r).Milliseconds()
 		}
