Do not cancel the first reading of a topic

What callers saw: after a restart of all hosts, 503 for longer than the hosts were down.

Cause: a host that gets an answer of the store cancels its other reads that may hang since a partition. A host that starts has three topics to read, all of them as old as can be, so that the answer for the smallest one cancelled the reading of all targets, which began again at the end of what the store had to send to 294 other hosts: it reads 80 MB a second for all together.

TestStartBehindASlowStore: two readings, now one.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -275,11 +275,12 @@
 
 // cancelStalledReads makes the other followers that are cut off from the store retry at
 // once, since one follower got a response: a read that began during a partition may hang
-// until its timeout although the partition has ended.
+// until its timeout although the partition has ended. The first reading of a topic returns all
+// keys and takes its time.
 func (c *Coordinator) cancelStalledReads(responsive *follower) {
 	now := boottime.Now()
 	for _, f := range c.followers() {
-		if f == responsive || f.age(now) <= topicLostAfter {
+		if f == responsive || !f.hasApplied() || f.age(now) <= topicLostAfter {
 			continue
 		}
 		f.cancelRead()
