Lead only with the targets and the desired state known

What callers saw: after a restart of all hosts no key had an owner for 3 s.

Cause: the first host that had read the control topic led.

Change: a host campaigns, also on an offer, when it has read these topics once.

Evidence: TestLeaderThatKnowsNoTargets failed and passes.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -396,9 +396,11 @@
 	return c.mayLead(now) && c.control.age(now) < topicLostAfter && c.leadership.shouldCampaign(now, c.cfg.Peer, c.incarnation)
 }
 
-// mayLead reports whether the host may lead the next term.
+// mayLead reports whether the host may lead the next term. Without the targets and the desired
+// state it could grant nothing.
 func (c *Coordinator) mayLead(now time.Duration) bool {
-	return !c.retired.Load() && c.control.position() != unknownOffset && !c.awaitsRestatement(now)
+	return !c.retired.Load() && c.control.position() != unknownOffset && c.operator.hasApplied() && c.targets.hasApplied() &&
+		!c.awaitsRestatement(now)
 }
 
 // awaitsRestatement reports whether a leader that lives may still store its tables in the
--- a/internal/coordinator/slowstart_test.go
+++ b/internal/coordinator/slowstart_test.go
@@ -57,3 +57,23 @@
 		So(reads.Load(), ShouldEqual, 1)
 	})
 }
+
+// TestLeaderThatKnowsNoTargets guards against a host that leads before it knows the targets: it
+// can grant no keys, and the hosts that know them wait for it.
+func TestLeaderThatKnowsNoTargets(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("a host that starts leads when it knows the targets, and not before", t, func() {
+		c, _ := startBehindASlowStore(t, emptyCluster(t).start(0, 2), slowStartDelay)
+		So(eventually(3*time.Second, func() bool {
+			leading := c.Leading()
+			if c.targets.hasApplied() {
+				return true
+			}
+			So(leading, ShouldBeFalse)
+			return false
+		}), ShouldBeTrue)
+		So(eventually(2*time.Second, c.Leading), ShouldBeTrue)
+	})
+}
