Plan the loss of many targets without copying the table for each move

Cause: a plan copied the table of all key ranges for each of its moves, and the leader copied it again for each move and each range that had been released. For 1,434 ranges and 832 moves that takes 0.5 s of an idle core and 600 MB of memory to collect, again at each plan. The loop of the leader stood still meanwhile (leader_load: 0.4, 0.9, 1.8 and 3.2 s), grants were not renewed, hosts took it for silent, and the next leader planned the same.

Change: moves are applied in place to one copy, and released ranges in one pass.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -370,8 +370,8 @@
 			Stays:   func(s ownership.KeyRange) bool { return awaited[s.Owner] || awaitsFencing(now, g, s) },
 		})
 		next := table.ForgetReturns(func(target string) bool { return snap.Targets[target] != nil })
-		for _, s := range g.ClearedRanges() {
-			next = next.Release(s.From, s.To)
+		if cleared := g.ClearedRanges(); len(cleared) > 0 {
+			next = next.ReleaseAll(cleared)
 		}
 		if len(moves) > 0 {
 			next = next.Move(moves...)
--- a/ownership/rangeplan.go
+++ b/ownership/rangeplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -109,8 +110,9 @@
 
 // rangePlan is the state of one call of PlanRanges.
 type rangePlan struct {
-	cfg   RangePlanConfig
-	in    RangeInput
+	cfg RangePlanConfig
+	in  RangeInput
+	// table is a copy of the input's with the moves so far.
 	table *RangeTable
 	// prefix[k] is the rate of the keys below k.
 	prefix  []float64
@@ -131,7 +133,7 @@
 // move takes the shortest range with enough requests, so that some dozens of keys
 // carry the load away and the rest stay.
 func PlanRanges(cfg RangePlanConfig, in RangeInput) []RangeMove {
-	p := &rangePlan{cfg: cfg.withDefaults(len(in.Targets)), in: in, table: in.Table, targets: map[string]*RangeTarget{}, load: map[string]float64{}}
+	p := &rangePlan{cfg: cfg.withDefaults(len(in.Targets)), in: in, table: &RangeTable{Ranges: slices.Clone(in.Table.Ranges)}, targets: map[string]*RangeTarget{}, load: map[string]float64{}}
 	for i := range in.Targets {
 		p.targets[in.Targets[i].ID] = &in.Targets[i]
 	}
@@ -219,10 +221,11 @@
 
 func (p *rangePlan) move(from, to int, owner *RangeTarget) {
 	m := RangeMove{From: from, To: to, Owner: owner.ID}
-	for _, s := range p.table.Ranges {
+	first := sort.Search(len(p.table.Ranges), func(i int) bool { return p.table.Ranges[i].To >= from })
+	for _, s := range p.table.Ranges[first:] {
 		lo, hi := max(s.From, from), min(s.To, to)
 		if lo > hi {
-			continue
+			break
 		}
 		if t := p.targets[s.Owner]; t != nil {
 			p.load[s.Owner] -= p.rate(lo, hi) * t.ServiceSeconds
@@ -231,13 +234,13 @@
 	}
 	p.load[owner.ID] += p.rate(from, to) * owner.ServiceSeconds
 	p.moves = append(p.moves, m)
-	p.table = p.table.Move(m)
+	p.table.moveInPlace(m)
 }
 
 // reassignOrphans gives the keys of targets that are gone to the others, in
 // pieces that fit the spare capacity of one target.
 func (p *rangePlan) reassignOrphans() {
-	for _, s := range p.table.Ranges {
+	for _, s := range slices.Clone(p.table.Ranges) {
 		if p.targets[s.Owner] != nil || p.in.Stays != nil && p.in.Stays(s) {
 			continue
 		}
@@ -264,7 +267,7 @@
 // returnKeys moves keys back to the targets that they left for a limit, as far as these
 // have room.
 func (p *rangePlan) returnKeys() {
-	for _, s := range p.table.Ranges {
+	for _, s := range slices.Clone(p.table.Ranges) {
 		t := p.targets[s.ReturnTo]
 		if t == nil || !t.AcceptsKeys || len(p.moves) >= p.cfg.MaxMoves || !p.movable(s) {
 			continue
--- a/ownership/ranges.go
+++ b/ownership/ranges.go
@@ -114,35 +114,59 @@
 func (t *RangeTable) Move(moves ...RangeMove) *RangeTable {
 	ranges := slices.Clone(t.Ranges)
 	for _, m := range moves {
-		var out []KeyRange
-		for _, s := range ranges {
-			if s.To < m.From || s.From > m.To || s.Owner == m.Owner {
-				out = append(out, s)
-				continue
-			}
-			if s.From < m.From {
-				left := s
-				left.To = m.From - 1
-				out = append(out, left)
-			}
-			previous := append(slices.Clone(s.PreviousOwners), s.Owner)
-			previous = slices.DeleteFunc(previous, func(x string) bool { return x == m.Owner })
-			slices.Sort(previous)
-			out = append(out, KeyRange{
-				From: max(s.From, m.From), To: min(s.To, m.To), Owner: m.Owner, PreviousOwners: slices.Compact(previous),
-				ReturnTo: returnToAfter(s, m),
-			})
-			if s.To > m.To {
-				right := s
-				right.From = m.To + 1
-				out = append(out, right)
-			}
-		}
-		ranges = out
+		ranges, _, _ = splice(ranges, m)
 	}
 	return (&RangeTable{Ranges: ranges}).mergeAdjacent()
 }
 
+// moveInPlace applies a move to the table itself, whose ranges nothing else may use.
+func (t *RangeTable) moveInPlace(m RangeMove) {
+	ranges, first, end := splice(t.Ranges, m)
+	for i := max(first, 1); i <= end && i < len(ranges); {
+		if !joins(ranges[i-1], ranges[i]) {
+			i++
+			continue
+		}
+		ranges[i-1].To = ranges[i].To
+		ranges = slices.Delete(ranges, i, i+1)
+		end--
+	}
+	t.Ranges = ranges
+}
+
+// splice applies a move to ranges in place and returns them, with the index of the first range
+// that it may have changed and the one after the last.
+func splice(ranges []KeyRange, m RangeMove) (moved []KeyRange, first, end int) {
+	first = sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= m.From })
+	last := first
+	var parts []KeyRange
+	for ; last < len(ranges) && ranges[last].From <= m.To; last++ {
+		s := ranges[last]
+		if s.Owner == m.Owner {
+			parts = append(parts, s)
+			continue
+		}
+		if s.From < m.From {
+			left := s
+			left.To = m.From - 1
+			parts = append(parts, left)
+		}
+		previous := append(slices.Clone(s.PreviousOwners), s.Owner)
+		previous = slices.DeleteFunc(previous, func(x string) bool { return x == m.Owner })
+		slices.Sort(previous)
+		parts = append(parts, KeyRange{
+			From: max(s.From, m.From), To: min(s.To, m.To), Owner: m.Owner, PreviousOwners: slices.Compact(previous),
+			ReturnTo: returnToAfter(s, m),
+		})
+		if s.To > m.To {
+			right := s
+			right.From = m.To + 1
+			parts = append(parts, right)
+		}
+	}
+	return slices.Replace(ranges, first, last, parts...), first, first + len(parts)
+}
+
 // returnToAfter returns the target to which keys of a range return after a move: the one that
 // they left first, also when they move on.
 func returnToAfter(s KeyRange, m RangeMove) string {
@@ -174,9 +198,19 @@
 // Release returns a table in which the ranges within the keys from to to have no
 // previous owners.
 func (t *RangeTable) Release(from, to int) *RangeTable {
+	return t.ReleaseAll([]KeyRange{{From: from, To: to}})
+}
+
+// ReleaseAll returns a table in which the ranges within the released ones, which are in order
+// and do not overlap, have no previous owners.
+func (t *RangeTable) ReleaseAll(released []KeyRange) *RangeTable {
 	ranges := slices.Clone(t.Ranges)
+	next := 0 // the first released range that does not end before the current one
 	for i := range ranges {
-		if ranges[i].From >= from && ranges[i].To <= to {
+		for next < len(released) && released[next].To < ranges[i].To {
+			next++
+		}
+		if next < len(released) && released[next].From <= ranges[i].From {
 			ranges[i].PreviousOwners = nil
 		}
 	}
@@ -186,9 +220,9 @@
 // mergeAdjacent merges neighbouring ranges that have the same owner and ReturnTo, and no
 // previous owners.
 func (t *RangeTable) mergeAdjacent() *RangeTable {
-	var out []KeyRange
+	out := make([]KeyRange, 0, len(t.Ranges))
 	for _, s := range t.Ranges {
-		if n := len(out); n > 0 && out[n-1].Owner == s.Owner && out[n-1].ReturnTo == s.ReturnTo && len(out[n-1].PreviousOwners) == 0 && len(s.PreviousOwners) == 0 {
+		if n := len(out); n > 0 && joins(out[n-1], s) {
 			out[n-1].To = s.To
 			continue
 		}
@@ -197,6 +231,11 @@
 	return &RangeTable{Ranges: out}
 }
 
+// joins reports whether two neighbouring ranges are one.
+func joins(a, b KeyRange) bool {
+	return a.Owner == b.Owner && a.ReturnTo == b.ReturnTo && len(a.PreviousOwners) == 0 && len(b.PreviousOwners) == 0
+}
+
 // KeyCounts returns the number of keys of each owner.
 func (t *RangeTable) KeyCounts() map[string]int {
 	n := map[string]int{}
