TestWakeFollowers: the host has had the store before

The test took a host that never read a topic for one that has been without the store. Since the first reading of a topic is not cancelled, it says which of the two the host is, and checks both: the reads of one that has just started go on, a read that hangs after a partition ends.

--- a/internal/coordinator/follow_test.go
+++ b/internal/coordinator/follow_test.go
@@ -67,6 +67,9 @@
 		}
 		c.operator.caughtUpAt = now
 		c.cancelStalledReads(c.control)
+		So(ended, ShouldBeEmpty) // the host has just started and reads all keys
+		c.targets.applied = true
+		c.cancelStalledReads(c.control)
 		So(ended, ShouldResemble, map[*follower]bool{c.targets: true})
 	})
 }
