Only the leader reduces a reading of all keys to what changed

What callers could see: after the store returned from an older copy, a host that became the leader next did not tell others records that the store had lost.

Records that the store lost have older offsets.

Evidence: found by reading the diff; TestFullRelayOfRememberedRecords failed and passes. The tests of relays, restores and lapses pass.

--- a/internal/coordinator/compacted_test.go
+++ b/internal/coordinator/compacted_test.go
@@ -81,3 +81,21 @@
 		})
 	})
 }
+
+// TestFullRelayOfRememberedRecords guards against a host that follows and keeps only what is new
+// of all records that the leader sends: those that the store lost have old offsets, and the host
+// tells them to others when it leads.
+func TestFullRelayOfRememberedRecords(t *testing.T) {
+	Convey("a host that follows keeps all records of a full relay, also those with old offsets", t, func() {
+		p := newRelayPair()
+		p.read("ready", "t0", "t1")
+		m := relayMessage{Topic: platform.TopicTargets, Full: true, Next: p.next}
+		for i, id := range []string{"lost", "t1"} {
+			m.Records = append(m.Records, relayedRecord{Offset: int64(i), Key: id, Value: announcement(id, "ready", 9)})
+		}
+		So(p.host.targets.applyRelay(m, boottime.Now()), ShouldBeTrue)
+		So(p.hostHas("lost"), ShouldBeTrue)
+		_, kept := p.host.targets.state.newest["lost"]
+		So(kept, ShouldBeTrue)
+	})
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -391,7 +391,7 @@
 	f.mu.Unlock()
 	relays := f.c.Leading()
 	defer func() { f.state.end = topicPosition{Era: b.Era, Next: b.NextOffset} }()
-	if full && len(f.remembered) == 0 && f.state.continuedBy(b) {
+	if full && relays && len(f.remembered) == 0 && f.state.continuedBy(b) {
 		// All hosts have the records up to the state's end: a leader that reads all keys
 		// since records were deleted would fill its link with what they know.
 		from, relevant = f.state.end.Next, f.state.changesTo(b, relevant)
