Show three ways in which a host is later than it believes

These tests fail on the current code:

- TestSlowStoreIsNoOutage: a host whose view is older than 1.6 s takes the store for unreachable, also when the store answers, only slowly.
After that it keeps targets whose announcements are deleted for 2.05 s more, as after an outage.
Together that is longer than the 3 s within which a target that has left may still get requests.
- TestAgeOfALateAnswer: a host dates what a read told by the arrival of the answer.
One that is short of processor time, or behind a busy link, counts as current what is seconds old; a leader relays it with that age.
- TestPartOfTheRecords: a host that reads a part of the new records, since an answer has 1 MiB at most, counts as caught up.
It can act by a desired state that was replaced seconds ago.

--- /dev/null
+++ b/internal/coordinator/busyhost_test.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/platform/standin"
+)
+
+// leftWithin is the time within which no host sends requests to a target any more that has left.
+const leftWithin = 3 * time.Second
+
+// TestSlowStoreIsNoOutage guards against a host that takes slow answers of the store for an
+// outage: it kept targets that were gone for as long as it waits after an outage.
+func TestSlowStoreIsNoOutage(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for real time")
+	}
+	Convey("Given a host to which the leader's messages and the store's answers come late", t, func() {
+		k := newCluster(t, 1, 2)
+		So(eventually(8*time.Second, func() bool { return k.leader() != nil && k.allHeldOnce() }), ShouldBeTrue)
+		h := newLaggingHost(t, k)
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); _ = h.c.serveExpiry(t.Context()) }()
+		t.Cleanup(func() { <-stopped })
+		So(eventually(5*time.Second, func() bool { return !h.mayBeAnnounced() }), ShouldBeTrue)
+		h.storeProxy.transit.Store(int64(900 * time.Millisecond))
+		h.increaseDelay(2, 5*time.Second)
+
+		Convey("a target that has left is not used any more in time", func() {
+			k.store.Put(platform.TopicTargets, "t0", nil)
+			So(eventually(leftWithin, func() bool { return h.c.Snapshot().Targets["t0"] == nil }), ShouldBeTrue)
+		})
+	})
+}
+
+// TestAgeOfALateAnswer guards against a host that counts what the store told it from the arrival
+// of the answer: it used, and as the leader relayed, as current what was seconds old.
+func TestAgeOfALateAnswer(t *testing.T) {
+	Convey("Given a store whose answers are on their way for 0.5 s", t, func() {
+		const transit = 500 * time.Millisecond
+		store := standin.NewStore()
+		store.Put(platform.TopicTargets, "t0", nil)
+		proxy := &storeProxy{handler: store}
+		srv := httptest.NewServer(proxy)
+		defer srv.Close()
+		f := newTargetsFollower(srv)
+		So(f.read(context.Background()), ShouldBeNil)
+		proxy.transit.Store(int64(transit))
+
+		Convey("what a read without new records tells is as old", func() {
+			So(f.read(context.Background()), ShouldBeNil)
+			So(f.age(boottime.Now()), ShouldBeGreaterThanOrEqualTo, transit)
+		})
+		Convey("what a read with new records tells is as old", func() {
+			store.Put(platform.TopicTargets, "t1", nil)
+			So(f.read(context.Background()), ShouldBeNil)
+			So(f.age(boottime.Now()), ShouldBeGreaterThanOrEqualTo, transit)
+		})
+	})
+}
+
+// TestPartOfTheRecords guards against a host that takes the records of one answer for all that
+// there are: with large desired states it acted by an old one as if it were in force.
+func TestPartOfTheRecords(t *testing.T) {
+	Convey("A host that read some of the new records has not caught up", t, func() {
+		end := 3
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "newest") {
+				_, _ = w.Write([]byte(`{"items":[],"has-more":false,"end-offset":0}`))
+				return
+			}
+			b := binary.BigEndian.AppendUint64(nil, uint64(end))
+			b = binary.BigEndian.AppendUint64(b, 0)
+			b = append(binary.BigEndian.AppendUint32(b, 3), 2, 't', '0')
+			_, _ = w.Write(b)
+		}))
+		defer srv.Close()
+		f := newTargetsFollower(srv)
+		So(f.read(context.Background()), ShouldBeNil)
+		before := f.age(0)
+		So(f.read(context.Background()), ShouldBeNil)
+		So(f.position(), ShouldEqual, 1)
+		So(f.age(0), ShouldEqual, before)
+		end = 2
+		So(f.read(context.Background()), ShouldBeNil)
+		So(f.age(0), ShouldBeLessThan, before)
+	})
+}
+
+// newTargetsFollower returns the follower of the targets' topic of a host that does not run.
+func newTargetsFollower(store *httptest.Server) *follower {
+	c := New(Config{Host: "h", Store: platform.NewStore(strings.TrimPrefix(store.URL, "http://")), Grants: platform.NewGrants(), Log: hclog.NewNullLogger()})
+	return c.targets
+}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,8 @@
 	handler http.Handler
 	// blocked requests get no response, rejected ones status 503.
 	blocked, rejected atomic.Bool
+	// transit is how long an answer is on its way after it was made.
+	transit atomic.Int64
 }
 
 func (d *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -41,7 +44,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	d.handler.ServeHTTP(w, r)
+	transit := time.Duration(d.transit.Load())
+	if transit == 0 {
+		d.handler.ServeHTTP(w, r)
+		return
+	}
+	answer := httptest.NewRecorder()
+	d.handler.ServeHTTP(answer, r)
+	time.Sleep(transit)
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes()) // a caller that has left notices it itself
 }
 
 type testHost struct {
