Date what a read of the store tells by when its answer was made

What callers saw: hosts acted by what was older than they knew: requests to targets that had left, and desired states that had been replaced.

Cause: a host took the arrival of an answer for the time at which the topic ended where the answer says. A host without processor time, or behind a busy link, reads it seconds later; a leader relays it as new, so that all hosts believe it. And a host counted as caught up with the last record of an answer, though an answer has 1 MiB at most: with desired states of 200 kB that is five of them.

Now an answer dates from the sending of its read, and one without records from the end of the wait for which the store holds it. The next read waits for the rest of 0.6 s only, so that the age of what a leader relays stays as it was. A host has caught up at the end that the store states, and goes on reading at once until then.

--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -175,8 +175,8 @@
 			continue
 		}
 		lost := f.age(start) > topicLostAfter
-		records, err := f.readRecords(ctx)
-		f.noteRead(cause, records, boottime.Now()-start, err)
+		b, err := f.readBatch(ctx)
+		f.noteRead(cause, len(b.Records), boottime.Now()-start, err)
 		if err != nil {
 			f.handleReadError(err)
 			sleep(ctx, retryPause+jitter(retryPause))
@@ -185,7 +185,7 @@
 		if lost {
 			f.c.cancelStalledReads(f)
 		}
-		if rest := minReadInterval - (boottime.Now() - start); rest > 0 {
+		if rest := minReadInterval - (boottime.Now() - start); rest > 0 && !b.Partial {
 			sleep(ctx, rest)
 		}
 	}
@@ -232,45 +232,58 @@
 
 // read makes one call to the store and applies the records that it returns.
 func (f *follower) read(ctx context.Context) error {
-	_, err := f.readRecords(ctx)
+	_, err := f.readBatch(ctx)
 	return err
 }
 
-// readRecords makes one call to the store, applies the records that it returns and returns their
-// number.
-func (f *follower) readRecords(ctx context.Context) (records int, err error) {
+// readBatch makes one call to the store, and applies and returns the records of the answer.
+func (f *follower) readBatch(ctx context.Context) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxReadWait+storeTimeout)
 	defer cancel()
 	f.mu.Lock()
 	f.endRead = cancel
 	f.mu.Unlock()
+	sent := boottime.Now()
+	age := f.age(sent)
 	from := f.position()
-	if f.topic == platform.TopicOperator && f.age(boottime.Now()) > topicLostAfter {
+	if f.topic == platform.TopicOperator && age > topicLostAfter {
 		// Each desired state replaces the previous one and may be large, so that only
 		// the newest is read.
 		from = unknownOffset
 	}
 	if from == unknownOffset {
-		sent := boottime.Now()
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
 		f.c.noteStoreCall("newest", b.Era, err)
 		if err != nil {
-			return 0, err
+			return platform.Batch{}, err
 		}
 		f.applyBatch(from, b, true, sent)
-		return len(b.Records), nil
+		return b, nil
 	}
-	wait := maxReadWait
-	if f.age(boottime.Now()) > staleAfter {
-		wait = 0 // the end of the topic must be known at once, also when no record comes
+	// The end of the topic must be known in time also when no record comes.
+	wait := maxReadWait - age
+	if age > maxReadWait {
+		wait = 0
 	}
 	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, wait)
 	f.c.noteStoreCall("read", b.Era, err)
 	if err != nil {
-		return 0, err
+		return platform.Batch{}, err
 	}
-	f.applyBatch(from, b, false, boottime.Now())
-	return len(b.Records), nil
+	f.applyBatch(from, b, false, answeredAt(sent, wait, boottime.Now(), b))
+	return b, nil
+}
+
+// answeredAt returns the earliest time at which the store can have made the answer to a read: it
+// holds one without records for the whole wait.
+func answeredAt(sent, wait, now time.Duration, b platform.Batch) time.Duration {
+	switch {
+	case b.Partial:
+		return neverCaughtUp
+	case len(b.Records) > 0:
+		return sent
+	}
+	return min(sent+wait, now)
 }
 
 // cancelStalledReads makes the other followers that are cut off from the store retry at
--- a/internal/coordinator/offer.go
+++ b/internal/coordinator/offer.go
@@ -132,11 +132,12 @@
 func (c *Coordinator) readControl(ctx context.Context, offset int64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	sent := boottime.Now()
 	b, err := c.cfg.Store.Read(ctx, platform.TopicControl, offset, 0)
 	c.noteStoreCall("read", b.Era, err)
 	if err != nil {
 		return err
 	}
-	c.control.applyBatch(offset, b, false, boottime.Now())
+	c.control.applyBatch(offset, b, false, answeredAt(sent, 0, boottime.Now(), b))
 	return nil
 }
--- a/internal/coordinator/restate.go
+++ b/internal/coordinator/restate.go
@@ -74,13 +74,14 @@
 func (t *term) storeRestatement(r *restatement) error {
 	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 	defer cancel()
+	sent := boottime.Now()
 	b, err := t.c.cfg.Store.Newest(ctx, platform.TopicControl)
 	t.c.noteStoreCall("newest", b.Era, err)
 	if err != nil {
 		return err
 	}
 	if later := laterLeader(b.Records, t.record); later != nil {
-		t.c.control.applyBatch(unknownOffset, b, true, boottime.Now())
+		t.c.control.applyBatch(unknownOffset, b, true, sent)
 		return &laterTermError{Term: later.Term}
 	}
 	if r.alone {
