Tell an outage of the store from a host that is late

What callers saw: requests reached targets more than 3 s after they had left (DRAIN).

Cause: a host whose view of the targets was older than 1.6 s took the store for unreachable. It then keeps targets without an announcement for 2.05 s after the view is new again, since in an outage announcements of live targets lapse. When the leader and the store are only slow, or the host is short of processor time, that is 3.65 s and more by which it uses a target that has left.

An outage is now one only if a read was refused, or had no answer although this process ran for long enough to handle it: storeContact, on a clock that counts a late tick as 0.1 s. Otherwise targets without an announcement are dropped when the host has caught up. A host that starts cannot tell, and keeps them as before. store_lost and store_regained say which of the two it was.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -230,6 +230,10 @@
 	}
 }
 
+// WithdrawOutage records that the store was reachable since MarkStoreUnreachable, so that targets
+// without an announcement are not kept for longer.
+func (d *Directory) WithdrawOutage() { d.storeUnreachable = false }
+
 // MayBeAnnounced reports whether targets that are not known may be announced again: their
 // announcements may have lapsed in an outage that has ended, also in one that the host did
 // not see since it started in it.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -95,6 +95,8 @@
 	counts         requestCounts
 	peers          peerSet
 	leading        atomic.Bool
+	// ran counts the time during which this process ran.
+	ran runClock
 	// startedAt is when the process started.
 	startedAt time.Duration
 	// endedTerm is the last term that this process has stopped leading.
@@ -347,15 +349,21 @@
 	storeLost := true
 	for sleep(ctx, expireEvery) {
 		now := boottime.Now()
+		c.ran.tick(now)
 		c.mu.Lock()
 		if lost := c.targets.age(now) > topicLostAfter; lost != storeLost {
 			storeLost = lost
 			if storeLost {
 				c.dir.MarkStoreUnreachable()
-				c.cfg.Log.Warn("store_lost", "age_ms", c.targets.age(now).Milliseconds())
+				c.cfg.Log.Warn("store_lost", "age_ms", c.targets.age(now).Milliseconds(), "answers", !c.targets.unanswered())
 			} else {
-				c.dir.MarkStoreReachable(c.targets.recoveryTime())
-				c.cfg.Log.Info("store_regained")
+				at, outage := c.targets.recovery()
+				if outage {
+					c.dir.MarkStoreReachable(at)
+				} else {
+					c.dir.WithdrawOutage()
+				}
+				c.cfg.Log.Info("store_regained", "outage", outage)
 			}
 		}
 		for _, id := range c.dir.RemoveExpired(now) {
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -48,6 +48,10 @@
 	// recoveredAt is when the follower last caught up after it had been behind for longer
 	// than topicLostAfter.
 	recoveredAt time.Duration
+	// contact tells whether the store answers. wasOutage says that it had not answered before
+	// recoveredAt.
+	contact   storeContact
+	wasOutage bool
 	// failedReads counts the reads in a row that the store did not answer; only Serve uses it.
 	failedReads int
 }
@@ -72,16 +76,25 @@
 		return
 	}
 	if at-f.caughtUpAt > topicLostAfter {
-		f.recoveredAt = at
+		// A host that starts cannot tell whether the store was away before.
+		f.recoveredAt, f.wasOutage = at, f.caughtUpAt == neverCaughtUp || f.contact.unanswered(f.c.ran.now())
 	}
-	f.caughtUpAt = at
+	f.caughtUpAt, f.contact.failed = at, false
 }
 
-// recoveryTime returns when the follower last caught up after an outage.
-func (f *follower) recoveryTime() time.Duration {
+// recovery returns when the follower last caught up after it had been behind for longer than
+// topicLostAfter, and whether the store had not answered meanwhile.
+func (f *follower) recovery() (at time.Duration, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.recoveredAt
+	return f.recoveredAt, f.wasOutage
+}
+
+// unanswered reports whether the store leaves the follower without answers.
+func (f *follower) unanswered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact.unanswered(f.c.ran.now())
 }
 
 // position returns the offset of the next record in the current era of the store, or
@@ -252,8 +265,9 @@
 		from = unknownOffset
 	}
 	if from == unknownOffset {
+		f.beginRead(maxReadWait)
 		b, err := f.c.cfg.Store.Newest(ctx, f.topic)
-		f.c.noteStoreCall("newest", b.Era, err)
+		f.endedRead("newest", b.Era, err)
 		if err != nil {
 			return platform.Batch{}, err
 		}
@@ -265,8 +279,9 @@
 	if age > maxReadWait {
 		wait = 0
 	}
+	f.beginRead(wait)
 	b, err := f.c.cfg.Store.Read(ctx, f.topic, from, wait)
-	f.c.noteStoreCall("read", b.Era, err)
+	f.endedRead("read", b.Era, err)
 	if err != nil {
 		return platform.Batch{}, err
 	}
@@ -286,6 +301,19 @@
 	return min(sent+wait, now)
 }
 
+func (f *follower) beginRead(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.begin(f.c.ran.now(), wait)
+}
+
+func (f *follower) endedRead(call string, era uint64, err error) {
+	f.c.noteStoreCall(call, era, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.end(f.c.ran.now(), err)
+}
+
 // cancelStalledReads makes the other followers that are cut off from the store retry at
 // once, since one follower got a response: a read that began during a partition may hang
 // until its timeout although the partition has ended. The first reading of a topic returns all
--- a/internal/coordinator/follow_test.go
+++ b/internal/coordinator/follow_test.go
@@ -22,16 +22,21 @@
 		f := newFollower(New(Config{Log: hclog.NewNullLogger()}), platform.TopicTargets, nil)
 		f.next = 5
 		f.confirmCaughtUp(0, 5, 0, 10*time.Second)
-		So(f.recoveryTime(), ShouldEqual, 10*time.Second)
+		So(recoveredAt(f), ShouldEqual, 10*time.Second)
 		f.confirmCaughtUp(0, 5, 200*time.Millisecond, 11*time.Second)
 		f.confirmCaughtUp(0, 5, 0, 12*time.Second)
-		So(f.recoveryTime(), ShouldEqual, 10*time.Second)
+		So(recoveredAt(f), ShouldEqual, 10*time.Second)
 		f.confirmCaughtUp(0, 5, 300*time.Millisecond, 20*time.Second)
 		f.confirmCaughtUp(0, 5, 0, 20500*time.Millisecond)
-		So(f.recoveryTime(), ShouldEqual, 19700*time.Millisecond)
+		So(recoveredAt(f), ShouldEqual, 19700*time.Millisecond)
 	})
 }
 
+func recoveredAt(f *follower) time.Duration {
+	at, _ := f.recovery()
+	return at
+}
+
 // TestDesiredStateAfterAbsence guards against a host that, after an outage, reads every
 // desired state that it missed before the one in force, which takes long on a slow link
 // with hundreds of routes.
--- /dev/null
+++ b/internal/coordinator/storecontact.go
@@ -0,0 +1,76 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelock/boragelock/platform"
+)
+
+// A host whose view of a topic is old may be cut off from the store, or it may only be late: short
+// of processor time, or behind a busy link. Only the first is an outage, in which announcements
+// of live targets lapse.
+
+// answerOverdue is the time beyond its wait after which a read counts as unanswered. With it a
+// read that begins when the relay is stale is overdue before the topic counts as lost.
+const answerOverdue = 400 * time.Millisecond
+
+// runClock counts the time during which this process ran: a tick that came late stands for
+// maxRunTick only.
+type runClock struct {
+	ran      atomic.Int64
+	tickedAt time.Duration // only tick uses it
+}
+
+// maxRunTick is the most that one tick of a runClock counts.
+const maxRunTick = 2 * expireEvery
+
+func (c *runClock) tick(now time.Duration) {
+	if c.tickedAt > 0 {
+		c.ran.Add(int64(min(now-c.tickedAt, maxRunTick)))
+	}
+	c.tickedAt = now
+}
+
+// now returns the time during which the process ran.
+func (c *runClock) now() time.Duration { return time.Duration(c.ran.Load()) }
+
+// storeContact tells whether the store answers the reads of a topic. Times are on the runClock.
+type storeContact struct {
+	reading bool
+	// due is when the read in progress should be answered.
+	due time.Duration
+	// failed says that a read was not answered since the topic was last caught up.
+	failed bool
+}
+
+// begin notes that a read begins that the store may hold for a time.
+func (s *storeContact) begin(now, wait time.Duration) {
+	s.reading, s.due = true, now+wait+answerOverdue
+}
+
+// end notes the result of the read in progress. A refused condition or an unknown offset is an
+// answer. A read that ran into its deadline was not answered only if the process could have
+// handled an answer.
+func (s *storeContact) end(now time.Duration, err error) {
+	overdue := now >= s.due
+	s.reading = false
+	var e *platform.Error
+	switch {
+	case err == nil || errors.As(err, &e) && (e.Outcome == platform.Conflict || e.Outcome == platform.Expired):
+		s.failed = false
+	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
+		s.failed = s.failed || overdue
+	default:
+		s.failed = true
+	}
+}
+
+// unanswered reports whether the store leaves the host without answers.
+func (s *storeContact) unanswered(now time.Duration) bool {
+	return s.failed || s.reading && now >= s.due
+}
