Let requests wait for a newer view of the targets while the store answers

A request now waits from an age of 1.8 s on, 0.2 s before the 2 s in which changes must be in force, until the host has caught up, which takes one read; it is checked again when a connection has opened. While the store refuses or does not answer, or when nothing follows the targets any more at the end of the process, requests are sent as before. One whose time ends in the wait is refused as not run. The lines served, not_run and send_failed have view_ms, the age at the send.

--- a/internal/coordinator/busyhost_test.go
+++ b/internal/coordinator/busyhost_test.go
@@ -103,3 +103,55 @@
 	c := New(Config{Host: "h", Store: platform.NewStore(strings.TrimPrefix(store.URL, "http://")), Grants: platform.NewGrants(), Log: hclog.NewNullLogger()})
 	return c.targets
 }
+
+// TestViewOfTheTargets guards against requests that are sent by an old view of the targets
+// although the store would answer with a newer one.
+func TestViewOfTheTargets(t *testing.T) {
+	Convey("Given a host whose view of the targets was current at 0", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		f := c.targets
+		f.following = true
+		now := boottime.Now()
+		old := func(age time.Duration) bool {
+			f.caughtUpAt = now - age
+			_, current := c.TargetsView()
+			return !current
+		}
+		Convey("it is used until changes are due", func() {
+			So(old(1700*time.Millisecond), ShouldBeFalse)
+			So(old(1900*time.Millisecond), ShouldBeTrue)
+		})
+		Convey("it is used when nothing follows the targets, as at the end of the process", func() {
+			f.following = false
+			So(old(time.Hour), ShouldBeFalse)
+		})
+		Convey("it is used when the store refuses to tell a newer one", func() {
+			f.contact.begin(0, 0)
+			f.contact.end(0, &platform.Error{Outcome: platform.NotDone, Status: http.StatusServiceUnavailable})
+			So(old(time.Hour), ShouldBeFalse)
+		})
+		Convey("it is used when the store is silent, not when the process did not run", func() {
+			f.contact.begin(c.ran.now(), 0)
+			c.ran.tick(time.Second)
+			c.ran.tick(4 * time.Second)
+			So(old(3*time.Second), ShouldBeTrue)
+			for i := range 10 {
+				c.ran.tick(4*time.Second + time.Duration(i)*expireEvery)
+			}
+			So(old(4*time.Second), ShouldBeFalse)
+		})
+		Convey("a read that ended while the process did not run says nothing of the store", func() {
+			f.contact.begin(c.ran.now(), 0)
+			f.contact.end(c.ran.now(), context.DeadlineExceeded)
+			So(old(3*time.Second), ShouldBeTrue)
+		})
+		Convey("an answer ends an outage", func() {
+			f.contact.begin(0, 0)
+			f.contact.end(time.Second, context.DeadlineExceeded)
+			So(old(3*time.Second), ShouldBeFalse)
+			f.contact.begin(time.Second, 0)
+			f.contact.end(time.Second, nil)
+			So(old(3*time.Second), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,9 @@
 	// topicLostAfter is the age of a topic from which the host counts as cut off from
 	// the store: a read that returns in time keeps the age below it.
 	topicLostAfter = storeLostAfter + maxReadWait
+	// maxSendAge is the age of the view of the targets up to which requests are sent by it:
+	// 0.2 s before the 2 s in which changes must be in force, for the time until they arrive.
+	maxSendAge = 1800 * time.Millisecond
 )
 
 // Coordinator is the control side of one entry host. Its read methods are safe
@@ -226,6 +229,13 @@
 // UpToDate reports whether the host recently caught up with the end of the operators' topic.
 func (c *Coordinator) UpToDate() bool { return c.operator.age(boottime.Now()) < 2*staleAfter }
 
+// TargetsView returns the age of this host's view of the targets, and whether requests may be
+// sent by it: it is new enough, or no newer one can be expected.
+func (c *Coordinator) TargetsView() (age time.Duration, current bool) {
+	age = c.targets.age(boottime.Now())
+	return age, age <= maxSendAge || !c.targets.catchesUp()
+}
+
 // Retire makes this host resign if it leads, and keeps it from campaigning again.
 // While the store does not respond, no other host can lead, so that this host
 // resigns only when the store responds; Leading reports when it has resigned.
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -52,6 +52,8 @@
 	// recoveredAt.
 	contact   storeContact
 	wasOutage bool
+	// following says that Serve runs.
+	following bool
 	// failedReads counts the reads in a row that the store did not answer; only Serve uses it.
 	failedReads int
 }
@@ -97,6 +99,20 @@
 	return f.contact.unanswered(f.c.ran.now())
 }
 
+// catchesUp reports whether the follower is about to know the end of the topic: it runs, and the
+// store answers it.
+func (f *follower) catchesUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following && !f.contact.unanswered(f.c.ran.now())
+}
+
+func (f *follower) setFollowing(following bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = following
+}
+
 // position returns the offset of the next record in the current era of the store, or
 // unknownOffset.
 func (f *follower) position() int64 {
@@ -180,6 +196,8 @@
 
 // Serve implements suture.Service.
 func (f *follower) Serve(ctx context.Context) error {
+	f.setFollowing(true)
+	defer f.setFollowing(false)
 	for ctx.Err() == nil {
 		start := boottime.Now()
 		cause := f.readCause(start)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -40,6 +40,8 @@
 	// sending is set from the send to a target until its outcome was handled.
 	placedOn string
 	sending  bool
+	// viewAge is the age of what the host knew of the targets at the last send.
+	viewAge time.Duration
 	// content identifies the request when targets end under it; hasRun is set while this is
 	// the copy that may be sent.
 	content content
@@ -203,6 +205,10 @@
 // send sends the request to a target. retry says that the request is to be placed
 // again.
 func (c *call) send(ctx context.Context, id string) (res *response, f *Failure, retry bool) {
+	if !c.awaitCurrentTargets(ctx) {
+		c.g.releaseUnsent(id)
+		return nil, c.finalFailure(newRefusal(CodeNotReady, notReadyRetryAfter)), false
+	}
 	snap := c.g.syncSnapshot()
 	t := snap.Targets[id]
 	if t == nil {
@@ -217,7 +223,9 @@
 	now := boottime.Now()
 	c.outgoing.timeLeft = func() (time.Duration, bool) {
 		left := c.deadline - boottime.Now()
-		return left, left > 0 && c.g.isInUse(t)
+		age, current := c.g.cfg.Deployment.TargetsView()
+		c.viewAge = age
+		return left, left > 0 && current && c.g.isInUse(t)
 	}
 	c.sending = true
 	res, failure := c.g.pool.roundTrip(ctx, &c.outgoing, id, t.Address, c.g.responseMemory)
@@ -228,6 +236,24 @@
 	return c.handleResponse(ctx, t, res, took)
 }
 
+// currentTargetsPoll is the interval at which a request checks whether its host has caught up.
+const currentTargetsPoll = 20 * time.Millisecond
+
+// awaitCurrentTargets waits until the request may be sent by what is known of the targets, and
+// reports whether that was in time. A host that is late catches up with one read.
+func (c *call) awaitCurrentTargets(ctx context.Context) bool {
+	if _, current := c.g.cfg.Deployment.TargetsView(); current {
+		return true
+	}
+	c.g.metrics.sends.Add("waited for the targets", 1)
+	for c.pause(ctx, currentTargetsPoll) {
+		if _, current := c.g.cfg.Deployment.TargetsView(); current {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gateway) releaseUnsent(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -253,7 +279,7 @@
 	}
 	c.tried = append(c.tried, id)
 	c.g.cfg.Log.Request("send_failed", c.req.ID, "target", id, "reason", e.reason, "sent", e.sent,
-		"took_ms", took.Milliseconds(), "err", e.err)
+		"took_ms", took.Milliseconds(), "view_ms", c.viewAge.Milliseconds(), "err", e.err)
 	if callerGone {
 		return nil, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: e}, false
 	}
@@ -383,7 +409,8 @@
 	c.g.metrics.sends.Add("answered", 1)
 	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", id,
 		"status", res.status, "sends", c.attempts+1, "refusals", c.refusals, "target_ms", took.Milliseconds(),
-		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "load", res.metadata.Load, "limit_per_s", res.metadata.RequestLimit)
+		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "view_ms", c.viewAge.Milliseconds(),
+		"load", res.metadata.Load, "limit_per_s", res.metadata.RequestLimit)
 	return res, nil, false
 }
 
@@ -433,7 +460,7 @@
 		c.g.metrics.sends.Add("not_run", 1)
 	}
 	c.g.cfg.Log.Request("not_run", c.req.ID, "target", id, "status", res.status, "wrong_target", res.metadata.WrongTarget,
-		"key", c.req.Key, "sends", c.attempts, "load", res.metadata.Load)
+		"key", c.req.Key, "sends", c.attempts, "view_ms", c.viewAge.Milliseconds(), "load", res.metadata.Load)
 	if !c.keyed {
 		c.tried = append(c.tried, id)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,9 @@
 	HasLeader() bool
 	// HostCount returns the number of hosts that share budgets, at least 1.
 	HostCount() int
+	// TargetsView returns the age of what is known of the targets, and whether requests may
+	// be sent by it.
+	TargetsView() (age time.Duration, current bool)
 	// UpToDate reports whether the desired state is up to date.
 	UpToDate() bool
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,9 @@
 	directory *fleet.Directory
 	changed   chan struct{}
 	stale     bool
-	suspects  *quarantine.Ledger
+	// targetsLate says that the host is late in following the targets.
+	targetsLate atomic.Bool
+	suspects    *quarantine.Ledger
 }
 
 func (s *fakeDeployment) Snapshot() *fleet.Snapshot {
@@ -91,6 +94,8 @@
 func (s *fakeDeployment) HostCount() int  { return 1 }
 func (s *fakeDeployment) UpToDate() bool  { return !s.stale }
 
+func (s *fakeDeployment) TargetsView() (time.Duration, bool) { return 0, !s.targetsLate.Load() }
+
 // harness is a gateway in front of stand-in targets.
 type harness struct {
 	deployment *fakeDeployment
