Do not take an own stall for a silence of the leader

Cause: the timer of a host that did not run for 0.9 s has ended before it reads the messages that have arrived meanwhile. Now a silence in which a tick of the same loop came late is excused once.

TestOwnStallIsNoSilence tests a new function.

--- a/internal/coordinator/busyhost_test.go
+++ b/internal/coordinator/busyhost_test.go
@@ -155,3 +155,31 @@
 		})
 	})
 }
+
+// TestOwnStallIsNoSilence guards against a host that did not run for a while, takes its leader for
+// silent, and connects to it anew together with all others that are short of processor time.
+func TestOwnStallIsNoSilence(t *testing.T) {
+	Convey("Given a host that hears of its leader", t, func() {
+		w := stallWatch{tickedAt: time.Second}
+		now := time.Second
+		for range 8 {
+			now += countsEvery
+			w.tick(now)
+		}
+		Convey("a silence while it runs is the leader's", func() {
+			So(w.excuses(now+countsEvery), ShouldBeFalse)
+		})
+		Convey("one in which it did not run may be its own, once", func() {
+			now += silentAfter + time.Second
+			w.tick(now)
+			So(w.excuses(now), ShouldBeTrue)
+			So(w.excuses(now+countsEvery), ShouldBeFalse)
+		})
+		Convey("it is the leader's again after a message", func() {
+			now += silentAfter + time.Second
+			w.tick(now)
+			w.heard()
+			So(w.excuses(now+countsEvery), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -112,6 +112,7 @@
 func (k *leaderLink) serve(ctx context.Context, l leaderRecord) lossReason {
 	silence := time.NewTimer(silentAfter)
 	counts := time.NewTicker(countsEvery)
+	own := stallWatch{tickedAt: boottime.Now()}
 	defer silence.Stop()
 	defer counts.Stop()
 	for {
@@ -121,8 +122,12 @@
 		case <-k.conn.DisconnectNotify():
 			return lossClosed
 		case <-silence.C:
-			return lossSilent
+			if !own.excuses(boottime.Now()) {
+				return lossSilent
+			}
+			silence.Reset(silentAfter)
 		case <-k.received:
+			own.heard()
 			silence.Reset(silentAfter)
 			now := k.c.leadership.current()
 			if now.Term != l.Term && now.Incarnation != l.Incarnation {
@@ -146,6 +151,7 @@
 				return lossClosed
 			}
 		case <-counts.C:
+			own.tick(boottime.Now())
 			for _, m := range k.c.counts.drain() {
 				if err := notify(ctx, k.nc, k.conn, methodCounts, m); err != nil {
 					return lossClosed
@@ -155,6 +161,29 @@
 	}
 }
 
+// stallWatch tells whether this host did not run for a while since it heard of the leader, so
+// that messages may have arrived that it has not read.
+type stallWatch struct {
+	tickedAt time.Duration
+	stalled  bool
+}
+
+// tick notes a tick that is due every countsEvery.
+func (w *stallWatch) tick(now time.Duration) {
+	w.stalled = w.stalled || now-w.tickedAt > 2*countsEvery
+	w.tickedAt = now
+}
+
+func (w *stallWatch) heard() { w.stalled = false }
+
+// excuses reports whether a silence may be this host's own. A stall excuses one.
+func (w *stallWatch) excuses(now time.Duration) bool {
+	w.tick(now)
+	stalled := w.stalled
+	w.stalled = false
+	return stalled
+}
+
 // requestRanges queues a request to the leader for all key ranges of a workload.
 func (k *leaderLink) requestRanges(workload string) {
 	select {
