Handle the results of calls before each tick of a leader

Cause: the loop of a term picks a tick or a queued result by chance when both are there. When a tick takes its whole period, the next one is always there, and one result on the mean is handled between two: the accepted grants of hundreds of targets wait, and the calls behind them, too.

What is queued when a tick is due now runs before it.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -142,16 +142,31 @@
 func (t *term) loop() {
 	ticker := time.NewTicker(leadTick)
 	defer ticker.Stop()
-	for t.endReason == "" {
+	if serveLoop(t.ctx, ticker.C, t.loopQueue, t.tick, func() bool { return t.endReason != "" }) {
+		t.endReason = endStopped
+	}
+}
+
+// serveLoop runs the functions of a queue and ticks until ended returns true, or the context
+// ends, which it reports. What is queued at a tick runs before it: a tick that takes long must not
+// decide without the results that wait.
+func serveLoop(ctx context.Context, ticks <-chan time.Time, queue <-chan loopFunc, tick loopFunc, ended func() bool) (stopped bool) {
+	for !ended() {
 		select {
-		case <-t.ctx.Done():
-			t.endReason = endStopped
-		case r := <-t.loopQueue:
+		case <-ctx.Done():
+			return true
+		case r := <-queue:
 			r(boottime.Now())
-		case <-ticker.C:
-			t.tick(boottime.Now())
+		case <-ticks:
+			for n := len(queue); n > 0 && !ended(); n-- {
+				(<-queue)(boottime.Now())
+			}
+			if !ended() {
+				tick(boottime.Now())
+			}
 		}
 	}
+	return false
 }
 
 // post queues a function for the loop.
