Count grants that a leader gave up while it did not run as not asked

A call in flight while the process did not run for 0.6 s has run into its timeout when the process goes on, whether the target answered or not. The owner then counted as asked since before the stall. It now has the time of a call from the next grant on. What is taken for a stall is a gap of 0.3 s, not 0.15 s: a leader whose ticks come every 0.2 s runs, and finds failing targets in time.

--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -172,14 +172,18 @@
 }
 
 // lateTicks is the number of periods without a call from which on a granter did not run.
-const lateTicks = 3
+const lateTicks = 6
 
 // runTime returns the run time at a time. Without a period it is not known which calls are late.
+// Grants in flight while the granter did not run may have been given up, and count as not asked.
 func (g *RangeGranter) runTime(now time.Duration) time.Duration {
 	d := max(0, now-g.runAt)
 	g.runAt += d
-	if g.cfg.TickEvery > 0 {
-		d = min(d, lateTicks*g.cfg.TickEvery)
+	if most := lateTicks * g.cfg.TickEvery; most > 0 && d > most {
+		d = most
+		for _, r := range g.ranges {
+			r.asked = false
+		}
 	}
 	g.run += d
 	return g.run
