Do not offer the lead over calls that ended in an own stall

What callers could see: keys without an owner, since a leader that was short of processor time gave its lead away on top of that.

Cause: an offer is due 0.4 s after the last answer of the store, when two calls have failed since. A leader that did not run for its calls' timeouts has that at once, whatever the store answered. The times now count while the process runs only, as for outages.

Evidence: TestOwnStallOffersNoLead failed before: the lead was offered.

--- a/internal/coordinator/busyhost_test.go
+++ b/internal/coordinator/busyhost_test.go
@@ -183,3 +183,38 @@
 		})
 	})
 }
+
+// TestOwnStallOffersNoLead guards against a leader that did not run for a while and gives its lead
+// away, since its calls to the store ran into their deadlines meanwhile.
+func TestOwnStallOffersNoLead(t *testing.T) {
+	Convey("Given a leader that the store answers", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		tm := &term{c: c}
+		pc := &peerConn{outbox: make(chan peerMessage, outboxSize), host: "other"}
+		c.peers.conns[pc] = true
+		fail := func() {
+			for range offerFailures {
+				c.noteStoreCall("read", 0, &platform.Error{Outcome: platform.Unknown, Offset: -1, Err: context.DeadlineExceeded})
+			}
+		}
+		c.ran.tick(boottime.Now())
+		c.noteStoreCall("read", 0, nil)
+
+		Convey("it keeps the lead when its calls failed while it did not run", func() {
+			time.Sleep(offerAfter + expireEvery)
+			c.ran.tick(boottime.Now())
+			fail()
+			tm.offerLead(boottime.Now())
+			So(pc.outbox, ShouldBeEmpty)
+		})
+		Convey("it offers the lead when they fail while it runs", func() {
+			fail()
+			for range int(offerAfter/expireEvery) + 2 {
+				time.Sleep(expireEvery)
+				c.ran.tick(boottime.Now())
+			}
+			tm.offerLead(boottime.Now())
+			So(len(pc.outbox), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -19,7 +19,7 @@
 // noteStoreCall counts a call to the store and notes the era that its response stated.
 func (c *Coordinator) noteStoreCall(call string, era uint64, err error) {
 	c.metrics.storeCall(call, err)
-	c.storeAnswers.note(boottime.Now(), err)
+	c.storeAnswers.note(c.ran.now(), err)
 	var e *platform.Error
 	if errors.As(err, &e) {
 		era = e.Era
--- a/internal/coordinator/offer.go
+++ b/internal/coordinator/offer.go
@@ -33,7 +33,8 @@
 	Term uint64 `json:"term"`
 }
 
-// storeAnswers tells whether the store answers this host's calls.
+// storeAnswers tells whether the store answers this host's calls. Its times are on the runClock:
+// calls that ran into their deadlines while the process did not run say nothing of the store.
 type storeAnswers struct {
 	mu         sync.Mutex
 	answeredAt time.Duration
@@ -69,7 +70,7 @@
 
 // offerLead asks the next host to succeed this one while the store does not answer this one.
 func (t *term) offerLead(now time.Duration) {
-	if !t.c.storeAnswers.lost(now) {
+	if !t.c.storeAnswers.lost(t.c.ran.now()) {
 		t.offers = offers{}
 		return
 	}
