Leave out reports of a target that the store carries out late

What callers could see: requests to a target that had said that it leaves, or that was gone (DRAIN). The store may carry out a write seconds after it was sent. A report of a target from before it was leaving then replaced the one that says so, until its next one; after its removal it brought the target back until it lapsed.

Cause: announcements were applied in the order of the topic; their own numbers counted only after the store had returned from a copy.

A host now keeps the last number of each target's run, and leaves out reports with a lower one, or with no higher one after the removal. A host that starts after a late report cannot tell it.

TestLateCheckIn failed before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -79,6 +79,8 @@
 	dir *fleet.Directory
 	// announced has the last announcement of each target that was not deleted since.
 	announced map[string]fleet.Target
+	// reports tells which announcements of a target are outdated.
+	reports   targetReports
 	snapshot  atomic.Pointer[fleet.Snapshot]
 	rangeMaps atomic.Pointer[map[string]*RangeMap]
 
@@ -146,7 +148,7 @@
 	cfg.Ranges.KeyLease = cfg.Ranges.KeyLease.WithDefaults()
 	cfg.Ranges.TickEvery = leadTick
 	c := &Coordinator{
-		cfg: cfg, dir: fleet.NewDirectory(), announced: map[string]fleet.Target{}, changed: make(chan struct{}),
+		cfg: cfg, dir: fleet.NewDirectory(), announced: map[string]fleet.Target{}, reports: targetReports{}, changed: make(chan struct{}),
 		leavingReported: make(chan struct{}, 1), limitReported: make(chan struct{}, 1),
 		suspectsReported: make(chan struct{}, 1), offered: make(chan uint64, 1),
 		permitAsks:  make(chan *permitAsk, permitAskQueue),
@@ -312,6 +314,7 @@
 		if len(r.Value) == 0 {
 			relevant = append(relevant, r)
 			delete(c.announced, r.Key)
+			c.reports.remove(now, r.Key)
 			if c.dir.RemoveTarget(now, r.Key) {
 				c.cfg.Log.Info("target_gone", "target", r.Key, "offset", r.Offset)
 			}
@@ -323,7 +326,12 @@
 			announced[r.Key] = c.dir.Snapshot().Targets[r.Key] != nil
 			continue
 		}
-		announced[r.Key] = true
+		if born, number := platform.AnnouncementOrder(r); !c.reports.note(t.ID, born, number) {
+			c.cfg.Log.Info("announcement_outdated", "target", t.ID, "leaving", t.Leaving, "offset", r.Offset)
+			_, announced[t.ID] = c.announced[t.ID]
+			continue
+		}
+		announced[t.ID] = true
 		if c.isNewRelease(t) {
 			c.retrySuspects(now)
 		}
@@ -337,7 +345,12 @@
 		}
 	}
 	if full {
-		maps.DeleteFunc(c.announced, func(id string, _ fleet.Target) bool { return !announced[id] })
+		maps.DeleteFunc(c.announced, func(id string, _ fleet.Target) bool {
+			if !announced[id] {
+				c.reports.remove(now, id)
+			}
+			return !announced[id]
+		})
 		for _, id := range c.dir.RemoveUnannounced(now, announced) {
 			c.cfg.Log.Info("target_gone", "target", id, "reason", "not announced")
 		}
