--- a/internal/coordinator/busyhost_test.go
+++ b/internal/coordinator/busyhost_test.go
@@ -218,3 +218,35 @@
 		})
 	})
 }
+
+// TestOutageIsSeenByReads guards against a host that forgets an outage with the first read that
+// the store answers again: it dropped live targets whose announcements had lapsed.
+func TestOutageIsSeenByReads(t *testing.T) {
+	Convey("Given a host whose view has become old", t, func() {
+		store := standin.NewStore()
+		store.Put(platform.TopicTargets, "t0", nil)
+		proxy := &storeProxy{handler: store}
+		srv := httptest.NewServer(proxy)
+		defer srv.Close()
+		f := newTargetsFollower(srv)
+		So(f.read(context.Background()), ShouldBeNil)
+		_, outage := f.recovery()
+		So(outage, ShouldBeTrue) // it has just started
+		caughtUp := boottime.Now() - topicLostAfter - time.Second
+		f.caughtUpAt = caughtUp
+
+		Convey("a refused read before it catches up was an outage", func() {
+			proxy.rejected.Store(true)
+			So(f.read(context.Background()), ShouldNotBeNil)
+			proxy.rejected.Store(false)
+			So(f.read(context.Background()), ShouldBeNil)
+			_, outage := f.recovery()
+			So(outage, ShouldBeTrue)
+		})
+		Convey("it was none when the store answered each read", func() {
+			So(f.read(context.Background()), ShouldBeNil)
+			_, outage := f.recovery()
+			So(outage, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -77,11 +77,12 @@
 	if at <= f.caughtUpAt {
 		return
 	}
+	outage := f.contact.caughtUp(f.c.ran.now())
 	if at-f.caughtUpAt > topicLostAfter {
 		// A host that starts cannot tell whether the store was away before.
-		f.recoveredAt, f.wasOutage = at, f.caughtUpAt == neverCaughtUp || f.contact.unanswered(f.c.ran.now())
+		f.recoveredAt, f.wasOutage = at, outage || f.caughtUpAt == neverCaughtUp
 	}
-	f.caughtUpAt, f.contact.failed = at, false
+	f.caughtUpAt = at
 }
 
 // recovery returns when the follower last caught up after it had been behind for longer than
--- a/internal/coordinator/storecontact.go
+++ b/internal/coordinator/storecontact.go
@@ -43,8 +43,9 @@
 	reading bool
 	// due is when the read in progress should be answered.
 	due time.Duration
-	// failed says that a read was not answered since the topic was last caught up.
-	failed bool
+	// failed says that the last read was not answered, outage that one was not since the host
+	// was last caught up.
+	failed, outage bool
 }
 
 // begin notes that a read begins that the store may hold for a time.
@@ -68,9 +69,17 @@
 	default:
 		s.failed = true
 	}
+	s.outage = s.outage || s.failed
 }
 
 // unanswered reports whether the store leaves the host without answers.
 func (s *storeContact) unanswered(now time.Duration) bool {
 	return s.failed || s.reading && now >= s.due
 }
+
+// caughtUp notes that the host has caught up, and reports whether there was an outage before.
+func (s *storeContact) caughtUp(now time.Duration) (outage bool) {
+	outage = s.outage || s.unanswered(now)
+	s.failed, s.outage = false, false
+	return outage
+}
