Let a host that was restarted succeed a leader that stops

Each change makes keys that are on the move from silent targets wait anew, until the last lease that an earlier leader can have given has ended.

Leaders now state for how long their process has run. When one has stopped, hosts that have run for as long campaign 0.3 s later than those that were started meanwhile: in a rolling restart their turn is still to come. A lost leader is replaced as soon as before.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -43,6 +43,8 @@
 	// UnknownHoldersMS is for how much longer targets that the stored tables do not name may
 	// hold keys, in milliseconds as of the record.
 	UnknownHoldersMS int64 `json:"unknown_ms,omitempty"`
+	// UpMS is for how long the leader's process had run as of the record, in milliseconds.
+	UpMS int64 `json:"up_ms,omitempty"`
 }
 
 func (l leaderRecord) storeRecord() platform.Record {
@@ -377,6 +379,11 @@
 	leaderMbps  = 150
 	// maxCampaignDelay bounds how much later a host with fewer resources campaigns.
 	maxCampaignDelay = 600 * time.Millisecond
+	// settledDelay is how much later hosts campaign that have run for as long as a leader that
+	// stopped. In a rolling restart their turn is still to come, and the lead would change again.
+	settledDelay = campaignJitter
+	// startSpread is the time within which hosts that are started together start.
+	startSpread = 3 * time.Second
 	// campaignCheckEvery is how often a host considers whether to campaign.
 	campaignCheckEvery = 100 * time.Millisecond
 )
@@ -386,9 +393,26 @@
 	return min(1, c.cfg.Cores/leaderCores, c.cfg.LinkMbps/leaderMbps)
 }
 
-// campaignDelay returns how long the host lets hosts with more resources go first.
+// campaignDelay returns how long the host lets hosts go first that have more resources, or that
+// were restarted while the stopped leader ran.
 func (c *Coordinator) campaignDelay() time.Duration {
-	return time.Duration((1 - c.room()) * float64(maxCampaignDelay))
+	d := time.Duration((1 - c.room()) * float64(maxCampaignDelay))
+	if now := boottime.Now(); c.leadership.stoppedNoOlderThan(now, now-c.startedAt) {
+		d += settledDelay
+	}
+	return d
+}
+
+// stoppedNoOlderThan reports whether the leader has stopped, and had run no longer than a process
+// with an uptime.
+func (l *leadership) stoppedNoOlderThan(now, uptime time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record
+	if r.UpMS == 0 || r.Host != "" && l.endedTerm < r.Term {
+		return false
+	}
+	return uptime >= time.Duration(r.UpMS)*time.Millisecond+now-l.recordSeenAt-startSpread
 }
 
 func (c *Coordinator) mayCampaign() bool {
@@ -458,7 +482,7 @@
 	start := boottime.Now()
 	begun := lease.BeginTerm(c.cfg.Ranges.KeyLease, number, start, start, earlier)
 	r := leaderRecord{
-		Term: number, Era: era, TablesEra: era, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer,
+		Term: number, Era: era, TablesEra: era, Host: c.cfg.Host, Incarnation: c.incarnation, Address: c.cfg.Peer, UpMS: (start - c.startedAt).Milliseconds(),
 		EarlierLeaseMS: begun.InheritedLeasesLeft(start).Milliseconds(), UnknownHoldersMS: begun.UnknownHoldersLeft(start).Milliseconds(),
 	}
 	if earlier.RecordsLost {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -491,6 +491,7 @@
 	t.nextConfirm = now + confirmEvery
 	t.appendInProgress = true
 	t.record.Heartbeat++
+	t.record.UpMS = (now - t.c.startedAt).Milliseconds()
 	t.record.EarlierLeaseMS = t.lease.InheritedLeasesLeft(now).Milliseconds()
 	t.record.UnknownHoldersMS = t.lease.UnknownHoldersLeft(now).Milliseconds()
 	records := []platform.Record{t.record.storeRecord()}
@@ -579,8 +580,11 @@
 func (t *term) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	r := leaderRecord{Term: t.record.Term, Era: t.record.Era, TablesEra: t.record.TablesEra, Heartbeat: t.record.Heartbeat + 1, EarlierLeaseMS: t.lease.InheritedLeasesLeft(boottime.Now()).Milliseconds(),
-		UnknownHoldersMS: t.lease.UnknownHoldersLeft(boottime.Now()).Milliseconds()}
+	now := boottime.Now()
+	r := leaderRecord{
+		Term: t.record.Term, Era: t.record.Era, TablesEra: t.record.TablesEra, Heartbeat: t.record.Heartbeat + 1, UpMS: (now - t.c.startedAt).Milliseconds(),
+		EarlierLeaseMS: t.lease.InheritedLeasesLeft(now).Milliseconds(), UnknownHoldersMS: t.lease.UnknownHoldersLeft(now).Milliseconds(),
+	}
 	b, err := t.c.cfg.Store.Append(ctx, platform.TopicControl, t.c.control.position(), []platform.Record{r.storeRecord()})
 	t.c.noteStoreCall("append", b.Era, err)
 	if err != nil {
