--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -23,11 +23,10 @@
 // longer than rememberFor ago.
 const maxRemovedReports = 8192
 
-// note records a report, unless it was made before the last one or, for a target that was removed
-// since, not after it. It reports whether it did.
+// note records a report, unless it was made before the last one. It reports whether it did. The
+// last one may be written again, when it has lapsed.
 func (t targetReports) note(id string, born, number int64) bool {
-	last, known := t[id]
-	if known && born == last.born && (number < last.number || number == last.number && last.removedAt > 0) {
+	if last, known := t[id]; known && born == last.born && number < last.number {
 		return false
 	}
 	t[id] = targetReport{born: born, number: number}
