--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -93,27 +93,6 @@
 	return f.recoveredAt, f.wasOutage
 }
 
-// unanswered reports whether the store leaves the follower without answers.
-func (f *follower) unanswered() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.contact.unanswered(f.c.ran.now())
-}
-
-// catchesUp reports whether the follower is about to know the end of the topic: it runs, and the
-// store answers it.
-func (f *follower) catchesUp() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.following && !f.contact.unanswered(f.c.ran.now())
-}
-
-func (f *follower) setFollowing(following bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.following = following
-}
-
 // position returns the offset of the next record in the current era of the store, or
 // unknownOffset.
 func (f *follower) position() int64 {
@@ -320,19 +299,6 @@
 	return min(sent+wait, now)
 }
 
-func (f *follower) beginRead(wait time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.contact.begin(f.c.ran.now(), wait)
-}
-
-func (f *follower) endedRead(call string, era uint64, err error) {
-	f.c.noteStoreCall(call, era, err)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.contact.end(f.c.ran.now(), err)
-}
-
 // cancelStalledReads makes the other followers that are cut off from the store retry at
 // once, since one follower got a response: a read that began during a partition may hang
 // until its timeout although the partition has ended. The first reading of a topic returns all
--- a/internal/coordinator/storecontact.go
+++ b/internal/coordinator/storecontact.go
@@ -83,3 +83,37 @@
 	s.failed, s.outage = false, false
 	return outage
 }
+
+// unanswered reports whether the store leaves the follower without answers.
+func (f *follower) unanswered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact.unanswered(f.c.ran.now())
+}
+
+// catchesUp reports whether the follower is about to know the end of the topic: it runs, and the
+// store answers it.
+func (f *follower) catchesUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following && !f.contact.unanswered(f.c.ran.now())
+}
+
+func (f *follower) setFollowing(following bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = following
+}
+
+func (f *follower) beginRead(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.begin(f.c.ran.now(), wait)
+}
+
+func (f *follower) endedRead(call string, era uint64, err error) {
+	f.c.noteStoreCall(call, era, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact.end(f.c.ran.now(), err)
+}
