Notice a stall before a stored table replaces the ranges

What callers could see: after a stall of the leader, owners that answer counted as asked since before it, and sooner as failing, when a table that was stored meanwhile was the first thing it handled: the stall was then noted on the new ranges only, which had taken over the old ones' state.

--- a/lease/lateticks_test.go
+++ b/lease/lateticks_test.go
@@ -96,6 +96,24 @@
 	})
 }
 
+// TestTableAfterAStall guards against owners that count as asked since before a stall when a table
+// that was stored meanwhile is the first thing that the leader handles.
+func TestTableAfterAStall(t *testing.T) {
+	Convey("Given grants in flight when the leader stops to run", t, func() {
+		f := newAnsweringFleet(100)
+		f.step(f.now + lateTickEvery)
+		table := &ownership.RangeTable{}
+		for _, r := range f.g.ranges {
+			So(r.asked || r.nextAt == 0, ShouldBeTrue)
+			table.Ranges = append(table.Ranges, r.KeyRange)
+		}
+		f.g.SetTable(f.now+3*time.Second, table)
+		for _, r := range f.g.ranges {
+			So(r.asked, ShouldBeFalse)
+		}
+	})
+}
+
 // TestLateTicksKeepGrantsUp guards against key leases that end since a leader short of processor
 // time starts as many grants in a late tick as in one on time.
 func TestLateTicksKeepGrantsUp(t *testing.T) {
--- a/lease/rangegranter.go
+++ b/lease/rangegranter.go
@@ -200,10 +200,10 @@
 // SetTable replaces the table by one that has been stored.
 func (g *RangeGranter) SetTable(now time.Duration, table *ownership.RangeTable) {
 	g.unanswered.prune(now) // also of targets that are gone
-	old := g.ranges
+	run, old := g.runTime(now), g.ranges
 	g.ranges = make([]*rangeState, 0, len(table.Ranges))
 	for _, s := range table.Ranges {
-		g.ranges = append(g.ranges, carryOver(now, g.runTime(now), old, s))
+		g.ranges = append(g.ranges, carryOver(now, run, old, s))
 	}
 	g.viewChanged = true
 }
