--- a/internal/coordinator/offer.go
+++ b/internal/coordinator/offer.go
@@ -42,12 +42,11 @@
 	failures int
 }
 
-// note records the result of a call. A refused condition or an unknown offset is an answer.
+// note records the result of a call.
 func (s *storeAnswers) note(now time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var e *platform.Error
-	if err == nil || errors.As(err, &e) && (e.Outcome == platform.Conflict || e.Outcome == platform.Expired) {
+	if isAnswer(err) {
 		s.answeredAt, s.failures = now, 0
 	} else if !errors.Is(err, context.Canceled) {
 		s.failures++
--- a/internal/coordinator/storecontact.go
+++ b/internal/coordinator/storecontact.go
@@ -53,15 +53,20 @@
 	s.reading, s.due = true, now+wait+answerOverdue
 }
 
-// end notes the result of the read in progress. A refused condition or an unknown offset is an
-// answer. A read that ran into its deadline was not answered only if the process could have
-// handled an answer.
+// isAnswer reports whether the store answered a call with a result. A refused condition or an
+// unknown offset is one.
+func isAnswer(err error) bool {
+	var e *platform.Error
+	return err == nil || errors.As(err, &e) && (e.Outcome == platform.Conflict || e.Outcome == platform.Expired)
+}
+
+// end notes the result of the read in progress. A read that ran into its deadline was not answered
+// only if the process could have handled an answer.
 func (s *storeContact) end(now time.Duration, err error) {
 	overdue := now >= s.due
 	s.reading = false
-	var e *platform.Error
 	switch {
-	case err == nil || errors.As(err, &e) && (e.Outcome == platform.Conflict || e.Outcome == platform.Expired):
+	case isAnswer(err):
 		s.failed = false
 	case errors.Is(err, context.Canceled):
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
