Treat a status outside 200 to 599 as no response

What callers saw: a target that answered with status 000 kept its caller waiting for the whole time limit; where the body held the bytes of a response, the caller got it as a success. 600 to 999 were passed on.

Cause: readHead skipped each status below 200 as informational, and net/http reads no body after one. Grants, releases and appends took such a status for a refusal, the other request path passed 600 to 999 on.

Change: such a status, or an informational response with a body, ends the exchange with an unknown outcome. A request that was never sent is refused with 503 when its deadline passes, not answered with 504.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -40,11 +40,14 @@
 // Error implements error.
 func (e *invalidResponseError) Error() string { return "response " + e.reason }
 
+// maxStatus is the highest status of a response (RFC 9110, 15).
+const maxStatus = 599
+
 // checkFraming checks that the end of the response's body can be recognized. A
 // body that ends when its connection closes cannot be told from a truncated one.
 func checkFraming(method string, resp *http.Response) error {
 	switch {
-	case resp.StatusCode < http.StatusOK:
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus:
 		return &invalidResponseError{"has status " + strconv.Itoa(resp.StatusCode)}
 	case method == http.MethodHead, resp.ContentLength >= 0, len(resp.TransferEncoding) > 0:
 		return nil
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -323,7 +323,7 @@
 	if boottime.Now() < c.deadline {
 		return nil, nil, true
 	}
-	return nil, c.finalFailure(&Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: context.DeadlineExceeded}), false
+	return nil, c.finalFailure(newRefusal(CodeOverload, minRetryAfter)), false
 }
 
 // requestEnded reports to the scheduler that the request has ended at a target.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -327,13 +327,34 @@
 			return nil, err
 		}
 		u.headLimit.N = math.MaxInt64 // the body has its own limit
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case platform.IsFinalStatus(resp.StatusCode):
 			return resp, nil
+		case !isInformational(resp):
+			return nil, &invalidStatusError{resp.Status}
 		}
 	}
 	return nil, &noFinalResponseError{}
 }
 
+// isInformational reports whether a response is one that another one follows. One with a body
+// is not: what follows may be the body. The gateway asks for no other protocol (101).
+func isInformational(resp *http.Response) bool {
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) == 0 && (length == "" || length == "0")
+}
+
+// invalidStatusError says that what a target sent is no response.
+type invalidStatusError struct{ status string }
+
+// Error implements error.
+func (e *invalidStatusError) Error() string {
+	return "status " + strconv.Quote(e.status) + " is no final one, or informational with a body"
+}
+
 // noFinalResponseError says that maxHeadReads heads were all informational.
 type noFinalResponseError struct{}
 
