Identify customers by their credentials

Cause: the desired state may name customers, whose requests carry a credential. Requests ran whatever they carried, credentials were passed on to targets, and a caller could name any customer to a target.

Change: fleet.Customers keeps hashes of credentials. The gateway looks up the customer of each request in the newest desired state, denies unknown credentials with 401 except on anonymous routes, removes both headers in each spelling, and states the customer's name to the target. A customer's priority replaces the route's. Invalid customers are left out and logged by field.

--- a/cmd/boragelock/fleet.go
+++ b/cmd/boragelock/fleet.go
@@ -115,6 +115,8 @@
 	Owners                map[string]*ownership.RangeTable `json:"owners"`
 	Leader                json.RawMessage                  `json:"leader"`
 	UnusableAnnouncements []string                         `json:"unusable_announcements"`
+	// InvalidCustomers holds what the desired state has of customers that hosts leave out.
+	InvalidCustomers []*fleet.InvalidCustomerError `json:"invalid_customers"`
 }
 
 // fleetTimeout limits all calls to the store together.
@@ -159,11 +161,12 @@
 		if domain, evacuated, ok := platform.DecodeEvacuation(r); ok && evacuated {
 			v.EvacuatedDomains = append(v.EvacuatedDomains, domain)
 		} else if platform.IsDesiredState(r) {
-			d, err := platform.DecodeDesiredState(r.Value)
+			d, problems, err := platform.DecodeDesiredState(r.Value)
 			if err != nil {
 				return nil, err
 			}
 			v.Version = d.Version
+			v.InvalidCustomers = problems
 		}
 	}
 	for _, r := range targetRecords.Records {
@@ -198,6 +201,9 @@
 			fmt.Fprintf(w, "keys %s %d-%d owner=%s waits_for=%s\n", workload, s.From, s.To, s.Owner, orNone(strings.Join(s.PreviousOwners, ",")))
 		}
 	}
+	for _, p := range v.InvalidCustomers {
+		fmt.Fprintf(w, "left out: %v\n", p)
+	}
 	for _, id := range v.UnusableAnnouncements {
 		fmt.Fprintf(w, "announcement of %s cannot be used\n", id)
 	}
--- a/fleet/desired.go
+++ b/fleet/desired.go
@@ -56,6 +56,8 @@
 	Priority int
 	// MaxAttempts is the number of targets that may receive one request.
 	MaxAttempts int
+	// Anonymous routes serve requests without a credential.
+	Anonymous bool
 }
 
 // ChooseWorkload returns the workload for a request. random is a number from 0 to
@@ -105,6 +107,9 @@
 	Routes    []Route
 	Workloads map[string]*Workload
 	Limits    Limits
+	// Customers holds the customers, nil if the deployment has none and requests need no
+	// credential.
+	Customers *Customers
 
 	routesByHost map[string][]*Route
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -275,13 +275,16 @@
 	evacuations := map[string]bool{}
 	for _, r := range records {
 		if platform.IsDesiredState(r) && len(r.Value) > 0 {
-			d, err := platform.DecodeDesiredState(r.Value)
+			d, problems, err := platform.DecodeDesiredState(r.Value)
 			if err != nil {
 				c.cfg.Log.Error("desired_state_malformed", "offset", r.Offset, "err", err)
 				continue
 			}
 			if c.dir.PutDesiredState(d) {
 				c.cfg.Log.Info("desired_state", "version", d.Version, "routes", len(d.Routes), "offset", r.Offset)
+				for _, p := range problems {
+					c.cfg.Log.Error("customer_invalid", "version", d.Version, "customer", p.Customer, "index", p.Index, "field", p.Field, "problem", p.Problem)
+				}
 				c.retrySuspects(boottime.Now())
 			}
 		} else if domain, evacuated, ok := platform.DecodeEvacuation(r); ok {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -11,10 +11,12 @@
 
 // Codes of the gateway's own responses.
 const (
-	CodeInternal    Code = "internal"     // a fault in this program
-	CodeNotReady    Code = "not_ready"    // no desired state is known yet
-	CodeStopping    Code = "stopping"     // the host stops before the request's deadline
-	CodeFull        Code = "full"         // the host has as many connections, or as much in its memory, as it can
+	CodeInternal Code = "internal"  // a fault in this program
+	CodeNotReady Code = "not_ready" // no desired state is known yet
+	CodeStopping Code = "stopping"  // the host stops before the request's deadline
+	CodeFull     Code = "full"      // the host has as many connections, or as much in its memory, as it can
+	// CodeCredential means that the credential is missing or no customer's.
+	CodeCredential  Code = "credential"
 	CodeNoRoute     Code = "no_route"     // no route matches
 	CodeMalformed   Code = "malformed"    // the request breaks the protocol
 	CodeTooLarge    Code = "too_large"    // headers or body are over the limit
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,6 +25,8 @@
 	deadline time.Duration
 	workload string
 	keyed    bool
+	// customer sends the request, nil on an anonymous route or without customers.
+	customer *fleet.Customer
 	// ownership is the range of the request's key as of the last placement.
 	ownership ownedRange
 	outgoing  targetRequest
@@ -97,6 +99,9 @@
 		timeout = c.req.Deadline
 	}
 	c.deadline = c.arrived + timeout
+	if failure := c.authenticate(snap.DesiredState, r.Header); failure != nil {
+		return nil, failure
+	}
 	if g.stopsBefore(c.deadline) {
 		return nil, newRefusal(CodeStopping, minRetryAfter)
 	}
@@ -155,7 +160,7 @@
 // place finds a target for the request.
 func (c *call) place(ctx context.Context) (placement.Decision, *Failure) {
 	r := placement.Request{
-		Workload: c.workload, Route: c.route.Name, Priority: c.route.Priority, Deadline: c.deadline,
+		Workload: c.workload, Route: c.route.Name, Priority: c.priority(), Deadline: c.deadline,
 		Objective: c.route.Objective, ObjectiveDeadline: c.objectiveDeadline(), TriedTargets: c.tried, HasIdleConnection: c.g.pool.hasIdle,
 	}
 	if c.keyed {
@@ -180,7 +185,7 @@
 			code = CodeLimit
 		}
 		c.g.metrics.refusals.Add(string(d.Reason), 1)
-		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", r.Target,
+		c.g.cfg.Log.Request("refused", c.req.ID, "route", c.route.Name, "workload", c.workload, "customer", c.customerName(), "key", c.req.Key, "target", r.Target,
 			"reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(), "left_ms", (c.deadline - boottime.Now()).Milliseconds())
 		return d, newRefusal(code, d.RetryAfter)
 	}
@@ -407,7 +412,7 @@
 		c.noteAnswer()
 	}
 	c.g.metrics.sends.Add("answered", 1)
-	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", id,
+	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "customer", c.customerName(), "key", c.req.Key, "target", id,
 		"status", res.status, "sends", c.attempts+1, "refusals", c.refusals, "target_ms", took.Milliseconds(),
 		"total_ms", (boottime.Now() - c.arrived).Milliseconds(), "view_ms", c.viewAge.Milliseconds(),
 		"load", res.metadata.Load, "limit_per_s", res.metadata.RequestLimit)
