Count customers' allotments over all hosts

Cause: rate and burst of a customer hold over all hosts together, and a customer may come through one host or through all of them.

Change: limits.Allotments on the leader has a token bucket for each customer and grants the shares of the hosts that are present. limits.AllotmentShare on a host asks for a token for each request, states that it does not use its even share, and uses turns of that share without a leader.

--- a/fleet/customers.go
+++ b/fleet/customers.go
@@ -101,6 +101,9 @@
 // the list.
 func (s *Customers) All() []*Customer { return s.list }
 
+// ByName returns the customer with a name, or nil.
+func (s *Customers) ByName(name string) *Customer { return s.byName[name] }
+
 // ByCredential returns the customer that has a credential, or nil. The lookup is by the
 // credential's hash, so that its time tells nothing about credentials that are similar.
 func (s *Customers) ByCredential(credential string) *Customer {
--- a/limits/doc.go
+++ b/limits/doc.go
@@ -47,6 +47,15 @@
 // most L·(T + 1 s) + 3. A host that stays cut off for longer than HostCount remembers
 // it adds its even share to the limit.
 //
+// # Allotments of customers
+//
+// On the users' platform a customer has one rate and burst over all hosts together.
+// Allotments on the leader has a token bucket for each customer, and an AllotmentShare on
+// each host asks for a token for each request. A host without a leader uses its turns of an
+// even share, and the leader grants only the shares of the hosts that are present. In 5 s all
+// hosts together admit at most (5·rate + burst)·1.1 + 20 requests of a customer
+// (TestAllotmentsOfRandomHistories); docs/design/allotments.md has the rules.
+//
 // The package performs no I/O. All times are durations on the host's boot-time
 // clock, which the caller passes in. Enforcer and Lender are not safe for
 // concurrent use. Credentials is immutable and safe for concurrent use.
