Ask the leader for tokens of customers' allotments

Cause: package limits decides without I/O; hosts need a message to the leader.

Change: the method "allot" carries the requests of all customers that wait, one message in flight, and every 500 ms that the host is present. A request waits for 100 ms at most. Nothing is sent while no customer has a limit. Metrics by customer (256 names), one log line when a customer starts to be refused.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -123,6 +123,10 @@
 	link atomic.Pointer[leaderLink]
 	// permitAsks holds the requests for permits that wait for the leader.
 	permitAsks chan *permitAsk
+	// allotments is what this host knows of customers' allotments, allotAsks holds the
+	// requests for tokens that wait for the leader.
+	allotments allotments
+	allotAsks  chan *allotAsk
 	// storeEra is the highest era of the store that this host has seen.
 	storeEra atomic.Uint64
 	// eraSeenAt is when this host first saw the current era, as a time.Duration.
@@ -152,6 +156,7 @@
 		leavingReported: make(chan struct{}, 1), limitReported: make(chan struct{}, 1),
 		suspectsReported: make(chan struct{}, 1), offered: make(chan uint64, 1),
 		permitAsks:  make(chan *permitAsk, permitAskQueue),
+		allotAsks:   make(chan *allotAsk, permitAskQueue),
 		incarnation: fmt.Sprintf("%016x", rand.Uint64()), startedAt: boottime.Now(),
 	}
 	c.restoredAt.Store(int64(neverCaughtUp))
@@ -164,6 +169,7 @@
 	c.control = newFollower(c, platform.TopicControl, c.applyControl)
 	c.leadership.init()
 	c.limits.init(c.startedAt)
+	c.allotments.init(c.startedAt)
 	c.suspects.init(cfg.Quarantine)
 	c.witnesses.init()
 	c.roster.init(cfg.Peer)
@@ -401,6 +407,7 @@
 			f.forgetExpired(now)
 		}
 		c.dropLimitsOfGoneTargets(now)
+		c.tickAllotments(now)
 		c.tickSuspects(now)
 	}
 	return ctx.Err()
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -192,6 +192,13 @@
 	return ok
 }
 
+// latestEnded returns the highest term whose leader is known to have stopped.
+func (l *leadership) latestEnded() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.endedTerm
+}
+
 // endOf returns the latest time at which the leader of a term can have stopped, or
 // false when it may still lead.
 func (l *leadership) endOf(term uint64) (time.Duration, bool) {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -31,6 +31,9 @@
 	peerBytes *expvar.Map
 	// permits counts the answers to requests for permits, by who gave them and result.
 	permits *expvar.Map
+	// allotments counts the messages to the leader about allotments, by result, and the
+	// decisions that the host made by its even share.
+	allotments *expvar.Map
 	// suspects counts what happened to suspected requests, by quarantine.EventKind.
 	suspects *expvar.Map
 	// leaderLag is the age of the leader's latest message on arrival, in milliseconds.
@@ -38,7 +41,7 @@
 }
 
 func newMetrics(c *Coordinator) *metrics {
-	m := &metrics{root: new(expvar.Map).Init(), storeCalls: new(expvar.Map).Init(), topicReads: new(expvar.Map).Init(), targetCalls: new(expvar.Map).Init(), peerBytes: new(expvar.Map).Init(), permits: new(expvar.Map).Init(), suspects: new(expvar.Map).Init()}
+	m := &metrics{root: new(expvar.Map).Init(), storeCalls: new(expvar.Map).Init(), topicReads: new(expvar.Map).Init(), targetCalls: new(expvar.Map).Init(), peerBytes: new(expvar.Map).Init(), permits: new(expvar.Map).Init(), allotments: new(expvar.Map).Init(), suspects: new(expvar.Map).Init()}
 	m.root.Set("store_calls_total", m.storeCalls)
 	m.root.Set("topic_reads_total", m.topicReads)
 	m.root.Set("target_calls_total", m.targetCalls)
@@ -49,6 +52,8 @@
 	m.root.Set("runs_ungranted", &m.ungrantedRanges)
 	m.root.Set("peer_bytes_total", m.peerBytes)
 	m.root.Set("permits_total", m.permits)
+	m.root.Set("allotment_messages_total", m.allotments)
+	m.root.Set("customers", expvar.Func(func() any { return c.allotments.counts() }))
 	m.root.Set("suspected_requests_total", m.suspects)
 	m.root.Set("refused_requests", expvar.Func(func() any { return c.SuspectedRequests().Refused() }))
 	m.root.Set("leader_lag_ms", &m.leaderLag)
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -105,6 +105,7 @@
 	defer c.leadership.setConnected(false)
 	go k.pollClock(ctx)
 	go k.askPermits(ctx)
+	go k.askAllotments(ctx, l.Term)
 	return k.serve(ctx, l)
 }
 
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -21,7 +21,7 @@
 	"github.com/boragelock/boragelock/lease"
 )
 
-// RPC methods between hosts. All but hello, clock, permits and run are notifications.
+// RPC methods between hosts. All but hello, clock, permits, allot and run are notifications.
 const (
 	methodHello     = "hello"
 	methodRelay     = "relay"
@@ -41,6 +41,8 @@
 	methodLimits = "limits"
 	// methodPermits asks the leader for permits for requests to limited targets.
 	methodPermits = "permits"
+	// methodAllot asks the leader for tokens of customers' allotments.
+	methodAllot = "allot"
 	// methodSuspects sends the leader's list of suspected requests, methodObservations
 	// what a host observed of such requests to the leader.
 	methodSuspects     = "suspects"
@@ -411,6 +413,8 @@
 			return nil, c.handleObservations(r)
 		case methodPermits:
 			return c.handlePermits(r)
+		case methodAllot:
+			return c.handleAllot(r)
 		case methodRequestRanges:
 			return nil, c.sendAllRanges(pc, r)
 		case methodClock:
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -54,6 +54,13 @@
 	return len(r.stored)
 }
 
+// listsSelf reports whether this host is among the stored addresses.
+func (r *roster) listsSelf() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stored[r.self]
+}
+
 // setStored replaces the stored addresses. Those of a copy of the store are added to the known
 // ones instead.
 func (r *roster) setStored(addresses []string, ofCopy bool) {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -103,6 +103,7 @@
 		t.nextConfirm = w.acknowledgedAt
 	}
 	c.limits.beginTerm()
+	c.allotments.beginTerm(boottime.Now(), c.leadership.latestEnded())
 	c.roster.beginTerm(boottime.Now(), c.processState().lastLed(boottime.Now()))
 	c.leading.Store(true)
 	c.metrics.terms.Add(1)
