Refuse requests above the customer's allotment with 429

Cause: customers may send more than their contract allows.

Change: the gateway calls Deployment.TakeAllotment once for each request of a customer with a limit, after authentication and before the request is placed. Above the allotment it answers 429 with Retry-After, code "allotment". A request that is sent again takes nothing more.

--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/boragelock/boragelock/fleet"
@@ -26,6 +27,19 @@
 	return &Failure{Code: CodeCredential, Status: http.StatusUnauthorized}
 }
 
+// takeAllotment takes the request from its customer's allotment. It is called once, before the
+// request is placed, so that a request that has run is never answered with 429.
+func (c *call) takeAllotment(ctx context.Context) *Failure {
+	if c.customer == nil || c.customer.RatePerSecond <= 0 {
+		return nil
+	}
+	granted, after := c.g.cfg.Deployment.TakeAllotment(ctx, c.customer)
+	if granted {
+		return nil
+	}
+	return &Failure{Code: CodeAllotment, Status: http.StatusTooManyRequests, RetryAfter: max(after, minRetryAfter)}
+}
+
 // customerName returns the name of the request's customer, or "".
 func (c *call) customerName() string {
 	if c.customer == nil {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -17,6 +17,7 @@
 	CodeFull     Code = "full"      // the host has as many connections, or as much in its memory, as it can
 	// CodeCredential means that the credential is missing or no customer's.
 	CodeCredential  Code = "credential"
+	CodeAllotment   Code = "allotment"    // the customer's allotment over all hosts is used up
 	CodeNoRoute     Code = "no_route"     // no route matches
 	CodeMalformed   Code = "malformed"    // the request breaks the protocol
 	CodeTooLarge    Code = "too_large"    // headers or body are over the limit
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -105,6 +105,9 @@
 	if g.stopsBefore(c.deadline) {
 		return nil, newRefusal(CodeStopping, minRetryAfter)
 	}
+	if failure := c.takeAllotment(ctx); failure != nil {
+		return nil, failure
+	}
 	c.workload = g.chooseWorkload(c.route)
 	c.keyed = c.req.Key >= 0 && snap.DesiredState.Workloads[c.workload] != nil && snap.DesiredState.Workloads[c.workload].Keyed
 	c.outgoing = targetRequest{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body.bytes(), bodyMemory: body, id: c.req.ID, ignoreCallerCancel: !c.route.Kind.Idempotent()}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	EndRun(r quarantine.Request)
 	// TakePermit asks for permission to send a request to a target that states a limit.
 	TakePermit(ctx context.Context, incarnation fleet.Incarnation) limits.Permit
+	// TakeAllotment takes one request from a customer's allotment over all hosts, or returns
+	// the time after which it is expected to have one.
+	TakeAllotment(ctx context.Context, customer *fleet.Customer) (granted bool, retryAfter time.Duration)
 	Ready() bool
 	// HasLeader reports whether the host leads or follows a leader.
 	HasLeader() bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,21 @@
 	// targetsLate says that the host is late in following the targets.
 	targetsLate atomic.Bool
 	suspects    *quarantine.Ledger
+	// allotments counts the requests that each customer may still send, allotmentCalls the
+	// calls of TakeAllotment.
+	allotments     map[string]int
+	allotmentCalls int
+}
+
+func (s *fakeDeployment) TakeAllotment(_ context.Context, c *fleet.Customer) (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allotmentCalls++
+	if s.allotments[c.Name] == 0 {
+		return false, 1500 * time.Millisecond
+	}
+	s.allotments[c.Name]--
+	return true, 0
 }
 
 func (s *fakeDeployment) Snapshot() *fleet.Snapshot {
