Test cut-off hosts, saved turns and late requests for tokens

Change: directed tests of 85 hosts of which all but the leader are cut off, of turns after a pause, of the validity of tokens, of a new leader's own share and of late requests.

--- a/internal/coordinator/allotments_test.go
+++ b/internal/coordinator/allotments_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
@@ -253,6 +255,47 @@
 	})
 }
 
+// TestLateRequestsForTokens guards against tokens that are granted to requests which no
+// longer wait, and against a host that counts as present by an old message.
+func TestLateRequestsForTokens(t *testing.T) {
+	Convey("Given a leader with a customer's burst", t, func() {
+		c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
+		customers := fleet.NewCustomers()
+		So(customers.Add(fleet.Customer{Name: "n", RatePerSecond: 1000, Burst: 100}, nil), ShouldBeEmpty)
+		c.mu.Lock()
+		c.dir.PutDesiredState(&fleet.DesiredState{Version: 1, Customers: customers})
+		c.publish()
+		c.mu.Unlock()
+		c.leading.Store(true)
+		c.tickAllotments(boottime.Now())
+		c.allotments.beginTerm(boottime.Now(), 0)
+		time.Sleep(100 * time.Millisecond) // until there are tokens
+		ask := func(age time.Duration, customer string) allotReply {
+			raw := json.RawMessage(marshal(methodAllot, allotMessage{
+				Host: "other", SentUS: (boottime.Now() - age).Microseconds(), Present: true, Asks: []allotOfCustomer{{Customer: customer, Count: 2}},
+			}))
+			reply, err := c.handleAllot(&jsonrpc2.Request{Method: methodAllot, Params: &raw})
+			So(err, ShouldBeNil)
+			return reply.(allotReply)
+		}
+		Convey("a message that is on time gets tokens", func() {
+			So(ask(time.Millisecond, "n").Answers, ShouldResemble, []allotAnswer{{Granted: 2}})
+		})
+		Convey("a late one gets none", func() {
+			So(ask(time.Second, "n").Answers, ShouldBeEmpty)
+		})
+		Convey("a customer that the leader does not know is left to the hosts", func() {
+			So(ask(time.Millisecond, "new").Answers, ShouldResemble, []allotAnswer{{Unknown: true}})
+		})
+		Convey("a host that does not lead answers none", func() {
+			c.leading.Store(false)
+			raw := json.RawMessage(`{}`)
+			_, err := c.handleAllot(&jsonrpc2.Request{Method: methodAllot, Params: &raw})
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
+
 // BenchmarkTakeAllotment measures a token at hand, on the leader, with 1,000 customers.
 func BenchmarkTakeAllotment(b *testing.B) {
 	c := New(Config{Host: "h", Log: hclog.NewNullLogger()})
--- a/limits/allotments_test.go
+++ b/limits/allotments_test.go
@@ -404,7 +404,7 @@
 			So(take(a, l), ShouldBeBetweenOrEqual, 4, 5) // the presence lasts for 1.15 s
 		})
 		Convey("a leader whose own share another one may still grant says when it has one", func() {
-			a := NewAllotments(now, now+time.Second)
+			a := NewAllotments(now-time.Minute, now+time.Second)
 			granted, _, refused := a.Take(now, "c", l, hosts, 1, 1)
 			So(granted, ShouldEqual, 0)
 			So(refused, ShouldResemble, Permit{NextAfter: time.Second, ComeBackAfter: time.Second})
@@ -460,6 +460,77 @@
 	})
 }
 
+// alone returns hosts that were present at a leader until now, and then lost it.
+func alone(now time.Duration, hosts int) []*AllotmentShare {
+	list := make([]*AllotmentShare, hosts)
+	for i := range list {
+		s := NewAllotmentShare(now - time.Minute)
+		s.BeginLeader(now-time.Minute, 1)
+		s.RecordAnswer(now-time.Minute, 1, true)
+		s.NextMessage(now, 1)
+		s.BeginLeader(now, 0)
+		list[i] = s
+	}
+	return list
+}
+
+// TestAllotmentOfHostsThatAreCutOff guards against hosts that use their even shares while the
+// leader still grants them, or that save turns while they are idle.
+func TestAllotmentOfHostsThatAreCutOff(t *testing.T) {
+	const hosts = 85
+	own := OwnShare{Hosts: hosts, Listed: true}
+	Convey("In the window after all hosts but the leader were cut off, they keep the bound", t, func() {
+		r := rand.New(rand.NewPCG(3, 4))
+		now := time.Hour
+		l := Allotment{PerSecond: 300}
+		a := NewAllotments(now-time.Minute, now-time.Minute)
+		for i := range hosts - 1 {
+			a.RecordPresent(strconv.Itoa(i), now)
+		}
+		shares, admitted := alone(now, hosts-1), 0
+		for end := now + quotaWindow; now < end; now += 5 * time.Millisecond {
+			granted, _, _ := a.Take(now, "c", l, hosts, 100, 0)
+			admitted += granted
+			for _, s := range shares {
+				if s.TakeOwn(now, "c", l, own, r.Float64()).Granted {
+					admitted++
+				}
+			}
+		}
+		So(float64(admitted), ShouldBeBetween, 0.9*5*l.PerSecond, quota(l))
+	})
+	Convey("After a pause of all requests, hosts without a leader keep the bound", t, func() {
+		r := rand.New(rand.NewPCG(5, 6))
+		l := Allotment{PerSecond: 100}
+		now := time.Hour
+		shares, admitted := alone(now, hosts), 0
+		for _, at := range []time.Duration{now + 2*time.Second, now + 12*time.Second} {
+			admitted = 0
+			for now = at; now < at+quotaWindow; now += 5 * time.Millisecond {
+				for _, s := range shares {
+					if s.TakeOwn(now, "c", l, own, r.Float64()).Granted {
+						admitted++
+					}
+				}
+			}
+			So(float64(admitted), ShouldBeBetween, 0.9*5*l.PerSecond, quota(l))
+		}
+	})
+	Convey("A token is not kept for longer than 250 ms", t, func() {
+		s := NewAllotmentShare(time.Hour)
+		s.RecordTokens(time.Hour+100*time.Millisecond, time.Hour, "c", 0, 2)
+		p, decided := s.Take(time.Hour+200*time.Millisecond, "c", Allotment{1, 1})
+		So(decided && p.Granted, ShouldBeTrue)
+		_, decided = s.Take(time.Hour+250*time.Millisecond, "c", Allotment{1, 1})
+		So(decided, ShouldBeFalse)
+	})
+	Convey("A host that begins to lead waits until no other leader grants its share", t, func() {
+		s := alone(time.Hour, 1)[0]
+		So(s.LeadsFrom(time.Hour, 0), ShouldEqual, time.Hour+ownShareAfter)
+		So(s.LeadsFrom(time.Hour, 1), ShouldEqual, time.Hour)
+	})
+}
+
 // BenchmarkAllotmentShare measures a token that a host has at hand, with 1,000 customers.
 func BenchmarkAllotmentShare(b *testing.B) {
 	s := NewAllotmentShare(time.Hour)
