--- a/internal/coordinator/allotments.go
+++ b/internal/coordinator/allotments.go
@@ -16,11 +16,13 @@
 
 // Timing and limits of allotments.
 const (
-	// allotWait bounds the time that a request waits for the leader's answer.
-	allotWait = 100 * time.Millisecond
+	// allotWait bounds the time that a request waits for the leader's answer. Hosts with a small
+	// part of a core stop for 100 ms at times; with 100 ms one request in 80 was refused within
+	// its allotment on a calm day.
+	allotWait = 300 * time.Millisecond
 	// allotTimeout is the age of a message from which the leader counts as not answering. It
-	// is above allotWait, since hosts with a small part of a core stop for 100 ms at times.
-	allotTimeout = 250 * time.Millisecond
+	// is above allotWait.
+	allotTimeout = 400 * time.Millisecond
 	// maxCountedCustomers bounds the customers with metrics of their own.
 	maxCountedCustomers = 256
 	// refusalsOver is the time without refusals after which a customer counts as no longer
--- a/limits/allotments.go
+++ b/limits/allotments.go
@@ -28,7 +28,7 @@
 	earlyShareEvery = 5 * time.Second
 	// MaxAskAge is the age of a request for tokens from which the leader grants none: the
 	// host has decided without it.
-	MaxAskAge = 150 * time.Millisecond
+	MaxAskAge = 350 * time.Millisecond
 	// tokenValidity is how long a host may use a token, counted from when it asked. A
 	// longer one adds to the requests of a window what hosts saved before it.
 	tokenValidity = 250 * time.Millisecond
