Take an informational response of HTTP/1.0 for no response

What callers saw: a target that sent HTTP/1.0 with status 103 and Transfer-Encoding could still pass the bytes of its body off as the response.

Cause: net/http drops Transfer-Encoding from messages of HTTP/1.0, so that isInformational saw no body.

Change: HTTP/1.0 has no informational responses; such an exchange ends with an unknown outcome. The error holds 32 bytes of the status line. The tests of the other request path have statuses below 200 and above 599.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -92,6 +92,9 @@
 		"header":    "HTTP/1.1 200 OK\r\nContent-Le",
 		"status":    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
 	}
+	for _, status := range []string{"000", "099", "600", "999"} {
+		answers["status, which is "+status+","] = "HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok"
+	}
 	for name, text := range answers {
 		Convey("an answer cut in its "+name+" is an error with an open outcome", t, func() {
 			tgt := newRawTarget(t, func(_ int, c net.Conn) {
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -48,6 +48,26 @@
 			})
 		})
 	}
+	Convey("An informational response of HTTP/1.0, whose body net/http does not see, ends the exchange", t, func() {
+		address := rawTarget(t, func(nc net.Conn, _, _ int, r *http.Request) {
+			id := r.Header.Get(standin.HeaderRequestID)
+			forged := rawResponse(okStatus, id, signedHeader, "forged")
+			writeString(nc, "HTTP/1.0 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"+forged)
+		})
+		res, failure := roundTrip(newPool(), address, "first")
+		So(res, ShouldBeNil)
+		So(failure, ShouldNotBeNil)
+		So(failure.sent, ShouldBeTrue)
+	})
+	Convey("The error names the status but not what else the target put into the line", t, func() {
+		address := rawTarget(t, func(nc net.Conn, _, _ int, _ *http.Request) {
+			writeString(nc, "HTTP/1.1 099 "+strings.Repeat("x", 10000)+"\r\n\r\n")
+		})
+		_, failure := roundTrip(newPool(), address, "first")
+		So(failure, ShouldNotBeNil)
+		So(failure.Error(), ShouldContainSubstring, "099")
+		So(len(failure.Error()), ShouldBeLessThan, 200)
+	})
 	Convey("An informational response without a body is skipped", t, func() {
 		address := rawTarget(t, func(nc net.Conn, _, _ int, r *http.Request) {
 			id := r.Header.Get(standin.HeaderRequestID)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -331,22 +331,26 @@
 		case platform.IsFinalStatus(resp.StatusCode):
 			return resp, nil
 		case !isInformational(resp):
-			return nil, &invalidStatusError{resp.Status}
+			return nil, &invalidStatusError{resp.Status[:min(len(resp.Status), maxStatusText)]}
 		}
 	}
 	return nil, &noFinalResponseError{}
 }
 
 // isInformational reports whether a response is one that another one follows. One with a body
-// is not: what follows may be the body. The gateway asks for no other protocol (101).
+// is not: what follows may be the body. The gateway asks for no other protocol (101). HTTP/1.0
+// has none, and net/http drops its Transfer-Encoding, so that a body would not be seen.
 func isInformational(resp *http.Response) bool {
-	if resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+	if !resp.ProtoAtLeast(1, 1) || resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
 	length := resp.Header.Get("Content-Length")
 	return len(resp.TransferEncoding) == 0 && (length == "" || length == "0")
 }
 
+// maxStatusText bounds what is logged of an invalid status line, in bytes.
+const maxStatusText = 32
+
 // invalidStatusError says that what a target sent is no response.
 type invalidStatusError struct{ status string }
 
