Bound what all slow callers hold together

What callers saw: responses of a few MB to slow callers were cut off by the target, and a response that was ready was cut off after 10 s of writing, however steadily its caller read.

Cause: a response left the budget once the kernel had taken it, up to 4 MB for each caller; a large one was copied from target to caller at the caller's speed; the write timeout was a total.

Change: the kernel takes 64 kB beyond the caller's window; a quarter of the budget is kept for small responses; a connection gets no more than is free; streams are read ahead; a write ends after 70 s without progress, 10 s while memory is short; a request whose path had a large response lately is refused with 503 before it is sent while slow callers hold the memory.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/boragelock/boragelock/platform"
 )
@@ -22,6 +23,10 @@
 	// selfDelimited says that the body ends before the connection does.
 	selfDelimited bool
 	releaseConn   func(complete bool)
+	// unreadSince is when the host stopped reading; extendDeadline adds the time since then
+	// to the deadline of the target.
+	unreadSince    time.Duration
+	extendDeadline func(time.Duration)
 	// memory is the part of the budget that is reserved for body.
 	memory reservation
 }
@@ -34,26 +39,78 @@
 	res.memory.release()
 }
 
-// memoryBudget bounds the memory of all responses buffered at the same time.
+// Bounds of the memory of responses.
+const (
+	// smallResponseBytes is the size up to which responses may use the whole budget, so that
+	// larger ones to slow callers leave room for them.
+	smallResponseBytes = 64 << 10
+	// smallResponseShare is the part of the budget that only small responses use.
+	smallResponseShare = 1.0 / 4
+	// readAheadShare is the part of the budget that large responses use beyond
+	// maxBufferedBody, so that others still find room to be buffered whole.
+	readAheadShare = 1.0 / 2
+)
+
+// memoryBudget bounds the memory of all responses buffered at the same time, or of those of
+// one connection.
 type memoryBudget struct {
-	free atomic.Int64 // bytes
+	free  atomic.Int64 // bytes
+	total int64
+	// shared is the budget of which this is a connection's part, or nil.
+	shared *memoryBudget
+	// held is what the connection has reserved.
+	held atomic.Int64
 }
 
 func newMemoryBudget(bytes int64) *memoryBudget {
-	m := &memoryBudget{}
+	m := &memoryBudget{total: bytes}
 	m.free.Store(bytes)
 	return m
 }
 
-// tryReserve reserves n bytes and reports whether they were free.
-func (m *memoryBudget) tryReserve(n int64) bool {
-	if m.free.Add(-n) >= 0 {
+// forConnection returns a part of the budget. It may grow while it is smaller than what is
+// free, so that no connection takes all: two that want all get a third each.
+func (m *memoryBudget) forConnection() *memoryBudget { return &memoryBudget{shared: m} }
+
+// tryReserve reserves n bytes, if at least keep bytes stay free, and reports whether it did.
+func (m *memoryBudget) tryReserve(n, keep int64) bool {
+	if m.shared != nil {
+		if keep > 0 && m.held.Load()+n > m.shared.free.Load() || !m.shared.tryReserve(n, keep) {
+			return false
+		}
+		m.held.Add(n)
+		return true
+	}
+	if m.free.Add(-n) >= keep {
 		return true
 	}
 	m.free.Add(n)
 	return false
 }
 
+// giveBack returns n reserved bytes.
+func (m *memoryBudget) giveBack(n int64) {
+	if m.shared != nil {
+		m.held.Add(-n)
+		m.shared.giveBack(n)
+		return
+	}
+	m.free.Add(n)
+}
+
+// whole returns the size of the budget that all connections share.
+func (m *memoryBudget) whole() int64 {
+	if m.shared != nil {
+		return m.shared.total
+	}
+	return m.total
+}
+
+// short reports whether a large response finds no room.
+func (m *memoryBudget) short() bool {
+	return m.free.Load() < int64(smallResponseShare*float64(m.total))+maxBufferedBody
+}
+
 // reservation is the part of a budget that one response holds.
 type reservation struct {
 	budget *memoryBudget
@@ -62,7 +119,11 @@
 
 // grow reserves n more bytes and reports whether they were free.
 func (r *reservation) grow(n int64) bool {
-	if !r.budget.tryReserve(n) {
+	keep := int64(0)
+	if r.bytes+n > smallResponseBytes+1 {
+		keep = int64(smallResponseShare * float64(r.budget.whole()))
+	}
+	if !r.budget.tryReserve(n, keep) {
 		return false
 	}
 	r.bytes += n
@@ -72,7 +133,7 @@
 // release returns all bytes to the budget; it may be called again.
 func (r *reservation) release() {
 	if r.bytes > 0 {
-		r.budget.free.Add(r.bytes)
+		r.budget.giveBack(r.bytes)
 		r.bytes = 0
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,6 +28,10 @@
 	// ownership is the range of the request's key as of the last placement.
 	ownership ownedRange
 	outgoing  targetRequest
+	// memory is the caller's part of the memory of responses.
+	memory *memoryBudget
+	// pathHash identifies the route and path among the remembered sizes of responses.
+	pathHash uint64
 	// attempts counts sends that count against the route's MaxAttempts; tried names
 	// the targets that are not chosen again.
 	attempts int
@@ -60,8 +64,8 @@
 // serve handles one request, whose body has been read whole. A panic ends the
 // request with a failure that states its outcome correctly: it is refused only if
 // nothing was sent to a target.
-func (g *Gateway) serve(ctx context.Context, r *http.Request, body *requestBody, arrived time.Duration) (res *response, f *Failure) {
-	c := &call{g: g, req: platform.ParseRequestHeaders(r.Header), arrived: arrived}
+func (g *Gateway) serve(ctx context.Context, r *http.Request, body *requestBody, arrived time.Duration, memory *memoryBudget) (res *response, f *Failure) {
+	c := &call{g: g, req: platform.ParseRequestHeaders(r.Header), arrived: arrived, memory: memory}
 	err := guard.Call("request", func() { res, f = c.serve(ctx, r, body) })
 	if err == nil {
 		return res, f
@@ -100,6 +104,10 @@
 	if g.stopsBefore(c.deadline) {
 		return nil, newRefusal(CodeStopping, minRetryAfter)
 	}
+	c.pathHash = pathHash(c.route.Name, path)
+	if g.lacksMemoryFor(c.arrived, c.pathHash) {
+		return nil, newRefusal(CodeFull, bodyRetryAfter)
+	}
 	c.workload = g.chooseWorkload(c.route)
 	c.keyed = c.req.Key >= 0 && snap.DesiredState.Workloads[c.workload] != nil && snap.DesiredState.Workloads[c.workload].Keyed
 	c.outgoing = targetRequest{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body.bytes(), bodyMemory: body, id: c.req.ID, ignoreCallerCancel: !c.route.Kind.Idempotent()}
@@ -228,7 +236,7 @@
 		return left, left > 0 && current && c.g.isInUse(t)
 	}
 	c.sending = true
-	res, failure := c.g.pool.roundTrip(ctx, &c.outgoing, id, t.Address, c.g.responseMemory)
+	res, failure := c.g.pool.roundTrip(ctx, &c.outgoing, id, t.Address, c.memory)
 	took := boottime.Now() - now
 	if failure != nil {
 		return c.handleSendFailure(ctx, t, failure, took)
@@ -406,6 +414,7 @@
 	if !outcome.Failed {
 		c.noteAnswer()
 	}
+	c.g.responseSizes.record(boottime.Now(), c.pathHash, max(int64(len(res.body)), res.contentLength))
 	c.g.metrics.sends.Add("answered", 1)
 	c.g.cfg.Log.Request("served", c.req.ID, "route", c.route.Name, "workload", c.workload, "key", c.req.Key, "target", id,
 		"status", res.status, "sends", c.attempts+1, "refusals", c.refusals, "target_ms", took.Milliseconds(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,9 +94,14 @@
 	// responseMemory bounds the memory of buffered responses.
 	responseMemory *memoryBudget
 	// bodyMemory bounds the memory of request bodies.
-	bodyMemory   *bodyMemory
-	lapsedOwners lapsedOwners
-	callers      callerSet
+	bodyMemory *bodyMemory
+	// writeStall is how long the write of a response may make no progress.
+	writeStall time.Duration
+	// slowMemory is the part of responseMemory that waits for slow callers, in bytes.
+	slowMemory    atomic.Int64
+	responseSizes responseSizes
+	lapsedOwners  lapsedOwners
+	callers       callerSet
 
 	mu           sync.Mutex
 	scheduler    *placement.Scheduler
@@ -126,6 +131,7 @@
 	return &Gateway{
 		responseMemory: newMemoryBudget(int64(responseMemoryShare * float64(cfg.MemoryMB) * (1 << 20))),
 		bodyMemory:     newBodyMemory(cfg.MemoryMB),
+		writeStall:     maxWriteStall,
 		cfg:            cfg, pool: newPool(), scheduler: placement.NewScheduler(placement.Config{Domain: cfg.Domain}),
 		waiters: map[uint64]chan placement.Decision{}, retryBudgets: map[string]*retry.Budget{}, loggedConditions: map[string]health.Condition{}, hostCount: 1,
 		splitPositions: map[string]float64{}, metrics: newMetrics(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -113,6 +113,13 @@
 // newHarnessOn returns a harness whose gateway uses the result of wrap as its
 // deployment.
 func newHarnessOn(t *testing.T, targets int, wrap func(*fakeDeployment) Deployment) *harness {
+	t.Helper()
+	return newHarnessWith(t, targets, wrap, 0, func(*Gateway) {})
+}
+
+// newHarnessWith returns a harness whose gateway has the given memory, or the default for 0,
+// and is prepared before it serves.
+func newHarnessWith(t *testing.T, targets int, wrap func(*fakeDeployment) Deployment, memoryMB int, prepare func(*Gateway)) *harness {
 	t.Helper()
 	r := &harness{deployment: &fakeDeployment{directory: fleet.NewDirectory(), changed: make(chan struct{}), suspects: quarantine.NewLedger(quarantine.Config{})}}
 	d := &fleet.DesiredState{
@@ -138,7 +145,9 @@
 	}
 	r.gw = New(Config{
 		Domain: "d", Deployment: wrap(r.deployment), Log: eventlog.New(io.Discard, "info"), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
+		MemoryMB: memoryMB,
 	})
+	prepare(r.gw)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,9 +36,14 @@
 	// drainIdleTimeout is how long a stopping host keeps idle connections: callers
 	// still use them, and by then the balancer has seen that the host is not ready.
 	drainIdleTimeout = 2500 * time.Millisecond
-	// callerWriteTimeout bounds the writing of a response to a caller that does not
-	// read.
+	// maxWriteStall bounds the time in which a caller takes no byte of its response. A caller
+	// that reads 1 kB/s may announce room for 64 kB at a time, about once a minute.
+	maxWriteStall = 70 * time.Second
+	// callerWriteTimeout is the bound while memory is short, and of refusals.
 	callerWriteTimeout = 10 * time.Second
+	// maxUnsentBytes bounds what the kernel holds of a response beyond what the caller has
+	// room for. Without it, it takes up to 4 MB for each caller, which no budget counts.
+	maxUnsentBytes = 64 << 10
 )
 
 // ServeCallers accepts and serves callers' connections until the context ends or the
@@ -117,6 +122,8 @@
 	// latestWritten is closed when the response to the latest request was written.
 	latestWritten chan struct{}
 	wg            sync.WaitGroup
+	// memory is the connection's part of the memory of responses.
+	memory *memoryBudget
 
 	mu      sync.Mutex
 	pending int
@@ -137,7 +144,10 @@
 	close(done)
 	c := &callerConn{
 		g: g, nc: nc, headLimit: limited, br: bufio.NewReaderSize(limited, readBufferSize), ctx: ctx, cancel: cancel,
-		slots: make(chan struct{}, maxPipelined), latestWritten: done,
+		slots: make(chan struct{}, maxPipelined), latestWritten: done, memory: g.responseMemory.forConnection(),
+	}
+	if err := limitUnsent(nc); err != nil {
+		g.cfg.Log.Debug("unsent_limit_failed", "err", err)
 	}
 	g.callers.setIdle(c)
 	defer g.callers.remove(c)
@@ -151,6 +161,9 @@
 func (c *callerConn) readLoop() {
 	for {
 		c.slots <- struct{}{}
+		if c.memory.held.Load() > maxBufferedBody {
+			<-c.latestWritten // a caller that reads slowly gets no further responses prepared
+		}
 		l := c.g.limits()
 		if !c.awaitRequest(l) {
 			return
@@ -366,7 +379,7 @@
 	var res *response
 	if failure == nil {
 		removeHopHeaders(r.Header)
-		res, failure = c.g.serve(c.ctx, r, body, arrived)
+		res, failure = c.g.serve(c.ctx, r, body, arrived, c.memory)
 	}
 	c.logOutcome(r, res, failure, arrived)
 	if failure != nil && failure.Code == CodeStopping {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -234,6 +235,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = u.nc.Close() }) // cancels the request at the target
+	sentAt := boottime.Now()
 	res, failure := u.exchange(o, id, memory)
 	if failure != nil {
 		stop()
@@ -259,6 +261,14 @@
 		return res, nil
 	}
 	res.releaseConn = finish
+	res.unreadSince = boottime.Now()
+	deadline := time.Now().Add(o.timeout + responseGrace - (res.unreadSince - sentAt))
+	res.extendDeadline = func(d time.Duration) {
+		deadline = deadline.Add(d)
+		if u.nc.SetReadDeadline(deadline) != nil {
+			_ = u.nc.Close() // makes the next read fail
+		}
+	}
 	return res, nil
 }
 
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
-	"time"
+
+	"github.com/boragelock/boragelock/platform"
 )
 
 // writeResponse writes a response and reports whether it was written whole. last says
@@ -42,49 +42,49 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if err := c.nc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-		return false
-	}
 	if f != nil {
 		b.WriteString(string(f.Code))
-		_, err := c.nc.Write(b.Bytes())
-		return err == nil
+		return c.writeAll(b.Bytes()) == nil
 	}
 	if res.unread != nil {
-		return c.streamBody(b.Bytes(), res, chunked)
+		return c.streamBody(r, b.Bytes(), res, chunked)
 	}
-	_, err := (&net.Buffers{b.Bytes(), res.body}).WriteTo(c.nc)
-	return err == nil
+	return c.writeAll(b.Bytes(), res.body) == nil
 }
 
 // streamBody writes a response of which a part has not been read yet. If the body
 // breaks off, the connection ends so that the caller notices: without the last
 // chunk, short of its length, or by a reset where the end of the connection marks
 // the end of the body.
-func (c *callerConn) streamBody(head []byte, res *response, chunked bool) bool {
-	_, err := c.nc.Write(head)
+func (c *callerConn) streamBody(r *http.Request, head []byte, res *response, chunked bool) bool {
+	c.g.metrics.sends.Add("streamed", 1)
+	ahead := startReadAhead(res)
+	err := c.writeAll(head)
 	if err == nil {
-		var w io.WriteCloser = unchunkedWriter{c.nc}
+		var w io.WriteCloser = unchunkedWriter{callerWriter{c}}
 		if chunked {
-			w = httputil.NewChunkedWriter(c.nc)
+			w = httputil.NewChunkedWriter(callerWriter{c})
 		}
 		_, err = w.Write(res.body)
 		if err == nil {
-			_, err = io.Copy(w, res.unread)
+			res.body = nil
+			res.memory.release()
+			_, err = ahead.WriteTo(w)
 		}
 		if err == nil {
 			err = w.Close()
 		}
 		if err == nil && chunked {
-			_, err = io.WriteString(c.nc, "\r\n") // no trailers
+			err = c.writeAll([]byte("\r\n")) // no trailers
 		}
 	}
-	res.releaseConn(err == nil)
+	ahead.close()
 	res.unread = nil
 	if err == nil {
 		return true
 	}
 	c.g.metrics.sends.Add("cut", 1)
+	c.g.cfg.Log.Request("response_cut", platform.ParseRequestHeaders(r.Header).ID, "status", res.status, "err", err)
 	if tcp, ok := c.nc.(interface{ SetLinger(int) error }); ok {
 		if err := tcp.SetLinger(0); err != nil {
 			c.g.cfg.Log.Debug("linger_failed", "err", err)
