Tell a target that reads slowly from a silent one

What callers saw: 294 of 300 requests of 300 kB to a target that reads 40 kB/s got 504 after 1.7 s of 20 s. They may have run.

Cause: TCP_USER_TIMEOUT also counts the time in which the peer acknowledges probes without having room.

Change: while a request of more than 16 KiB is sent, the host watches for segments and probes that are not acknowledged for 1.5 s, instead of the kernel.

--- a/cmd/boragelock-gateway/memory_test.go
+++ b/cmd/boragelock-gateway/memory_test.go
@@ -88,6 +88,8 @@
 	answers bool
 	// short is set for the cases that are always played.
 	short bool
+	// path is the path of requests, "/o/x" if it is empty.
+	path string
 }
 
 // run sends a request and returns its status, or 0 without a whole response.
@@ -101,6 +103,9 @@
 		return 0
 	}
 	path, body := "/o/x", x.bytes
+	if x.path != "" {
+		path = x.path
+	}
 	if x.answers {
 		path, body = fmt.Sprint(largeAnswerPath, "?", x.bytes), 0
 	}
@@ -157,11 +162,21 @@
 
 // startProcess starts a host as a process of its own, and waits until it serves.
 func startProcess(t *testing.T, binary string) (address string, memoryMB int, process *os.Process) {
+	t.Helper()
+	return startProcessWith(t, binary, 0, transferTarget{standin.NewTarget("t-w", 1000, false)})
+}
+
+// startProcessWith starts a host with the given memory, or that of hostSettings for 0, and
+// target.
+func startProcessWith(t *testing.T, binary string, mb int, target http.Handler) (address string, memoryMB int, process *os.Process) {
 	t.Helper()
 	store := standin.NewStore()
 	store.Put(platform.TopicOperator, "config", []byte(transferDesiredState))
-	announceTarget(t, store, "w", "t-w", transferTarget{standin.NewTarget("t-w", 1000, false)})
+	announceTarget(t, store, "w", "t-w", target)
 	s := hostSettings(t, store)
+	if mb > 0 {
+		s.MemoryMB = mb
+	}
 	s.Fleet = t.TempDir()
 	b, err := json.Marshal(s)
 	So(err, ShouldBeNil)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"syscall"
@@ -284,12 +285,17 @@
 			return nil, &sendError{sent: n > 0, reason: "write", err: err}
 		}
 	} else {
+		stop, err := watchPeer(u.nc)
+		if err != nil {
+			return nil, &sendError{reason: "deadline", err: err}
+		}
+		defer stop()
 		// A target may respond before it has read a long body.
 		o.bodyMemory.hold()
 		go func(body []byte, memory *requestBody) {
 			defer memory.drop()
-			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil {
-				_ = u.nc.Close() // makes the read below fail
+			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				_ = u.nc.Close() // makes the read below fail, as the deadline does
 			}
 		}(o.body, o.bodyMemory)
 	}
