Let small bodies use the room for large ones

What callers saw: beside 300 requests of 30 kB that a target read slowly, small requests waited up to 1.2 s for memory (one run on a busy machine), and 8 of the 300 were refused.

Cause: small bodies share a sixteenth of the memory, and those held for a slow target use it up.

Change: when their part is used up, small bodies take free room of the part for large ones. The bound of both together is as before.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -138,6 +138,14 @@
 }
 
 func (m *bodyMemory) wait(ctx context.Context, n int64) (release func(), err error) {
+	if n <= smallBodyBytes {
+		// Targets that read slowly hold small bodies too; the room for large ones is left then.
+		for _, p := range []*bodyPool{&m.small, &m.large} {
+			if n := min(n, p.bytes); p.free.TryAcquire(n) {
+				return func() { p.free.Release(n) }, nil
+			}
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxBodyWait)
 	defer cancel()
 	if release, err = m.poolFor(n).acquire(ctx, n); err != nil {
