--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"syscall"
@@ -17,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -234,6 +236,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = u.nc.Close() }) // cancels the request at the target
+	sentAt := boottime.Now()
 	res, failure := u.exchange(o, id, memory)
 	if failure != nil {
 		stop()
@@ -259,6 +262,14 @@
 		return res, nil
 	}
 	res.releaseConn = finish
+	res.unreadSince = boottime.Now()
+	deadline := time.Now().Add(o.timeout + responseGrace - (res.unreadSince - sentAt))
+	res.extendDeadline = func(d time.Duration) {
+		deadline = deadline.Add(d)
+		if u.nc.SetReadDeadline(deadline) != nil {
+			_ = u.nc.Close() // makes the next read fail
+		}
+	}
 	return res, nil
 }
 
@@ -274,12 +285,17 @@
 			return nil, &sendError{sent: n > 0, reason: "write", err: err}
 		}
 	} else {
+		stop, err := watchPeer(u.nc)
+		if err != nil {
+			return nil, &sendError{reason: "deadline", err: err}
+		}
+		defer stop()
 		// A target may respond before it has read a long body.
 		o.bodyMemory.hold()
 		go func(body []byte, memory *requestBody) {
 			defer memory.drop()
-			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil {
-				_ = u.nc.Close() // makes the read below fail
+			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				_ = u.nc.Close() // makes the read below fail, as the deadline does
 			}
 		}(o.body, o.bodyMemory)
 	}
@@ -331,22 +347,26 @@
 		case platform.IsFinalStatus(resp.StatusCode):
 			return resp, nil
 		case !isInformational(resp):
-			return nil, &invalidStatusError{resp.Status}
+			return nil, &invalidStatusError{resp.Status[:min(len(resp.Status), maxStatusText)]}
 		}
 	}
 	return nil, &noFinalResponseError{}
 }
 
 // isInformational reports whether a response is one that another one follows. One with a body
-// is not: what follows may be the body. The gateway asks for no other protocol (101).
+// is not: what follows may be the body. The gateway asks for no other protocol (101). HTTP/1.0
+// has none, and net/http drops its Transfer-Encoding, so that a body would not be seen.
 func isInformational(resp *http.Response) bool {
-	if resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+	if !resp.ProtoAtLeast(1, 1) || resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
 	length := resp.Header.Get("Content-Length")
 	return len(resp.TransferEncoding) == 0 && (length == "" || length == "0")
 }
 
+// maxStatusText bounds what is logged of an invalid status line, in bytes.
+const maxStatusText = 32
+
 // invalidStatusError says that what a target sent is no response.
 type invalidStatusError struct{ status string }
 
