Order waiting requests by whether they can still meet their objective

Cause: with more requests than the targets bear, the order of deadlines serves those first that have waited longest, so that all of them are late; and requests that would be late are refused, though their callers would rather wait.

Change: with Config.WaitWhenLate, requests that can meet their objective go before those that cannot, which wait until half of their time limit has passed. Waiting requests are kept by pool. The default order is unchanged. Request.Domain and RecordPlaced prepare a scheduler that places requests of other hosts.

--- a/placement/board.go
+++ b/placement/board.go
@@ -44,6 +44,9 @@
 	// ColdRateShare is the fraction of a target's cold rate that this host may use.
 	// Default: 1.
 	ColdRateShare float64
+	// WaitWhenLate makes requests wait that would miss their latency objective because
+	// of the work ahead; by default they are refused.
+	WaitWhenLate bool
 }
 
 func (c Config) withDefaults() Config {
@@ -140,18 +143,23 @@
 	// targetsByWorkload lists targets in the order of their IDs.
 	targetsByWorkload map[string][]*target
 	routeEstimates    map[string]*serviceEstimate
-	queue             []*waiter
+	queues            map[poolKey]*waitQueue
+	poolOfTicket      map[uint64]poolKey
+	queueLength       int
 	lastTicket        uint64
 }
 
 // NewScheduler returns a Scheduler without targets.
 func NewScheduler(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg.withDefaults(), targets: map[string]*target{}, routeEstimates: map[string]*serviceEstimate{}}
+	return &Scheduler{cfg: cfg.withDefaults(), targets: map[string]*target{}, routeEstimates: map[string]*serviceEstimate{}, queues: map[poolKey]*waitQueue{}, poolOfTicket: map[uint64]poolKey{}}
 }
 
 // SetColdRateShare sets the fraction of a target's cold rate that this host may use.
 func (s *Scheduler) SetColdRateShare(share float64) { s.cfg.ColdRateShare = share }
 
+// SetWaitWhenLate sets Config.WaitWhenLate.
+func (s *Scheduler) SetWaitWhenLate(wait bool) { s.cfg.WaitWhenLate = wait }
+
 // SetTargets replaces the list of targets. It keeps the state of incarnations that
 // remain.
 func (s *Scheduler) SetTargets(list []Target) {
@@ -478,6 +486,14 @@
 	return t.permitRefusedAt + max(t.permitRefused.ComeBackAfter, t.permitRefused.NextAfter) - now, true
 }
 
+// RecordPlaced counts a request as in flight at a target on which another scheduler placed
+// it. RecordOutcome or ReleaseUnsent ends it.
+func (s *Scheduler) RecordPlaced(id string) {
+	if t := s.targets[id]; t != nil {
+		t.inFlight++
+	}
+}
+
 // ReleaseUnsent releases a request that Submit or Dispatch placed on a target and
 // that was not sent.
 func (s *Scheduler) ReleaseUnsent(id string) {
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 	Route    string
 	// Target is the owner of the request's key; if empty, any target may serve it.
 	Target string
+	// Domain is the failure domain of the host that sends the request. Default: that of
+	// the scheduler.
+	Domain string
 	// Priority orders waiting requests; 0 is the most urgent.
 	Priority int
 	// Deadline is when the response is due at the latest.
@@ -75,102 +79,19 @@
 	RetryAfter time.Duration
 }
 
-// waiter is a waiting request.
-type waiter struct {
-	Request
-	ticket uint64
-}
-
 // Submit decides on a new request.
 func (s *Scheduler) Submit(now time.Duration, r Request) Decision {
-	if !s.hasQueuedAhead(r) {
+	if !s.hasQueuedAhead(now, r) {
 		if d := s.decide(now, r); d.Action != Wait {
 			return d
 		}
 	} else if ahead := s.workAhead(now, r); missesDeadline(now, r, ahead, s.meanServiceTime(r.Route)) {
 		return Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: ahead}
 	}
-	if len(s.queue) >= s.cfg.MaxQueueLength {
+	if s.queueLength >= s.cfg.MaxQueueLength {
 		return Decision{Action: Refuse, Reason: ReasonQueueFull, RetryAfter: s.drainTime(now, r)}
 	}
-	s.lastTicket++
-	w := &waiter{Request: r, ticket: s.lastTicket}
-	i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
-	s.queue = slices.Insert(s.queue, i, w)
-	return Decision{Action: Wait, Ticket: w.ticket}
-}
-
-// hasQueuedAhead reports whether a request with the same or a higher priority waits
-// for the same target, or for any target of the same workload if r names none.
-func (s *Scheduler) hasQueuedAhead(r Request) bool {
-	for _, w := range s.queue {
-		if w.Workload == r.Workload && w.Target == r.Target && w.Priority <= r.Priority {
-			return true
-		}
-	}
-	return false
-}
-
-func compareWaiters(a, b *waiter) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	if a.Deadline != b.Deadline {
-		if a.Deadline < b.Deadline {
-			return -1
-		}
-		return 1
-	}
-	return int(int64(a.ticket) - int64(b.ticket))
-}
-
-// QueuedDecision is the decision on a request that waited.
-type QueuedDecision struct {
-	Ticket uint64
-	Decision
-}
-
-// Dispatch returns the decisions on the waiting requests for which a target has
-// capacity, or which can no longer end in time.
-func (s *Scheduler) Dispatch(now time.Duration) []QueuedDecision {
-	var decisions []QueuedDecision
-	remaining := s.queue[:0]
-	blocked := map[[2]string]bool{}
-	for _, w := range s.queue {
-		key := [2]string{w.Workload, w.Target}
-		if blocked[key] && now+s.minServiceTime(w) <= w.Deadline {
-			remaining = append(remaining, w)
-			continue
-		}
-		d := s.decide(now, w.Request)
-		if d.Action == Wait {
-			blocked[key] = true
-			remaining = append(remaining, w)
-			continue
-		}
-		decisions = append(decisions, QueuedDecision{Ticket: w.ticket, Decision: d})
-	}
-	clear(s.queue[len(remaining):])
-	s.queue = remaining
-	return decisions
-}
-
-// QueueLength returns the number of waiting requests.
-func (s *Scheduler) QueueLength() int { return len(s.queue) }
-
-// Cancel removes a waiting request and reports whether it was still waiting.
-func (s *Scheduler) Cancel(ticket uint64) bool {
-	i := slices.IndexFunc(s.queue, func(w *waiter) bool { return w.ticket == ticket })
-	if i < 0 {
-		return false
-	}
-	s.queue = slices.Delete(s.queue, i, i+1)
-	return true
-}
-
-// minServiceTime returns the shortest time in which a waiting request can end.
-func (s *Scheduler) minServiceTime(w *waiter) time.Duration {
-	return time.Duration(minServiceFraction * s.meanServiceTime(w.Route) * float64(time.Second))
+	return Decision{Action: Wait, Ticket: s.enqueue(now, r)}
 }
 
 // minServiceFraction is the fraction of the mean service time that a request is
@@ -240,7 +161,7 @@
 // it. A request that misses the objective without any work ahead may still be sent.
 func (s *Scheduler) missesObjective(now time.Duration, r Request, serviceTime, shortestWait float64) bool {
 	timeLeft := (r.ObjectiveDeadline - now).Seconds()
-	return r.ObjectiveDeadline > 0 && shortestWait > 0 && serviceTime <= timeLeft && shortestWait+serviceTime > max(objectiveFraction*timeLeft, serviceTime)
+	return !s.cfg.WaitWhenLate && r.ObjectiveDeadline > 0 && shortestWait > 0 && serviceTime <= timeLeft && shortestWait+serviceTime > max(objectiveFraction*timeLeft, serviceTime)
 }
 
 // objectiveFraction is the fraction of the time left to the objective that the wait
@@ -291,7 +212,7 @@
 func (s *Scheduler) cost(now time.Duration, t *target, r Request, serviceTime, wait float64) float64 {
 	cost := wait + serviceTime*t.serviceFactor(now)
 	cost += t.stats.FailureRate(now) * 2 * max(r.Objective.Seconds(), serviceTime)
-	if t.Domain != s.cfg.Domain {
+	if domain := cmp.Or(r.Domain, s.cfg.Domain); t.Domain != domain {
 		cost += s.cfg.CrossDomainCost.Seconds()
 		if e := s.routeEstimates[r.Route]; e != nil {
 			cost += s.cfg.CrossDomainCostPerKB.Seconds() * e.responseKB
@@ -341,7 +262,13 @@
 // of the targets that may receive it, and the waiting requests for the same workload
 // and target that have a higher priority or, with the same, an earlier deadline.
 func (s *Scheduler) workAhead(now time.Duration, r Request) time.Duration {
-	return s.workTime(now, r, func(w *waiter) bool { return compareWaiters(w, &waiter{Request: r, ticket: s.lastTicket + 1}) < 0 })
+	self, late := &waiter{Request: r, ticket: s.lastTicket + 1}, s.isLate(now, &r)
+	return s.workTime(now, r, func(w *waiter) bool {
+		if wLate := s.isLate(now, &w.Request); wLate != late {
+			return late
+		}
+		return compareWaiters(w, self) < 0
+	})
 }
 
 // drainTime returns the expected time for all work that competes with a request.
@@ -360,9 +287,11 @@
 			requests += s.estimatedLoad(now, t)
 		}
 	}
-	for _, w := range s.queue {
-		if w.Workload == r.Workload && w.Target == r.Target && include(w) {
-			requests++
+	if q := s.queues[r.pool()]; q != nil {
+		for _, w := range q.waiters {
+			if include(w) {
+				requests++
+			}
 		}
 	}
 	return toDuration(requests / max(slots, 1) * s.meanServiceTime(r.Route))
