Share the slots of targets between hosts

Cause: each of 66 to 76 hosts decides by reports of targets that are seconds old. Work waits in the queues of the targets, where priority and deadline have no effect: in a peak of load a paid entry with an objective of 1.0 s was shed after 1.08 s and started elsewhere at 3.29 s.

The leader tells the hosts which ones are live and which keyed targets are contended. On for desired states with a route of priority 0 and objectives of at least 600 ms.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -54,6 +54,9 @@
 // together, or 0 if it states no limit.
 func (s *Snapshot) RequestLimit(t *Target) float64 { return s.requestLimits[t.Ident()] }
 
+// HasRequestLimits reports whether any target states a limit.
+func (s *Snapshot) HasRequestLimits() bool { return len(s.requestLimits) > 0 }
+
 // TargetsOf returns the targets of a workload in the order of their IDs.
 func (s *Snapshot) TargetsOf(workload string) []*Target { return s.targetsByWorkload[workload] }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -26,6 +26,10 @@
 	// Fleet names the fleet: hosts that name different ones do not follow each other.
 	// Default: not named, which fits any.
 	Fleet string
+	// Domain is the failure domain of the host.
+	Domain string
+	// Slots coordinates slots between hosts, nil for none.
+	Slots SlotService
 	// Peer is the address, "ip:port", on which this host accepts connections from
 	// other hosts.
 	Peer  string
@@ -134,7 +138,12 @@
 	retired atomic.Bool
 	// witnesses holds what this host and its peers know of the time before a restore.
 	witnesses witnesses
-	metrics   *metrics
+	// toldHosts is what this host last told the others as the leader of the live hosts, nil
+	// if nothing in its term.
+	toldHosts atomic.Pointer[hostsMessage]
+	// toldContended is likewise what it told of the contended targets.
+	toldContended atomic.Pointer[contendedMessage]
+	metrics       *metrics
 }
 
 // endedTerm is a term that this process led, with the time when it stopped leading.
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -49,6 +49,10 @@
 	methodRun = "run"
 	// methodTables sends the leader tables of owners that the store has lost.
 	methodTables = "tables"
+	// methodHosts tells which hosts are live.
+	methodHosts = "hosts"
+	// methodContended tells which keyed targets are contended.
+	methodContended = "contended"
 	// methodOffer asks a host to succeed the leader.
 	methodOffer = "offer"
 )
@@ -75,6 +79,9 @@
 	Address string `json:"address,omitempty"`
 	// Room is the part that the host has of the resources that suffice to lead.
 	Room float64 `json:"room,omitempty"`
+	// Domain is the failure domain of the host, Cores its processor share.
+	Domain string  `json:"domain,omitempty"`
+	Cores  float64 `json:"cores,omitempty"`
 	processState
 }
 
@@ -233,6 +240,10 @@
 	// mutex of peerSet guards them.
 	host string
 	room float64
+	// address, domain and cores are the host's peer address, failure domain and processor
+	// share, guarded likewise.
+	address, domain string
+	cores           float64
 }
 
 // peerMessage is an encoded message. innerMethod is its method before it was packed.
@@ -321,11 +332,12 @@
 	p.conns[pc] = true
 }
 
-// describe notes the name and resources of a connection's host.
-func (p *peerSet) describe(pc *peerConn, host string, room float64) {
+// describe notes what the host of a connection states of itself.
+func (p *peerSet) describe(pc *peerConn, m helloMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pc.host, pc.room = host, room
+	pc.host, pc.room = m.Host, m.Room
+	pc.address, pc.domain, pc.cores = m.Address, m.Domain, m.Cores
 }
 
 func (p *peerSet) remove(pc *peerConn) {
@@ -388,8 +400,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	pc := &peerConn{nc: nc, outbox: make(chan peerMessage, outboxSize)}
-	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	handler := jsonrpc2.HandlerWithError(func(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		switch r.Method {
+		case methodSlotsAsk:
+			if c.cfg.Slots == nil {
+				break
+			}
+			return nil, c.cfg.Slots.HandleAsk(nc, conn, r.Params)
 		case methodHello:
 			return c.handleHello(pc, r)
 		case methodCounts:
@@ -515,7 +532,7 @@
 	}
 	c.leadership.noteHello(m)
 	c.witnesses.addHost(m.Host, m.Lost, m.LostHosts)
-	c.peers.describe(pc, m.Host, m.Room)
+	c.peers.describe(pc, m)
 	c.notePeer(pc, m)
 	// The peer receives messages to all peers from here on, so that it misses nothing between
 	// them and the state that is queued below.
@@ -531,6 +548,12 @@
 		pc.enqueue(r.message(w))
 	}
 	pc.enqueue(encode(methodPositions, c.topicPositions()))
+	if m := c.toldHosts.Load(); m != nil {
+		pc.enqueue(encode(methodHosts, *m))
+	}
+	if m := c.toldContended.Load(); m != nil {
+		pc.enqueue(encode(methodContended, *m))
+	}
 	if incarnations := c.leavingTargets(false); len(incarnations) > 0 {
 		pc.enqueue(encode(methodLeaving, leavingMessage{Targets: incarnations}))
 	}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -43,6 +43,11 @@
 	loopQueue chan loopFunc
 	ctx       context.Context
 
+	// hostsSettledAt is when the hosts have had time to connect.
+	hostsSettledAt time.Duration
+	// contended holds the contended targets.
+	contended contendedTargets
+
 	granters   map[string]*lease.RangeGranter
 	loads      map[string]*keyLoads
 	sentRanges map[string]*RangeMap
@@ -104,6 +109,8 @@
 	}
 	c.limits.beginTerm()
 	c.roster.beginTerm(boottime.Now(), c.processState().lastLed(boottime.Now()))
+	c.toldHosts.Store(nil)
+	c.toldContended.Store(nil)
 	c.leading.Store(true)
 	c.metrics.terms.Add(1)
 	c.cfg.Log.Info("lead_began", "term", w.record.Term, "former_ended", w.earlier.PreviousStopped, "clear_ms", w.earlier.OlderLeasesLeft.Milliseconds())
@@ -212,6 +219,7 @@
 		t.nextPlan = now + planEvery
 		t.collectCounts(now)
 		t.plan(now, snap)
+		t.sendContended()
 		t.updateMetrics(now)
 	}
 	t.startTargetCalls(now, snap)
@@ -233,6 +241,7 @@
 	if now >= t.nextPositions {
 		t.nextPositions = now + positionsEvery
 		t.c.peers.send(methodPositions, t.c.topicPositions())
+		t.sendHosts(now)
 	}
 }
 
@@ -379,8 +388,10 @@
 		if 2*len(awaited) > len(table.KeyCounts()) {
 			continue
 		}
+		rates := t.loads[name].rates()
+		t.noteContention(now, name, table, targets, rates)
 		moves := ownership.PlanRanges(ownership.RangePlanConfig{}, ownership.RangeInput{
-			Table: table, Targets: targets, Rates: t.loads[name].rates(), RateVariance: rateVariance,
+			Table: table, Targets: targets, Rates: rates, RateVariance: rateVariance,
 			Movable: func(s ownership.KeyRange) bool { return g.Movable(now, s, moveCooldown) },
 			Stays:   func(s ownership.KeyRange) bool { return awaited[s.Owner] || awaitsFencing(now, g, s) },
 		})
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -10,6 +10,7 @@
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/guard"
+	"github.com/boragelock/boragelock/internal/slotpeer"
 	"github.com/boragelock/boragelock/limits"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/platform"
@@ -40,6 +41,8 @@
 	// sending is set from the send to a target until its outcome was handled.
 	placedOn string
 	sending  bool
+	// lease is the shared slot that the request has, or nil.
+	lease *slotpeer.Lease
 	// viewAge is the age of what the host knew of the targets at the last send.
 	viewAge time.Duration
 	// content identifies the request when targets end under it; hasRun is set while this is
@@ -68,7 +71,7 @@
 	}
 	g.cfg.Log.Error("panic", "duty", "request", "request", c.req.ID, "target", c.placedOn, "err", err)
 	if c.placedOn != "" {
-		g.releaseUnsent(c.placedOn)
+		c.releaseUnsent(c.placedOn)
 	}
 	if c.sending || c.mayHaveRun {
 		return nil, &Failure{Code: CodeMayHaveRun, Status: http.StatusBadGateway, Err: err}
@@ -127,6 +130,10 @@
 			return nil, c.finalFailure(failure)
 		}
 		c.placedOn = d.Target
+		if c.lease != nil && !c.keepsOwner(d.Target) {
+			c.releaseUnsent(d.Target)
+			continue
+		}
 		again, failure := c.takeRun(ctx, d.Target)
 		if failure != nil {
 			return nil, c.finalFailure(failure)
@@ -166,7 +173,7 @@
 		r.Target, r.TriedTargets = owner, nil
 	}
 	start := boottime.Now()
-	d, ok := c.g.place(ctx, r)
+	d, ok := c.acquire(ctx, r)
 	c.g.metrics.queueWait.record(boottime.Now() - start)
 	if !ok {
 		return d, &Failure{Code: CodeTimeout, Status: http.StatusGatewayTimeout, Err: ctx.Err()}
@@ -206,18 +213,18 @@
 // again.
 func (c *call) send(ctx context.Context, id string) (res *response, f *Failure, retry bool) {
 	if !c.awaitCurrentTargets(ctx) {
-		c.g.releaseUnsent(id)
+		c.releaseUnsent(id)
 		return nil, c.finalFailure(newRefusal(CodeNotReady, notReadyRetryAfter)), false
 	}
 	snap := c.g.syncSnapshot()
 	t := snap.Targets[id]
 	if t == nil {
-		c.g.releaseUnsent(id)
+		c.releaseUnsent(id)
 		c.tried = append(c.tried, id)
 		return nil, nil, true
 	}
 	if c.attempts+c.refusals > 0 && !c.g.takeRetry(c.workload) {
-		c.g.releaseUnsent(id)
+		c.releaseUnsent(id)
 		return nil, c.finalFailure(newRefusal(CodeShed, shedRetryDelay)), false
 	}
 	now := boottime.Now()
@@ -307,7 +314,7 @@
 // the like. That says nothing about the target.
 func (c *call) handleShortage(ctx context.Context, id string, e *sendError) (*response, *Failure, bool) {
 	c.placedOn = ""
-	c.g.releaseUnsent(id)
+	c.releaseUnsent(id)
 	c.g.cfg.Log.Warn("send_shortage", "request", c.req.ID, "target", id, "err", e.err)
 	if !c.pause(ctx, shedRetryDelay) {
 		return nil, c.finalFailure(newRefusal(CodeFull, shedRetryDelay)), false
@@ -319,7 +326,7 @@
 // the deadline passed before a connection was open.
 func (c *call) handleTooLate(id string) (*response, *Failure, bool) {
 	c.placedOn = ""
-	c.g.releaseUnsent(id)
+	c.releaseUnsent(id)
 	if boottime.Now() < c.deadline {
 		return nil, nil, true
 	}
@@ -329,6 +336,8 @@
 // requestEnded reports to the scheduler that the request has ended at a target.
 func (c *call) requestEnded(id string, outcome placement.Outcome) {
 	c.placedOn = ""
+	c.lease.End(outcome)
+	c.lease = nil
 	c.g.requestEnded(id, outcome)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/quarantine"
 	"github.com/boragelock/boragelock/retry"
+	"github.com/boragelock/boragelock/slots"
 )
 
 // Deployment is the gateway's view of the deployment.
@@ -61,6 +62,8 @@
 	Domain     string
 	Deployment Deployment
 	Log        *eventlog.Log
+	// Slots shares the slots of targets with the other hosts, nil if they are not shared.
+	Slots SharedSlots
 	// RetryRatio and RetryExtra are the retry budget of the deployment: in each
 	// window, all hosts together may send ratio x requests + extra retries.
 	RetryRatio  float64
@@ -179,6 +182,7 @@
 		return snap
 	}
 	g.snapshot = snap
+	g.scheduler.SetWaitWhenLate(g.cfg.Slots != nil && slots.Enabled(snap.DesiredState))
 	list := make([]placement.Target, 0, len(snap.Targets))
 	for _, t := range snap.Targets {
 		x := placement.Target{
@@ -198,6 +202,13 @@
 	return snap
 }
 
+// currentSnapshot returns the snapshot that the scheduler has.
+func (g *Gateway) currentSnapshot() *fleet.Snapshot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.snapshot
+}
+
 func (g *Gateway) dispatch() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -89,8 +89,7 @@
 		c.hasRun = true
 		return false, nil
 	}
-	c.placedOn = ""
-	c.g.releaseUnsent(target)
+	c.releaseUnsent(target)
 	now = boottime.Now()
 	latest := c.deadline - c.g.serviceTime(now, c.route.Name)/2
 	if v.Refuse || now >= latest {
--- /dev/null
+++ b/internal/slotpeer/metrics.go
@@ -0,0 +1,65 @@
+package slotpeer
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/boragelock/boragelock/slots"
+)
+
+// metrics are the counters of shared queues.
+type metrics struct {
+	vars *expvar.Map
+	// answers counts this host's asks by their end.
+	answers *expvar.Map
+	// asked counts asks of other hosts and this one at this coordinator; the others are
+	// those of slots.Stats.
+	asked, granted, refused, expired, waiting, leased *expvar.Int
+	// contended is the number of keyed targets whose slots are shared.
+	contended *expvar.Int
+
+	mu    sync.Mutex
+	waits *hdrhistogram.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{vars: new(expvar.Map).Init(), answers: new(expvar.Map).Init(), waits: hdrhistogram.New(100, 60_000_000, 2)}
+	m.vars.Set("asks", m.answers)
+	for name, v := range map[string]**expvar.Int{
+		"coordinator_asked": &m.asked, "coordinator_granted": &m.granted, "coordinator_refused": &m.refused,
+		"coordinator_expired": &m.expired, "coordinator_waiting": &m.waiting, "coordinator_leased": &m.leased, "contended_targets": &m.contended,
+	} {
+		*v = new(expvar.Int)
+		m.vars.Set(name, *v)
+	}
+	m.vars.Set("wait_p50_us", expvar.Func(func() any { return m.quantile(50) }))
+	m.vars.Set("wait_p99_us", expvar.Func(func() any { return m.quantile(99) }))
+	return m
+}
+
+func (m *metrics) setStats(s slots.Stats) {
+	m.granted.Set(int64(s.Granted))
+	m.refused.Set(int64(s.Refused))
+	m.expired.Set(int64(s.Expired))
+	m.waiting.Set(int64(s.Waiting))
+	m.leased.Set(int64(s.Leased))
+}
+
+func (m *metrics) recordWait(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A value outside the bounds is recorded as the nearest bound.
+	_ = m.waits.RecordValue(min(max(d.Microseconds(), 100), 60_000_000))
+}
+
+func (m *metrics) quantile(q float64) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waits.ValueAtQuantile(q)
+}
+
+// Vars returns the metrics.
+func (p *Peer) Vars() expvar.Var { return p.metrics.vars }
