--- a/internal/coordinator/contended.go
+++ b/internal/coordinator/contended.go
@@ -10,12 +10,12 @@
 	"github.com/boragelock/boragelock/ownership"
 )
 
-// The slots of a keyed target are shared while it is contended: below half of its capacity a
-// request rarely meets a full target, and a question to another host would cost more than it
-// saves.
+// The slots of a keyed target are shared while it is contended. Below that a request rarely
+// meets a full target (one in four at 0.7 of the capacity of six slots), and a question to
+// another host would cost more than it saves.
 const (
-	contendedFrom  = 0.5
-	contendedUntil = 0.35
+	contendedFrom  = 0.7
+	contendedUntil = 0.5
 	// ratesKnownAfter is how long a new leader counts requests before it says that a target
 	// is not contended.
 	ratesKnownAfter = 3 * time.Second
--- a/internal/slotpeer/client.go
+++ b/internal/slotpeer/client.go
@@ -37,7 +37,7 @@
 	heardAt time.Duration
 	// queuedAt is when an ask last waited at the coordinator.
 	queuedAt time.Duration
-	waiting map[uint64]waitingAsk
+	waiting  map[uint64]waitingAsk
 }
 
 // waitingAsk is an ask without an answer.
--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -55,7 +55,7 @@
 		coordinator: slots.NewCoordinator(placement.Config{
 			MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength, CrossDomainCost: crossDomainCost,
 		}),
-		hosts:       map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m,
+		hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m,
 	}
 }
 
