--- a/slots/pool.go
+++ b/slots/pool.go
@@ -67,6 +67,10 @@
 	return best
 }
 
+// minCores and maxCores bound the processor share that counts. The upper bound is that of the
+// setting; without it a host that states nonsense would coordinate all pools.
+const minCores, maxCores = 0.01, 1024
+
 // rendezvousScore returns the score of a host for a pool. The weight is the square of the
 // processor share: a small host also needs longer for each answer.
 func rendezvousScore(pool string, h Host) float64 {
@@ -75,6 +79,6 @@
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(h.Address)
 	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
-	cores := max(h.Cores, 0.01)
+	cores := min(max(h.Cores, minCores), maxCores)
 	return cores * cores / -math.Log(u)
 }
