Bound the time and the memory that shared queues cost when hosts fail

A slot of another target than the owner would have been used. - When sharing ended, the coordinator went on with the last targets. - Connections to hosts that are gone, and their pauses, were kept.

Change: the coordinator starts anew after a panic and its hosts connect again. Acquire ends at the deadline. Values are bounded. Unused connections to hosts that are gone are closed. New: log lines slot_coordinator_found and slot_queue, metrics coordinator_queues and coordinator_refusals_total.

--- a/internal/slotpeer/errors.go
+++ b/internal/slotpeer/errors.go
@@ -15,6 +15,9 @@
 const (
 	CodeClosed Code = "closed"
 	CodeSilent Code = "silent"
+	// CodeRetired: the host at the other end no longer coordinates, and nothing was sent to
+	// it for a while.
+	CodeRetired Code = "retired"
 )
 
 // LinkError reports the end of a connection to a coordinator.
--- a/internal/slotpeer/messages.go
+++ b/internal/slotpeer/messages.go
@@ -57,18 +57,49 @@
 	return w
 }
 
-func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+// Bounds of what another host states. A value beyond them is taken as the bound.
+const (
+	// maxTime bounds times: the longest pause that a target may ask for.
+	maxTime = 5 * time.Minute
+	// maxNameBytes bounds the names of pools, routes, targets and domains, in bytes.
+	maxNameBytes = 256
+	// maxTried bounds the targets that a request has tried.
+	maxTried = 64
+	// maxPriority bounds priorities on both sides of 0.
+	maxPriority = 1000
+	// maxLoad bounds each figure of a target's load, maxResponseBytes the size of a response.
+	maxLoad          = 1 << 16
+	maxResponseBytes = 1 << 30
+)
 
-// maxLeft bounds the time that an ask may wait.
-const maxLeft = 5 * time.Minute
+// milliseconds returns a time within maxTime on both sides of 0.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -maxTime.Milliseconds()), maxTime.Milliseconds())) * time.Millisecond
+}
+
+// valid reports whether the names are within their bounds.
+func (w *wireAsk) valid() bool {
+	if len(w.Tried) > maxTried || max(len(w.Pool), len(w.Route), len(w.Target)) > maxNameBytes {
+		return false
+	}
+	for _, id := range w.Tried {
+		if len(id) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
 
 func (w wireAsk) ask(now time.Duration, host, domain string, random float64) slots.Ask {
 	r := placement.Request{
-		Workload: w.Pool, Route: w.Route, Target: w.Target, Priority: w.Priority, Deadline: now + min(milliseconds(w.LeftMS), maxLeft),
-		Objective: milliseconds(w.ObjectiveMS), TriedTargets: w.Tried, Random: random,
+		Workload: w.Pool, Route: w.Route, Target: w.Target, Priority: min(max(w.Priority, -maxPriority), maxPriority),
+		Deadline: now + milliseconds(w.LeftMS), Objective: max(0, milliseconds(w.ObjectiveMS)), TriedTargets: w.Tried, Random: random,
+	}
+	if w.Target != "" {
+		r.Workload = ""
 	}
 	if w.ObjectiveMS > 0 {
-		r.ObjectiveDeadline = now + min(milliseconds(w.ObjectiveLeftMS), maxLeft)
+		r.ObjectiveDeadline = now + milliseconds(w.ObjectiveLeftMS)
 	}
 	return slots.Ask{Host: host, ID: w.ID, Domain: domain, Request: r}
 }
@@ -116,12 +147,14 @@
 
 func (w wireEnd) outcome() placement.Outcome {
 	o := placement.Outcome{
-		ResponseTime: time.Duration(w.ResponseUS) * time.Microsecond, ResponseBytes: w.Bytes,
-		Shed: w.Flags&flagShed != 0, ConnectionReset: w.Flags&flagReset != 0, Failed: w.Flags&flagFailed != 0, Unreachable: w.Flags&flagUnreachable != 0,
-		Pause: milliseconds(w.PauseMS), ColdRemaining: -1,
+		ResponseTime:  time.Duration(min(max(w.ResponseUS, 0), maxTime.Microseconds())) * time.Microsecond,
+		ResponseBytes: min(max(w.Bytes, 0), maxResponseBytes),
+		Shed:          w.Flags&flagShed != 0, ConnectionReset: w.Flags&flagReset != 0, Failed: w.Flags&flagFailed != 0, Unreachable: w.Flags&flagUnreachable != 0,
+		Pause: max(0, milliseconds(w.PauseMS)), ColdRemaining: -1,
 	}
 	if len(w.Load) == 4 {
-		o.Load = &placement.Load{Running: w.Load[0], Waiting: w.Load[1], Slots: w.Load[2], Slowdown: float64(max(w.Load[3], 1)) / 100}
+		figure := func(i, least int) int { return min(max(w.Load[i], least), maxLoad) }
+		o.Load = &placement.Load{Running: figure(0, 0), Waiting: figure(1, 0), Slots: figure(2, 0), Slowdown: float64(figure(3, 1)) / 100}
 	}
 	if w.ColdMS > 0 {
 		o.ColdRemaining = milliseconds(w.ColdMS - 1)
@@ -154,10 +187,20 @@
 	return w
 }
 
-// decision returns the decision on an ask for a slot of a target, or of any if it is empty.
+// reasonOther stands for a reason that this release does not know. Reasons are names of metrics,
+// which another process must not choose.
+const reasonOther placement.Reason = "other"
+
+// decision returns the decision on an ask for a slot of a target, or of any if it is empty. A
+// slot of another target than the asked one is none: only the owner of a key may get its
+// requests.
 func (w wireAnswer) decision(asked string) placement.Decision {
-	if w.Reason == "" {
-		return placement.Decision{Action: placement.Send, Target: cmp.Or(w.Target, asked)}
+	switch w.Reason {
+	case "":
+		return placement.Decision{Action: placement.Send, Target: cmp.Or(asked, w.Target)}
+	case placement.ReasonNoTarget, placement.ReasonDeadline, placement.ReasonObjective, placement.ReasonLimit, placement.ReasonQueueFull:
+	default:
+		w.Reason = reasonOther
 	}
-	return placement.Decision{Action: placement.Refuse, Reason: w.Reason, RetryAfter: milliseconds(w.RetryAfterMS)}
+	return placement.Decision{Action: placement.Refuse, Reason: w.Reason, RetryAfter: max(0, milliseconds(w.RetryAfterMS))}
 }
--- a/internal/slotpeer/metrics.go
+++ b/internal/slotpeer/metrics.go
@@ -40,6 +40,23 @@
 	return m
 }
 
+// maxQueueMetrics is the number of pools whose queues the metrics name.
+const maxQueueMetrics = 32
+
+// publishQueues adds the waiting asks and the refusals of a coordinator. They are collected when
+// the metrics are read.
+func (m *metrics) publishQueues(s *server) {
+	m.vars.Set("coordinator_refusals_total", expvar.Func(func() any { return s.refusals() }))
+	m.vars.Set("coordinator_queues", expvar.Func(func() any {
+		q := s.queues()
+		byPool := map[string]int{}
+		for _, p := range q.Longest {
+			byPool[p.Pool] = p.Waiting
+		}
+		return map[string]any{"waiting_by_pool": byPool, "waiting_by_priority": q.ByPriority, "oldest_ms": q.OldestAge.Milliseconds()}
+	}))
+}
+
 func (m *metrics) setStats(s slots.Stats) {
 	m.granted.Set(int64(s.Granted))
 	m.refused.Set(int64(s.Refused))
--- a/internal/slotpeer/peer.go
+++ b/internal/slotpeer/peer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/slots"
 )
@@ -42,22 +45,30 @@
 	mu    sync.Mutex
 	hosts []slots.Host
 	// coordinators caches the coordinator of each pool for hosts.
-	coordinators map[string]string
+	coordinators map[poolAt]string
 	links        map[string]*link
-	// lostUntil is the end of the pause after a coordinator was lost.
-	lostUntil map[string]time.Duration
-	local     *localHost
+	// lost has the coordinators that were lost and not heard of since.
+	lost  map[string]lostCoordinator
+	local *localHost
 	// contended has the keyed targets whose slots are shared, nil for all of them.
 	contended map[string]bool
 }
 
+// poolAt is a pool and the domain of its target. The domain is empty while the target is
+// unknown, which must not fix the coordinator.
+type poolAt struct{ pool, domain string }
+
+// lostCoordinator is the pause until the next attempt to reach a coordinator.
+type lostCoordinator struct{ until, pause time.Duration }
+
 // New returns a Peer without hosts.
 func New(cfg Config) *Peer {
 	m := newMetrics()
 	p := &Peer{
-		cfg: cfg, server: newServer(m), metrics: m, coordinators: map[string]string{}, links: map[string]*link{},
-		lostUntil: map[string]time.Duration{}, tasks: make(chan *link, 64),
+		cfg: cfg, server: newServer(m, cfg.Log), metrics: m, coordinators: map[poolAt]string{}, links: map[string]*link{},
+		lost: map[string]lostCoordinator{}, tasks: make(chan *link, 64),
 	}
+	m.publishQueues(p.server)
 	p.local = newLocalHost(p)
 	return p
 }
@@ -93,6 +104,8 @@
 			}
 			if p.enabled.Load() {
 				p.server.setSnapshot(snap)
+			} else {
+				p.server.clearTargets() // asks of hosts that still share slots are refused
 			}
 		}
 		select {
@@ -115,9 +128,18 @@
 	}
 	p.hosts = hosts
 	clear(p.coordinators)
+	for address, k := range p.links {
+		k.retired.Store(!p.isLive(address))
+	}
+	maps.DeleteFunc(p.lost, func(address string, _ lostCoordinator) bool { return !p.isLive(address) })
 	p.cfg.Log.Info("slot_hosts", "hosts", len(hosts))
 }
 
+// isLive reports whether a host is among the live ones; p.mu is held.
+func (p *Peer) isLive(address string) bool {
+	return slices.ContainsFunc(p.hosts, func(h slots.Host) bool { return h.Address == address })
+}
+
 // SetContended applies a change of the keyed targets that are contended. Until the first
 // call all are.
 func (p *Peer) SetContended(full bool, added, removed []string) {
@@ -155,12 +177,12 @@
 // coordinatorOf returns the address of the coordinator of a pool, or "" if none is known or
 // it was lost lately; p.mu is held.
 func (p *Peer) coordinatorOf(now time.Duration, pool, domain string) string {
-	address, ok := p.coordinators[pool]
+	address, ok := p.coordinators[poolAt{pool, domain}]
 	if !ok {
 		address = slots.CoordinatorOf(pool, domain, p.hosts)
-		p.coordinators[pool] = address
+		p.coordinators[poolAt{pool, domain}] = address
 	}
-	if now < p.lostUntil[address] {
+	if now < p.lost[address].until {
 		return ""
 	}
 	return address
@@ -201,8 +223,8 @@
 }
 
 // Acquire asks the coordinator of a request's pool for a slot and waits for the answer.
-// answered is false when there was none: the caller then decides by itself, unless its
-// context has ended. The lease is nil unless the decision is to send.
+// answered is false when there was none before the deadline of the request: the caller then
+// decides by itself, unless its context has ended. The lease is nil unless the decision is to send.
 func (p *Peer) Acquire(ctx context.Context, r placement.Request, targetDomain string) (d placement.Decision, l *Lease, answered bool) {
 	now := boottime.Now()
 	pool := slots.PoolOf(r.Workload, r.Target, r.Target != "")
@@ -216,11 +238,11 @@
 	}
 	if address == p.cfg.Address {
 		p.mu.Unlock()
-		return p.acquireFrom(ctx, w, p.local)
+		return p.acquireFrom(ctx, w, r.Deadline, p.local)
 	}
 	k := p.links[address]
 	if k == nil {
-		k = newLink(address)
+		k = newLink(address, func() { p.noteFound(address) })
 		select {
 		case p.tasks <- k:
 			p.links[address] = k
@@ -231,7 +253,7 @@
 		}
 	}
 	p.mu.Unlock()
-	return p.acquireFrom(ctx, w, k)
+	return p.acquireFrom(ctx, w, r.Deadline, k)
 }
 
 // source is where a host asks for slots.
@@ -241,13 +263,18 @@
 	queue(outgoing)
 }
 
-func (p *Peer) acquireFrom(ctx context.Context, w wireAsk, from source) (placement.Decision, *Lease, bool) {
+func (p *Peer) acquireFrom(ctx context.Context, w wireAsk, deadline time.Duration, from source) (placement.Decision, *Lease, bool) {
 	answer := from.add(w)
 	if answer == nil {
 		p.metrics.answers.Add("no_link", 1)
 		return placement.Decision{}, nil, false
 	}
 	start := boottime.Now()
+	// A coordinator that sends heartbeats may have lost the ask, for example as a part of a
+	// message that its release cannot read.
+	overdue := time.NewTimer(deadline - start)
+	defer overdue.Stop()
+	end := "withdrawn"
 	select {
 	case d, ok := <-answer:
 		p.metrics.recordWait(boottime.Now() - start)
@@ -262,8 +289,10 @@
 		p.metrics.answers.Add("granted", 1)
 		return d, &Lease{send: from.queue, id: w.ID}, true
 	case <-ctx.Done():
+	case <-overdue.C:
+		end = "overdue"
 	}
-	p.metrics.answers.Add("withdrawn", 1)
+	p.metrics.answers.Add(end, 1)
 	from.remove(w.ID)
 	from.queue(outgoing{unsent: w.ID})
 	return placement.Decision{}, nil, false
@@ -282,16 +311,40 @@
 }
 
 func (p *Peer) serveLink(ctx context.Context, k *link) {
-	err := k.serve(ctx, p.cfg.Domain)
-	if ctx.Err() == nil {
-		p.cfg.Log.Info("slot_coordinator_lost", "address", k.address, "err", err)
+	var err error
+	if panicked := guard.Call("slot link", func() { err = k.serve(ctx, p.cfg.Domain, p.cfg.Log) }); panicked != nil {
+		p.cfg.Log.Error("panic", "duty", "slot link", "err", panicked)
+		err = panicked
+	}
+	if ctx.Err() != nil {
+		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.links[k.address] == k {
 		delete(p.links, k.address)
 	}
-	p.lostUntil[k.address] = boottime.Now() + reconnectPause
+	var ended *LinkError
+	if !p.isLive(k.address) || errors.As(err, &ended) && ended.Code == CodeRetired {
+		return
+	}
+	l, known := p.lost[k.address]
+	l.pause = min(max(2*l.pause, reconnectPause), maxReconnectPause)
+	l.until = boottime.Now() + l.pause
+	p.lost[k.address] = l
+	if !known {
+		p.cfg.Log.Info("slot_coordinator_lost", "address", k.address, "heard", k.wasHeard(), "err", err)
+	}
+}
+
+// noteFound notes a message of a coordinator.
+func (p *Peer) noteFound(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, lost := p.lost[address]; lost {
+		delete(p.lost, address)
+		p.cfg.Log.Info("slot_coordinator_found", "address", address)
+	}
 }
 
 // localHost asks the coordinator of its own process.
@@ -305,7 +358,7 @@
 
 func newLocalHost(p *Peer) *localHost {
 	h := &localHost{p: p, waiting: map[uint64]waitingAsk{}}
-	h.host = &remoteHost{domain: p.cfg.Domain, deliver: h.deliver, heartbeat: func() {}, close: func() {}}
+	h.host = &remoteHost{domain: p.cfg.Domain, deliver: h.deliver, heartbeat: func() {}, close: h.giveUp}
 	p.server.addHost(h.host)
 	return h
 }
@@ -324,6 +377,16 @@
 	return true
 }
 
+// giveUp leaves the waiting asks without an answer.
+func (h *localHost) giveUp() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, w := range h.waiting {
+		delete(h.waiting, id)
+		close(w.answer)
+	}
+}
+
 func (h *localHost) add(a wireAsk) chan placement.Decision {
 	answer := make(chan placement.Decision, 1)
 	h.mu.Lock()
--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -9,10 +9,12 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/guard"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/slots"
 )
@@ -32,10 +34,17 @@
 type server struct {
 	mu          sync.Mutex
 	coordinator *slots.Coordinator
-	hosts       map[string]*remoteHost
-	byConn      map[*jsonrpc2.Conn]*remoteHost
-	nextHost    uint64
-	metrics     *metrics
+	targets     []placement.Target
+	// routes has the routes of the desired state. Service times are learned by route, and
+	// other processes must not add some.
+	routes   map[string]bool
+	hosts    map[string]*remoteHost
+	byConn   map[*jsonrpc2.Conn]*remoteHost
+	nextHost uint64
+	// longQueue is set while more asks wait than longQueueFrom.
+	longQueue bool
+	metrics   *metrics
+	log       hclog.Logger
 }
 
 // remoteHost is a connected host.
@@ -50,15 +59,42 @@
 	close     func()
 }
 
-func newServer(m *metrics) *server {
-	return &server{
-		coordinator: slots.NewCoordinator(placement.Config{MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength}),
-		hosts:       map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m,
-	}
+func newServer(m *metrics, log hclog.Logger) *server {
+	return &server{coordinator: newCoordinator(), hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m, log: log}
+}
+
+func newCoordinator() *slots.Coordinator {
+	return slots.NewCoordinator(placement.Config{MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength})
 }
 
-// maxQueueLength bounds the asks that wait at a coordinator. Beyond it asks are refused.
-const maxQueueLength = 4096
+const (
+	// maxQueueLength bounds the asks that wait at a coordinator. Beyond it asks are refused.
+	maxQueueLength = 4096
+	// maxHosts bounds the connections of hosts: twice the 1,500 of the largest fleet, since a
+	// host that reconnects counts twice for a while.
+	maxHosts = 3000
+	// A queue is logged when it is longer than longQueueFrom, a quarter of a second of the
+	// load of the largest deployments, and again when it is shorter than longQueueUntil.
+	longQueueFrom  = 500
+	longQueueUntil = 250
+)
+
+// do runs a function with the mutex held. After a panic the state of the coordinator is
+// unknown: it starts anew, and all hosts connect again.
+func (s *server) do(f func(now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := guard.Call("slot coordinator", func() { f(boottime.Now()) })
+	if err == nil {
+		return
+	}
+	s.log.Error("panic", "duty", "slot coordinator", "err", err)
+	s.coordinator = newCoordinator()
+	s.coordinator.SetTargets(s.targets)
+	for _, h := range s.hosts {
+		h.close()
+	}
+}
 
 // setSnapshot applies the targets of a snapshot.
 func (s *server) setSnapshot(snap *fleet.Snapshot) {
@@ -77,43 +113,82 @@
 		x.Workload = slots.PoolOf(t.Workload, t.ID, keyed)
 		list = append(list, x)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.coordinator.SetTargets(list)
+	routes := map[string]bool{}
+	if snap.DesiredState != nil {
+		for i := range snap.DesiredState.Routes {
+			routes[snap.DesiredState.Routes[i].Name] = true
+		}
+	}
+	s.setTargets(list, routes)
+}
+
+// clearTargets leaves the coordinator without targets, so that it refuses all asks.
+func (s *server) clearTargets() { s.setTargets(nil, nil) }
+
+func (s *server) setTargets(list []placement.Target, routes map[string]bool) {
+	s.do(func(time.Duration) {
+		s.targets, s.routes = list, routes
+		s.coordinator.SetTargets(list)
+	})
 }
 
-// addHost registers a host.
-func (s *server) addHost(h *remoteHost) {
+// addHost registers a host. It reports whether there was room.
+func (s *server) addHost(h *remoteHost) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.hosts) >= maxHosts {
+		return false
+	}
 	s.nextHost++
 	h.key = strconv.FormatUint(s.nextHost, 36)
 	s.hosts[h.key] = h
+	return true
 }
 
 // dropHost handles the end of a host's connection.
 func (s *server) dropHost(h *remoteHost) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.hosts, h.key)
-	s.coordinator.DropHost(boottime.Now(), h.key)
+	s.do(func(now time.Duration) {
+		delete(s.hosts, h.key)
+		s.coordinator.DropHost(now, h.key)
+	})
 }
 
-// handle applies a message of a host.
+// handle applies a message of a host. One of a host that was dropped has no effect: nothing
+// would end its leases.
 func (s *server) handle(h *remoteHost, m askMessage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := boottime.Now()
-	for _, id := range m.Unsent {
-		s.deliver(s.coordinator.Withdraw(now, h.key, id))
-	}
-	for _, e := range m.Ends {
-		s.deliver(s.coordinator.End(now, h.key, e.ID, e.outcome()))
+	s.metrics.asked.Add(int64(len(m.Asks)))
+	s.do(func(now time.Duration) {
+		if s.hosts[h.key] != h {
+			return
+		}
+		if m.Domain != "" && len(m.Domain) <= maxNameBytes {
+			h.domain = m.Domain
+		}
+		for _, id := range m.Unsent {
+			s.deliver(s.coordinator.Withdraw(now, h.key, id))
+		}
+		for i := range m.Ends {
+			s.deliver(s.coordinator.End(now, h.key, m.Ends[i].ID, m.Ends[i].outcome()))
+		}
+		for i := range m.Asks {
+			s.ask(now, h, &m.Asks[i])
+		}
+	})
+}
+
+// ask places the request of a host. One that cannot be read is refused for lack of a target, so
+// that the host places it by itself; s.mu is held.
+func (s *server) ask(now time.Duration, h *remoteHost, w *wireAsk) {
+	if !w.valid() {
+		d := placement.Decision{Action: placement.Refuse, Reason: placement.ReasonNoTarget}
+		s.deliver([]slots.Answer{{Host: h.key, ID: w.ID, Decision: d}})
+		return
 	}
-	for _, a := range m.Asks {
-		s.deliver(s.coordinator.Ask(now, a.ask(now, h.key, h.domain, rand.Float64())))
+	a := w.ask(now, h.key, h.domain, rand.Float64())
+	if !s.routes[a.Request.Route] {
+		a.Request.Route = ""
 	}
-	s.metrics.asked.Add(int64(len(m.Asks)))
+	s.deliver(s.coordinator.Ask(now, a))
 }
 
 // deliver hands answers to their hosts; s.mu is held.
@@ -136,22 +211,52 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		now := boottime.Now()
-		s.mu.Lock()
-		s.deliver(s.coordinator.Tick(now))
-		if now >= nextHeartbeat {
-			nextHeartbeat = now + heartbeatInterval
-			for key, h := range s.hosts {
-				if s.coordinator.HasWaiting(key) {
-					h.heartbeat()
-				}
+		s.do(func(now time.Duration) {
+			s.deliver(s.coordinator.Tick(now))
+			if now >= nextHeartbeat {
+				nextHeartbeat = now + heartbeatInterval
+				s.sendHeartbeats()
 			}
+			stats := s.coordinator.Stats()
+			s.metrics.setStats(stats)
+			s.noteQueue(stats.Waiting)
+		})
+	}
+}
+
+// sendHeartbeats tells the hosts whose asks wait that the coordinator runs; s.mu is held.
+func (s *server) sendHeartbeats() {
+	for key, h := range s.hosts {
+		if s.coordinator.HasWaiting(key) {
+			h.heartbeat()
 		}
-		s.metrics.setStats(s.coordinator.Stats())
-		s.mu.Unlock()
 	}
 }
 
+// noteQueue logs that the queue became long, or is no longer; s.mu is held.
+func (s *server) noteQueue(waiting int) {
+	long := waiting > longQueueFrom || s.longQueue && waiting >= longQueueUntil
+	if long != s.longQueue {
+		s.longQueue = long
+		s.log.Info("slot_queue", "long", long, "waiting", waiting)
+	}
+}
+
+// queues describes the waiting asks.
+func (s *server) queues() (q slots.Queues) {
+	s.do(func(now time.Duration) { q = s.coordinator.Queues(now, maxQueueMetrics) })
+	return q
+}
+
+// refusals returns the refusals by reason.
+func (s *server) refusals() (r map[placement.Reason]uint64) {
+	s.do(func(time.Duration) { r = s.coordinator.Refusals() })
+	return r
+}
+
+// errTooMany rejects a message with more entries than a batch has.
+var errTooMany = &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "too many entries in one message"}
+
 // HandleAsk handles a message of a host that came on a connection. The host is registered
 // with its first message; when the connection ends it is dropped.
 func (p *Peer) HandleAsk(nc net.Conn, conn *jsonrpc2.Conn, params *json.RawMessage) error {
@@ -163,17 +268,16 @@
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
 	if len(m.Asks) > maxBatch || len(m.Ends) > maxBatch || len(m.Unsent) > maxBatch {
-		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "too many entries in one message"}
+		return errTooMany
 	}
-	h := p.hostOf(nc, conn)
-	if m.Domain != "" {
-		h.domain = m.Domain
+	if h := p.hostOf(nc, conn); h != nil {
+		p.server.handle(h, m)
 	}
-	p.server.handle(h, m)
 	return nil
 }
 
-// hostOf returns the host of a connection, which it registers if it is new.
+// hostOf returns the host of a connection, which it registers if it is new. Without room it
+// closes the connection and returns nil, so that the host places its requests by itself.
 func (p *Peer) hostOf(nc net.Conn, conn *jsonrpc2.Conn) *remoteHost {
 	s := p.server
 	s.mu.Lock()
@@ -200,7 +304,10 @@
 		},
 		close: func() { _ = nc.Close() }, // the host sees the connection end
 	}
-	s.addHost(h)
+	if !s.addHost(h) {
+		h.close()
+		return nil
+	}
 	s.mu.Lock()
 	s.byConn[conn] = h
 	s.mu.Unlock()
@@ -223,6 +330,7 @@
 		case <-conn.DisconnectNotify():
 			return
 		case <-beat:
+			m.Answers = drain(m.Answers, outbox)
 		case a := <-outbox:
 			m.Answers = drain(append(m.Answers, a), outbox)
 		}
