Know the coordinators from the start, and on both sides of a partition

Cause: after a power loss of all hosts, requests met targets by nobody's count until the leader told the live hosts, 0.9 s after the first host ran; 1,261 requests were rejected by targets of the unkeyed workload in the four seconds after it.

Change: the stored list of hosts describes them; hosts use it until a leader tells them more. While two coordinators of another domain are lost, its pools are coordinated by hosts of the reachable domains.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -141,6 +141,8 @@
 	// toldHosts is what this host last told the others as the leader of the live hosts, nil
 	// if nothing in its term.
 	toldHosts atomic.Pointer[hostsMessage]
+	// hostsTold is set once a leader has told which hosts are live.
+	hostsTold atomic.Bool
 	// toldContended is likewise what it told of the contended targets.
 	toldContended atomic.Pointer[contendedMessage]
 	metrics       *metrics
--- a/internal/coordinator/hosts.go
+++ b/internal/coordinator/hosts.go
@@ -37,10 +37,15 @@
 // are live: each change moves the pools of some targets to another host.
 const hostsSettle = time.Second
 
+// self describes this host.
+func (c *Coordinator) self() slots.Host {
+	return slots.Host{Address: c.cfg.Peer, Domain: c.cfg.Domain, Cores: c.cfg.Cores}
+}
+
 // liveHosts returns the hosts that follow this one, and this one, in the order of their
 // addresses.
 func (c *Coordinator) liveHosts() []slots.Host {
-	list := []slots.Host{{Address: c.cfg.Peer, Domain: c.cfg.Domain, Cores: c.cfg.Cores}}
+	list := []slots.Host{c.self()}
 	c.peers.mu.Lock()
 	for pc := range c.peers.conns {
 		if pc.address != "" {
@@ -67,6 +72,7 @@
 		return
 	}
 	c.toldHosts.Store(&hostsMessage{hosts})
+	c.hostsTold.Store(true)
 	c.cfg.Slots.SetHosts(hosts)
 	c.peers.send(methodHosts, hostsMessage{hosts})
 }
@@ -78,6 +84,7 @@
 		return err
 	}
 	if c.cfg.Slots != nil {
+		c.hostsTold.Store(true)
 		c.cfg.Slots.SetHosts(m.Hosts)
 	}
 	return nil
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/platform"
+	"github.com/boragelock/boragelock/slots"
 )
 
 // The leader stores the addresses of the hosts that follow it. Hosts that start read from it
@@ -25,6 +26,9 @@
 // hostsRecord is the stored roster.
 type hostsRecord struct {
 	Addresses []string `json:"addresses"`
+	// Hosts describes the hosts at these addresses while slots are shared, so that hosts that
+	// start together know the coordinators before there is a leader.
+	Hosts []slots.Host `json:"hosts,omitempty"`
 }
 
 // roster is what a host knows of the addresses of all hosts.
@@ -40,11 +44,14 @@
 	// stopped is the latest time at which a host can have led an earlier term, by the hosts'
 	// own statements in this term and era.
 	stopped map[string]time.Duration
+	// described has what is known of the hosts, by address.
+	described map[string]slots.Host
 }
 
 func (r *roster) init(self string) {
 	r.self, r.stored, r.connected = self, map[string]bool{}, map[*peerConn]string{}
 	r.seen, r.stopped = map[string]time.Duration{}, map[string]time.Duration{}
+	r.described = map[string]slots.Host{}
 }
 
 // size returns the number of stored addresses.
@@ -67,6 +74,29 @@
 	}
 }
 
+// describe records what is known of hosts.
+func (r *roster) describe(hosts ...slots.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range hosts {
+		r.described[h.Address] = h
+	}
+}
+
+// descriptions returns what is known of the hosts at addresses.
+func (r *roster) descriptions(addresses []string) []slots.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []slots.Host
+	for _, address := range addresses {
+		if h, ok := r.described[address]; ok {
+			out = append(out, h)
+		}
+	}
+	maps.DeleteFunc(r.described, func(address string, _ slots.Host) bool { return !slices.Contains(addresses, address) })
+	return out
+}
+
 // beginTerm begins a term of this host, which can have led an earlier one until stoppedAt.
 // Hosts that no longer run leave the roster after rosterMemory.
 func (r *roster) beginTerm(now time.Duration, stoppedAt time.Duration) {
@@ -153,6 +183,10 @@
 		c.cfg.Log.Error("hosts_record_malformed", "offset", r.Offset, "err", err)
 		return
 	}
+	c.roster.describe(m.Hosts...)
+	if len(m.Hosts) > 0 && c.cfg.Slots != nil && !c.hostsTold.Load() {
+		c.cfg.Slots.SetHosts(m.Hosts)
+	}
 	c.roster.setStored(m.Addresses, recordsLost(c.leadership.current(), c.storeEra.Load()))
 }
 
@@ -162,7 +196,12 @@
 	if !changed && !always {
 		return nil
 	}
-	value, err := json.Marshal(hostsRecord{Addresses: addresses})
+	m := hostsRecord{Addresses: addresses}
+	if c.cfg.Slots != nil && c.cfg.Slots.Enabled() {
+		c.roster.describe(c.self())
+		m.Hosts = c.roster.descriptions(addresses)
+	}
+	value, err := json.Marshal(m)
 	if err != nil {
 		panic("hosts record: " + err.Error()) // a list of strings
 	}
@@ -192,6 +231,7 @@
 func (c *Coordinator) notePeer(pc *peerConn, m helloMessage) {
 	if m.Address != "" {
 		c.roster.join(pc, m.Address, m.lastLed(boottime.Now()))
+		c.roster.describe(slots.Host{Address: m.Address, Domain: m.Domain, Cores: m.Cores})
 	}
 	if recordsLost(c.leadership.current(), c.storeEra.Load()) {
 		c.cfg.Log.Info("host_state", "host", m.Host, "up_ms", m.UptimeMS, "ended", m.EndedTerm, "ended_ago_ms", m.EndedAgoMS)
--- a/internal/slotpeer/peer.go
+++ b/internal/slotpeer/peer.go
@@ -182,9 +182,44 @@
 		address = slots.CoordinatorOf(pool, domain, p.hosts)
 		p.coordinators[poolAt{pool, domain}] = address
 	}
+	if now >= p.lost[address].until {
+		return address
+	}
+	return p.substituteOf(now, pool, domain, address)
+}
+
+// suspectedFrom is the number of lost coordinators of a failure domain from which the host
+// takes the domain for unreachable.
+const suspectedFrom = 2
+
+// substituteOf returns the coordinator of a pool while the domain of its coordinator is
+// unreachable, or "" if it is reachable: among the hosts of the other domains, so that the hosts
+// on this side of a network partition agree on one. p.mu is held.
+func (p *Peer) substituteOf(now time.Duration, pool, domain, lost string) string {
+	unreachable := map[string]int{}
+	lostDomain := ""
+	for _, h := range p.hosts {
+		if now < p.lost[h.Address].until && h.Domain != p.cfg.Domain {
+			unreachable[h.Domain]++
+		}
+		if h.Address == lost {
+			lostDomain = h.Domain
+		}
+	}
+	if unreachable[lostDomain] < suspectedFrom {
+		return ""
+	}
+	var reachable []slots.Host
+	for _, h := range p.hosts {
+		if unreachable[h.Domain] < suspectedFrom {
+			reachable = append(reachable, h)
+		}
+	}
+	address := slots.CoordinatorOf(pool, domain, reachable)
 	if now < p.lost[address].until {
 		return ""
 	}
+	p.metrics.answers.Add("substitute", 1)
 	return address
 }
 
--- a/internal/slotpeer/peer_test.go
+++ b/internal/slotpeer/peer_test.go
@@ -728,3 +728,49 @@
 		So(c.log.count("slot_queue"), ShouldBeGreaterThanOrEqualTo, 2)
 	})
 }
+
+// Guards against hosts behind a network partition that go on asking coordinators on the other
+// side, and place requests without any count meanwhile.
+func TestSubstituteOfAnUnreachableDomain(t *testing.T) {
+	Convey("Given hosts of three domains", t, func() {
+		hosts := []slots.Host{}
+		for _, domain := range []string{"a", "b", "c"} {
+			for i := range 4 {
+				hosts = append(hosts, slots.Host{Address: fmt.Sprintf("%s%d", domain, i), Domain: domain, Cores: 1})
+			}
+		}
+		newPeer := func(domain string) *Peer {
+			p := New(Config{Address: domain + "0", Domain: domain, Log: hclog.NewNullLogger()})
+			p.SetHosts(hosts)
+			return p
+		}
+		lose := func(p *Peer, addresses ...string) {
+			for _, x := range addresses {
+				p.lost[x] = lostCoordinator{until: time.Second}
+			}
+		}
+		pool, address := "", ""
+		for i := 0; address == "" || address[0] != 'b'; i++ { // a pool with a coordinator in domain b
+			pool = fmt.Sprint("w", i)
+			address = newPeer("a").coordinatorOf(0, pool, "")
+		}
+		Convey("one lost coordinator has no substitute", func() {
+			p := newPeer("a")
+			lose(p, address)
+			So(p.coordinatorOf(0, pool, ""), ShouldEqual, "")
+		})
+		Convey("hosts that lost several of a domain agree on a host of another one, until they try again", func() {
+			p, q := newPeer("a"), newPeer("c")
+			lose(p, "b0", "b1", "b2", "b3")
+			lose(q, address, "b3", "b2")
+			So(p.coordinatorOf(0, pool, "")[0], ShouldNotEqual, 'b')
+			So(p.coordinatorOf(0, pool, ""), ShouldEqual, q.coordinatorOf(0, pool, ""))
+			So(p.coordinatorOf(time.Second, pool, ""), ShouldEqual, address)
+		})
+		Convey("a host that loses coordinators of its own domain has no substitute for them", func() {
+			p := newPeer("b")
+			lose(p, "b1", "b2", "b3", address)
+			So(p.coordinatorOf(0, pool, ""), ShouldEqual, "")
+		})
+	})
+}
