--- a/placement/place.go
+++ b/placement/place.go
@@ -31,6 +31,9 @@
 	// Random is a number from 0 to 1 that spreads requests over equal targets and
 	// callers' retries over time.
 	Random float64
+	// Affinity, if not 0, takes the place of Random in the choice among similar targets: with
+	// the same value requests prefer the same ones.
+	Affinity float64
 }
 
 // Action is what a Decision tells the caller to do with the request.
@@ -221,7 +224,7 @@
 	if r.HasIdleConnection != nil && !r.HasIdleConnection(t.ID) {
 		cost += s.cfg.NewConnectionCost.Seconds()
 	}
-	return cost + costJitter*serviceTime*hashFraction(r.Random, t.ID)
+	return cost + costJitter*serviceTime*hashFraction(cmp.Or(r.Affinity, r.Random), t.ID)
 }
 
 // hashFraction returns a number from 0 to 1 that depends on random and on the target.
--- a/slots/coordinator.go
+++ b/slots/coordinator.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/boragelock/boragelock/fleet"
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/boragelock/boragelock/placement"
 )
 
@@ -164,6 +166,9 @@
 	r := a.Request
 	r.Domain = a.Domain
 	connections := c.connectionsOf(a.Host)
+	// With exact counts hosts need not spread at random: each prefers its own targets, to which
+	// it keeps connections.
+	r.Affinity = float64(xxhash.Sum64String(a.Domain+a.Host)>>11) / (1 << 53)
 	r.HasIdleConnection = func(target string) bool {
 		at, ok := connections[target]
 		return ok && now-at < connectionMemory
