--- /dev/null
+++ b/slots/order_test.go
@@ -0,0 +1,86 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// threeKinds are the requests of the peak of a day.
+var threeKinds = []requestKind{
+	{priority: 2, mean: 290 * time.Millisecond, spread: 0.5, objective: time.Second, limit: 4 * time.Second, share: 0.62},
+	{priority: 1, mean: 370 * time.Millisecond, spread: 0.8, objective: 1200 * time.Millisecond, limit: 5 * time.Second, share: 0.22},
+	{priority: 0, mean: 200 * time.Millisecond, spread: 0.5, objective: 600 * time.Millisecond, limit: 2500 * time.Millisecond, share: 0.16},
+}
+
+// mixedSpeeds are the speeds of targets of three types.
+func mixedSpeeds(n int) (speeds []float64) {
+	for i := range n {
+		speeds = append(speeds, []float64{0.6, 1, 1.6}[i%3])
+	}
+	return speeds
+}
+
+// peak returns the load of a peak between two times.
+func peak(usual, peak float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return peak
+		}
+		return usual
+	}
+}
+
+// dayPeak is the peak of a day: 12 s with 1.7 times a usual load.
+func dayPeak(name string, usual float64) *loadPattern {
+	return &loadPattern{name: name, kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+		load: peak(usual, 1.7*usual, 5*time.Second, 17*time.Second), measured: 5 * time.Second, duration: 20 * time.Second}
+}
+
+func loadPatterns() []*loadPattern {
+	slowed := mixedSpeeds(24)
+	for i := range 8 {
+		slowed[i] /= 3
+	}
+	return []*loadPattern{
+		dayPeak("peak, usual load 0.55", 0.55),
+		dayPeak("peak, usual load 0.65", 0.65),
+		dayPeak("peak, usual load 0.80", 0.80),
+		{name: "burst of one kind", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+			load: peak(0.65, 2, 5*time.Second, 7*time.Second), burstKind: 0, burstAbove: 0.65, measured: 5 * time.Second, duration: 12 * time.Second},
+		{name: "200 hot keys", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2, keys: 200,
+			load: peak(0.65, 0.65, 0, 0), measured: 5 * time.Second, duration: 17 * time.Second},
+		{name: "a third slowed", kinds: threeKinds, speeds: slowed, slots: 6, hosts: 60, noiseShare: 0.2,
+			load: peak(0.85, 0.85, 0, 0), measured: 0, duration: 12 * time.Second},
+		{name: "all hosts just started", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+			load: peak(0.65, 1.3, 0, 3*time.Second), measured: 0, duration: 8 * time.Second},
+	}
+}
+
+// TestQueueOrder replays the patterns with a coordinator, with hosts that decide by
+// themselves, and with the bound. It guards against an order of waiting that yields less
+// than hosts without a coordinator do, and against urgent requests that are in time less
+// often than less urgent ones.
+func TestQueueOrder(t *testing.T) {
+	for _, p := range loadPatterns() {
+		Convey("Given the pattern "+p.name, t, func() {
+			var shared, alone, bound replayResult
+			for seed := uint64(1); seed <= 2; seed++ {
+				c := p.draw(seed)
+				shared = shared.add(c.replay(seed, true))
+				alone = alone.add(c.replay(seed, false))
+				bound = bound.add(c.bound())
+			}
+			s, a, b := shared.total(), alone.total(), bound.total()
+			t.Logf("%s: %d requests; in time %.3f of the bound, value %.3f; alone %.3f, %.3f", p.name, s.asked,
+				float64(s.inTime)/float64(b.inTime), s.value()/b.value(), float64(a.inTime)/float64(b.inTime), a.value()/b.value())
+			t.Logf("  in time/late/refused/failed: shared %d/%d/%d/%d%v", s.inTime, s.late, s.refused, s.failed, shared)
+			t.Logf("  alone %d/%d/%d/%d%v", a.inTime, a.late, a.refused, a.failed, alone)
+			t.Logf("  bound %d/%d/%d/%d%v", b.inTime, b.late, b.refused, b.failed, bound)
+			So(s.asked, ShouldEqual, b.asked)
+			So(s.asked, ShouldEqual, a.asked)
+			So(s.value(), ShouldBeGreaterThan, a.value())
+		})
+	}
+}
