Serve the newest first while more late requests wait than a pool runs

Cause: in an overload the requests of a pool began when they had just the mean service time left, so that nearly half of them ended late, and callers that came back after a refusal took the slots of new ones. Change, only behind WaitWhenLate: late requests wait in a list of their own; a request counts as late by the 0.9 quantile of its route's service times, at most half of its objective; while more late ones wait than the pool runs at a time, the one with the most time left of the most urgent goes first; late ones wait for 0.8 of their time limit. Waiting lists are no longer scanned for each ask.

--- a/placement/board.go
+++ b/placement/board.go
@@ -186,7 +186,9 @@
 // serviceEstimate is the learned service time of a route in seconds, over all
 // targets.
 type serviceEstimate struct {
-	mean       float64
+	mean float64
+	// likely is the quantile likelyQuantile of the service times.
+	likely     float64
 	samples    int
 	responseKB float64 // mean size of a response in kilobytes
 	// triedAt is when the last sample came, or when triesAgain let a request through. trying
@@ -216,6 +218,16 @@
 // does not raise the estimate of the whole route.
 const outlierFactor = 4
 
+const (
+	// likelyQuantile is the fraction of a route's requests that must be able to meet the
+	// objective in the time left for a request to go before late ones. By the mean service
+	// time nearly half of those that begin last end late.
+	likelyQuantile = 0.9
+	// likelyStep is the step by which the quantile follows the samples, as a fraction of the
+	// mean: it doubles within some 20 samples of twice the time.
+	likelyStep = 0.05
+)
+
 // addSample adds a service time without dividing it by the target's slowdown. With
 // the division the mean and the slowdowns drift together, since only their product
 // is measured.
@@ -229,6 +241,14 @@
 		weight = max(weight, trialWeight)
 	}
 	e.mean += weight * (sample - e.mean)
+	if e.samples == 1 {
+		e.likely = sample
+	}
+	if step := likelyStep * e.mean; sample > e.likely {
+		e.likely += likelyQuantile * step
+	} else {
+		e.likely -= (1 - likelyQuantile) * step
+	}
 	e.triedAt, e.trying = now, false
 }
 
@@ -250,6 +270,15 @@
 	return s.cfg.InitialServiceTime.Seconds()
 }
 
+// likelyServiceTime returns the service time that likelyQuantile of a route's requests do
+// not exceed.
+func (s *Scheduler) likelyServiceTime(route string) float64 {
+	if e := s.routeEstimates[route]; e != nil && e.samples > 0 {
+		return e.likely
+	}
+	return s.cfg.InitialServiceTime.Seconds()
+}
+
 // ServiceTime returns the mean service time of a route's requests at a target,
 // without the time that they wait there. If the target is unknown, it returns the
 // mean over all targets.
--- a/placement/place.go
+++ b/placement/place.go
@@ -263,37 +263,37 @@
 // and target that have a higher priority or, with the same, an earlier deadline.
 func (s *Scheduler) workAhead(now time.Duration, r Request) time.Duration {
 	self, late := &waiter{Request: r, ticket: s.lastTicket + 1}, s.isLate(now, &r)
-	return s.workTime(now, r, func(w *waiter) bool {
-		if wLate := s.isLate(now, &w.Request); wLate != late {
-			return late
+	waiting := 0
+	if q := s.queues[r.pool()]; q != nil {
+		list := q.waiters
+		if late {
+			waiting, list = len(list), q.late
 		}
-		return compareWaiters(w, self) < 0
-	})
+		i, _ := slices.BinarySearchFunc(list, self, compareWaiters)
+		waiting += i
+	}
+	return s.workTime(now, r, waiting)
 }
 
 // drainTime returns the expected time for all work that competes with a request.
 func (s *Scheduler) drainTime(now time.Duration, r Request) time.Duration {
-	return s.workTime(now, r, func(*waiter) bool { return true })
+	waiting := 0
+	if q := s.queues[r.pool()]; q != nil {
+		waiting = q.length()
+	}
+	return s.workTime(now, r, waiting)
 }
 
 // workTime returns the expected time for the load of the targets that may receive a
-// request, and for the waiting requests for the same workload and target that include
-// selects.
-func (s *Scheduler) workTime(now time.Duration, r Request, include func(*waiter) bool) time.Duration {
-	slots, requests := 0.0, 0.0
+// request, and for a number of waiting requests.
+func (s *Scheduler) workTime(now time.Duration, r Request, waiting int) time.Duration {
+	slots, requests := 0.0, float64(waiting)
 	for _, t := range s.candidates(r) {
 		if t.Usable {
 			slots += float64(max(t.Slots, 1))
 			requests += s.estimatedLoad(now, t)
 		}
 	}
-	if q := s.queues[r.pool()]; q != nil {
-		for _, w := range q.waiters {
-			if include(w) {
-				requests++
-			}
-		}
-	}
 	return toDuration(requests / max(slots, 1) * s.meanServiceTime(r.Route))
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -7,9 +7,16 @@
 
 // Load pattern: for seconds more requests come than the targets bear. In the order of
 // their deadlines all of them are answered late, since the ones that are served next are
-// those that have waited longest. With Config.WaitWhenLate, requests that can still meet
-// their objective go before those that cannot, so that a queue that has grown too long
-// costs only the requests at its end their objective.
+// those that have waited longest. With Config.WaitWhenLate:
+//
+//   - Requests that can still meet their objective go before those that cannot, so that a
+//     queue that has grown too long costs only the requests at its end their objective.
+//   - While more late requests wait than the pool runs at a time, those with the most time
+//     left go first. In the order of deadlines each would begin when it has just enough
+//     time, and callers that came back after a refusal, who are late already, would take
+//     the slots of new ones.
+//
+// docs/design/queue-order.md has the replays.
 
 // poolKey identifies the requests that compete for the same targets.
 type poolKey struct{ workload, target string }
@@ -23,12 +30,24 @@
 	submittedAt time.Duration
 }
 
-// waitQueue holds the waiting requests of a pool in the order of compareWaiters.
-type waitQueue struct{ waiters []*waiter }
+// waitQueue holds the waiting requests of a pool, both lists in the order of compareWaiters.
+// late has those that can no longer meet their objective, where late requests wait.
+type waitQueue struct{ waiters, late []*waiter }
 
-// latePatience is the fraction of its time limit for which a request waits that can no
-// longer meet its objective. A caller that is refused then has time to come back.
-const latePatience = 0.5
+// length returns the number of waiting requests.
+func (q *waitQueue) length() int { return len(q.waiters) + len(q.late) }
+
+const (
+	// latePatience is the fraction of its time limit for which a request waits that can no
+	// longer meet its objective. A caller that is refused then has time to come back once.
+	// With 0.5, callers that don't state the time left come back as new ones, and 0.03 less
+	// of the bound is in time.
+	latePatience = 0.8
+	// maxLikelyFraction bounds the time that a request needs for its objective, as a
+	// fraction of it. Otherwise urgent requests whose objective is short for the service
+	// times would never go first.
+	maxLikelyFraction = 0.5
+)
 
 // enqueue adds a waiting request and returns its ticket.
 func (s *Scheduler) enqueue(now time.Duration, r Request) uint64 {
@@ -39,19 +58,28 @@
 		q = &waitQueue{}
 		s.queues[r.pool()] = q
 	}
-	i, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
-	q.waiters = slices.Insert(q.waiters, i, w)
+	if s.isLate(now, &r) {
+		q.late = insertWaiter(q.late, w)
+	} else {
+		q.waiters = insertWaiter(q.waiters, w)
+	}
 	s.queueLength++
 	s.poolOfTicket[w.ticket] = r.pool()
 	return w.ticket
 }
 
-// remove removes the waiter with an index from the queue of a pool.
-func (s *Scheduler) remove(pool poolKey, q *waitQueue, i int) {
-	delete(s.poolOfTicket, q.waiters[i].ticket)
-	q.waiters = slices.Delete(q.waiters, i, i+1)
+// insertWaiter inserts a waiter into a list.
+func insertWaiter(list []*waiter, w *waiter) []*waiter {
+	i, _ := slices.BinarySearchFunc(list, w, compareWaiters)
+	return slices.Insert(list, i, w)
+}
+
+// remove removes the waiter with an index from one of the lists of a pool.
+func (s *Scheduler) remove(pool poolKey, q *waitQueue, list *[]*waiter, i int) {
+	delete(s.poolOfTicket, (*list)[i].ticket)
+	*list = slices.Delete(*list, i, i+1)
 	s.queueLength--
-	if len(q.waiters) == 0 {
+	if q.length() == 0 {
 		delete(s.queues, pool)
 	}
 }
@@ -74,44 +102,86 @@
 // one that is not.
 func (s *Scheduler) hasQueuedAhead(now time.Duration, r Request) bool {
 	q := s.queues[r.pool()]
-	if q == nil {
+	switch {
+	case q == nil:
 		return false
+	case s.isLate(now, &r):
+		return len(q.waiters) > 0 || q.late[0].Priority <= r.Priority
 	}
-	late := s.isLate(now, &r)
-	for _, w := range q.waiters {
-		if w.Priority <= r.Priority && (late || !s.isLate(now, &w.Request)) || late && !s.isLate(now, &w.Request) {
-			return true
-		}
-	}
-	return false
+	return len(q.waiters) > 0 && q.waiters[0].Priority <= r.Priority
 }
 
-// isLate reports whether a request can no longer meet its objective, if late requests wait.
+// isLate reports whether a request is not likely to meet its objective, if late requests wait.
 func (s *Scheduler) isLate(now time.Duration, r *Request) bool {
 	if !s.cfg.WaitWhenLate || r.ObjectiveDeadline <= 0 {
 		return false
 	}
-	serviceTime := s.meanServiceTime(r.Route)
-	if t := s.targets[r.Target]; t != nil {
-		serviceTime *= t.serviceFactor(now)
+	return now+toDuration(s.timeToObjective(r, s.poolFactor(now, r.Target))) > r.ObjectiveDeadline
+}
+
+// poolFactor returns the service time at the target of a keyed request relative to that of
+// its route.
+func (s *Scheduler) poolFactor(now time.Duration, id string) float64 {
+	if t := s.targets[id]; t != nil {
+		return t.serviceFactor(now)
+	}
+	return 1
+}
+
+// timeToObjective returns the time in seconds that a request needs to meet its objective.
+func (s *Scheduler) timeToObjective(r *Request, factor float64) float64 {
+	need := s.likelyServiceTime(r.Route) * factor
+	if r.Objective > 0 {
+		need = min(need, maxLikelyFraction*r.Objective.Seconds())
 	}
-	return now+toDuration(serviceTime) > r.ObjectiveDeadline
+	return need
 }
 
-// next returns the index of the waiter that goes first, or -1. Where late requests wait, the
-// first one that is not late goes first.
-func (s *Scheduler) next(now time.Duration, q *waitQueue) int {
-	if s.cfg.WaitWhenLate {
-		for i, w := range q.waiters {
-			if !s.isLate(now, &w.Request) {
-				return i
-			}
+// moveLate moves the waiting requests of a pool that can no longer meet their objective.
+func (s *Scheduler) moveLate(now time.Duration, pool poolKey, q *waitQueue) {
+	if !s.cfg.WaitWhenLate {
+		return
+	}
+	factor := s.poolFactor(now, pool.target)
+	kept := q.waiters[:0]
+	for _, w := range q.waiters {
+		if w.ObjectiveDeadline > 0 && now+toDuration(s.timeToObjective(&w.Request, factor)) > w.ObjectiveDeadline {
+			q.late = insertWaiter(q.late, w)
+		} else {
+			kept = append(kept, w)
 		}
 	}
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
+}
+
+// next returns the list and the index of the waiter that goes first, or -1. Where late
+// requests wait, they go after the others. With newestFirst, the one of the most urgent with
+// the most time left goes first.
+func (q *waitQueue) next(newestFirst bool) (list *[]*waiter, i int) {
 	if len(q.waiters) == 0 {
-		return -1
+		return &q.late, min(0, len(q.late)-1)
+	}
+	if newestFirst {
+		i, _ = slices.BinarySearchFunc(q.waiters, q.waiters[0].Priority+1, func(w *waiter, priority int) int { return w.Priority - priority })
+		i--
+	}
+	return &q.waiters, i
+}
+
+// isOverloaded reports whether more late requests wait than the targets run at a time. A
+// shorter queue of them drains within about one service time.
+func (s *Scheduler) isOverloaded(pool poolKey, q *waitQueue) bool {
+	if len(q.late) == 0 {
+		return false
+	}
+	slots := 0
+	for _, t := range s.candidates(Request{Workload: pool.workload, Target: pool.target}) {
+		if t.Usable {
+			slots += max(t.Slots, 1)
+		}
 	}
-	return 0
+	return len(q.late) > slots
 }
 
 // QueuedDecision is the decision on a request that waited.
@@ -143,27 +213,31 @@
 }
 
 func (s *Scheduler) dispatchPool(now time.Duration, pool poolKey, q *waitQueue, decisions []QueuedDecision) []QueuedDecision {
-	for i := s.next(now, q); i >= 0; i = s.next(now, q) {
-		w := q.waiters[i]
+	s.moveLate(now, pool, q)
+	newestFirst := s.isOverloaded(pool, q)
+	for list, i := q.next(newestFirst); i >= 0; list, i = q.next(newestFirst) {
+		w := (*list)[i]
 		d := s.decide(now, w.Request)
 		if d.Action == Wait {
 			break
 		}
-		s.remove(pool, q, i)
+		s.remove(pool, q, list, i)
 		decisions = append(decisions, QueuedDecision{Ticket: w.ticket, Decision: d})
 	}
-	return s.refuseExpired(now, pool, q, decisions)
+	decisions = s.refuseExpired(now, pool, q, &q.waiters, decisions)
+	return s.refuseExpired(now, pool, q, &q.late, decisions)
 }
 
-// refuseExpired refuses the waiting requests that cannot end in time.
-func (s *Scheduler) refuseExpired(now time.Duration, pool poolKey, q *waitQueue, decisions []QueuedDecision) []QueuedDecision {
-	for i := 0; i < len(q.waiters); {
-		w := q.waiters[i]
-		if now+s.minServiceTime(w) <= w.Deadline && !s.exhaustsPatience(now, w) {
+// refuseExpired refuses the waiting requests in one of the lists of a pool that cannot end in
+// time.
+func (s *Scheduler) refuseExpired(now time.Duration, pool poolKey, q *waitQueue, list *[]*waiter, decisions []QueuedDecision) []QueuedDecision {
+	for i := 0; i < len(*list); {
+		w := (*list)[i]
+		if now+s.minServiceTime(w) <= w.Deadline && (list != &q.late || !w.exhaustsPatience(now)) {
 			i++
 			continue
 		}
-		s.remove(pool, q, i)
+		s.remove(pool, q, list, i)
 		after := max(s.drainTime(now, w.Request), toDuration(s.meanServiceTime(w.Route)))
 		after += time.Duration(retryJitter * w.Random * float64(after))
 		decisions = append(decisions, QueuedDecision{Ticket: w.ticket, Decision: Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: after}})
@@ -172,8 +246,8 @@
 }
 
 // exhaustsPatience reports whether a late request has waited for latePatience of its time.
-func (s *Scheduler) exhaustsPatience(now time.Duration, w *waiter) bool {
-	return s.cfg.WaitWhenLate && s.isLate(now, &w.Request) && now-w.submittedAt > time.Duration(latePatience*float64(w.Deadline-w.submittedAt))
+func (w *waiter) exhaustsPatience(now time.Duration) bool {
+	return now-w.submittedAt > time.Duration(latePatience*float64(w.Deadline-w.submittedAt))
 }
 
 // QueueLength returns the number of waiting requests.
@@ -186,7 +260,12 @@
 		return false
 	}
 	q := s.queues[pool]
-	s.remove(pool, q, slices.IndexFunc(q.waiters, func(w *waiter) bool { return w.ticket == ticket }))
+	for _, list := range []*[]*waiter{&q.waiters, &q.late} {
+		if i := slices.IndexFunc(*list, func(w *waiter) bool { return w.ticket == ticket }); i >= 0 {
+			s.remove(pool, q, list, i)
+			break
+		}
+	}
 	return true
 }
 
--- a/slots/order_test.go
+++ b/slots/order_test.go
@@ -43,10 +43,15 @@
 	for i := range 8 {
 		slowed[i] /= 3
 	}
+	hidden := dayPeak("peak, usual load 0.65, time left not stated", 0.65)
+	hidden.hidden = true
 	return []*loadPattern{
 		dayPeak("peak, usual load 0.55", 0.55),
 		dayPeak("peak, usual load 0.65", 0.65),
 		dayPeak("peak, usual load 0.80", 0.80),
+		hidden,
+		{name: "burst of the most urgent kind", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+			load: peak(0.65, 2, 5*time.Second, 9*time.Second), burstKind: 2, burstAbove: 0.65, measured: 5 * time.Second, duration: 12 * time.Second},
 		{name: "burst of one kind", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
 			load: peak(0.65, 2, 5*time.Second, 7*time.Second), burstKind: 0, burstAbove: 0.65, measured: 5 * time.Second, duration: 12 * time.Second},
 		{name: "200 hot keys", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2, keys: 200,
--- a/slots/replay_test.go
+++ b/slots/replay_test.go
@@ -56,6 +56,8 @@
 	// burstKind is the kind of the requests beyond a load of burstAbove, if it is set.
 	burstKind  int
 	burstAbove float64
+	// hidden says that callers that come back don't state the time that they have left.
+	hidden bool
 }
 
 // arrival is a request of a pattern.
@@ -375,7 +377,7 @@
 	arrived, sentAt time.Duration
 	target          int
 	returns         int
-	ended           bool
+	decided, ended  bool
 }
 
 // replay replays a course. With shared, the hosts ask a coordinator.
@@ -437,7 +439,13 @@
 	if a.owner >= 0 {
 		r.Target = targetID(a.owner)
 	}
+	if s.hidden {
+		r.Deadline = now + k.limit
+	}
 	s.attempts[a.id] = a
+	if a.returns > 0 {
+		s.schedule(a.at+k.limit, func(now time.Duration) { s.leave(now, a) })
+	}
 	if s.coordinator != nil {
 		s.schedule(now+oneWayDelay, func(now time.Duration) {
 			s.deliver(now, s.coordinator.Ask(now, Ask{Host: fmt.Sprint(a.host), ID: a.id, Domain: "d", Request: r}))
@@ -469,7 +477,33 @@
 	}
 }
 
+// leave ends a waiting request whose caller has left.
+func (s *simulation) leave(now time.Duration, a *attempt) {
+	if a.decided {
+		return
+	}
+	a.ended = true
+	s.result.count(s.loadPattern, a.arrival, math.MaxInt64, false)
+	if s.coordinator != nil {
+		s.schedule(now+oneWayDelay, func(now time.Duration) { s.deliver(now, s.coordinator.Withdraw(now, fmt.Sprint(a.host), a.id)) })
+		return
+	}
+	for ticket, w := range s.waitingAtHost[a.host] {
+		if w == a {
+			s.schedulers[a.host].Cancel(ticket)
+			delete(s.waitingAtHost[a.host], ticket)
+		}
+	}
+}
+
 func (s *simulation) decided(now time.Duration, a *attempt, d placement.Decision) {
+	if a.ended {
+		if d.Action == placement.Send && s.coordinator != nil {
+			s.schedule(now+oneWayDelay, func(now time.Duration) { s.deliver(now, s.coordinator.Withdraw(now, fmt.Sprint(a.host), a.id)) })
+		}
+		return
+	}
+	a.decided = true
 	deadline := a.at + s.kinds[a.kind].limit
 	if d.Action == placement.Refuse {
 		s.comeBack(now, a, d.RetryAfter)
