Use the pace of targets in the scheduler where slots are shared

Cause: see package pace. Change: Config.AdaptivePace replaces the shed backoff, the limit reduction and the cold tokens. It is set with WaitWhenLate, in the gateway where shared queues are enabled and in the coordinator. With it, a decision weighs the first 40 targets with room, in an order that mixes domains. Without it, decisions are as before. Log line pace and counters in the gateway and the coordinator.

--- a/health/record.go
+++ b/health/record.go
@@ -132,5 +132,8 @@
 }
 
 func decay(x float64, age, timeConstant time.Duration) float64 {
+	if x == 0 {
+		return 0 // most targets do not fail; the exponential takes as long as the rest
+	}
 	return x * math.Exp(-float64(age)/float64(timeConstant))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/boragelock/boragelock/internal/coordinator"
 	"github.com/boragelock/boragelock/internal/eventlog"
 	"github.com/boragelock/boragelock/limits"
+	"github.com/boragelock/boragelock/pace"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/quarantine"
 	"github.com/boragelock/boragelock/retry"
@@ -110,7 +111,11 @@
 	// was not healthy.
 	loggedConditions map[string]health.Condition
 	hostCount        int
-	splitPositions   map[string]float64 // last position in the split of each route
+	startedAt        time.Duration
+	// sharesSlots says that coordinators place requests, too.
+	sharesSlots    bool
+	paces          pace.Reporter
+	splitPositions map[string]float64 // last position in the split of each route
 
 	draining atomic.Bool
 	// lastDeadline is the latest deadline of requests that a stopping host takes, on the
@@ -131,7 +136,7 @@
 		bodyMemory:     newBodyMemory(cfg.MemoryMB),
 		cfg:            cfg, pool: newPool(), scheduler: placement.NewScheduler(placement.Config{Domain: cfg.Domain}),
 		waiters: map[uint64]chan placement.Decision{}, retryBudgets: map[string]*retry.Budget{}, loggedConditions: map[string]health.Condition{}, hostCount: 1,
-		splitPositions: map[string]float64{}, metrics: newMetrics(),
+		splitPositions: map[string]float64{}, metrics: newMetrics(), startedAt: boottime.Now(),
 	}
 }
 
@@ -176,13 +181,16 @@
 	if hosts != g.hostCount {
 		g.hostCount = hosts
 		clear(g.retryBudgets)
-		g.scheduler.SetColdRateShare(1 / float64(hosts))
 	}
 	if snap == g.snapshot {
+		g.setColdRateShare(hosts)
 		return snap
 	}
 	g.snapshot = snap
-	g.scheduler.SetWaitWhenLate(g.cfg.Slots != nil && slots.Enabled(snap.DesiredState))
+	g.sharesSlots = g.cfg.Slots != nil && slots.Enabled(snap.DesiredState)
+	g.scheduler.SetWaitWhenLate(g.sharesSlots)
+	g.scheduler.SetAdaptivePace(g.sharesSlots)
+	g.setColdRateShare(hosts)
 	list := make([]placement.Target, 0, len(snap.Targets))
 	for _, t := range snap.Targets {
 		x := placement.Target{
@@ -197,11 +205,36 @@
 		list = append(list, x)
 	}
 	g.scheduler.SetTargets(list)
+	g.paces.Keep(func(id string) bool { return snap.Targets[id] != nil })
 	maps.DeleteFunc(g.loggedConditions, func(id string, _ health.Condition) bool { return snap.Targets[id] == nil })
 	g.dispatchLocked(boottime.Now())
 	return snap
 }
 
+const (
+	// hostsColdShare is the part of a target's cold rate that all hosts together use. Their
+	// requests come at random: with the whole rate and a Poisson distribution, many hosts
+	// would send more than 1.5 times 10 plus 8 in one of 10,000 seconds.
+	hostsColdShare = 0.8
+	// assumedHosts is the number of hosts that is assumed for hostCountDelay after the
+	// start: a leader that has just been elected has not heard of all hosts, and each of
+	// them would use the whole rate.
+	assumedHosts   = 64
+	hostCountDelay = 3 * time.Second
+)
+
+// setColdRateShare sets this host's part of the cold rate of targets; g.mu is held.
+func (g *Gateway) setColdRateShare(hosts int) {
+	if !g.sharesSlots {
+		g.scheduler.SetColdRateShare(1 / float64(hosts))
+		return
+	}
+	if boottime.Now()-g.startedAt < hostCountDelay {
+		hosts = max(hosts, assumedHosts)
+	}
+	g.scheduler.SetColdRateShare(hostsColdShare / float64(hosts))
+}
+
 // currentSnapshot returns the snapshot that the scheduler has.
 func (g *Gateway) currentSnapshot() *fleet.Snapshot {
 	g.mu.Lock()
@@ -294,6 +327,7 @@
 	now := boottime.Now()
 	g.scheduler.RecordOutcome(now, id, outcome)
 	g.logCondition(now, id)
+	g.logPace(now, id, outcome.Route)
 	if g.scheduler.QueueLength() > 0 {
 		g.dispatchLocked(now)
 	}
@@ -312,6 +346,16 @@
 		"failing", math.Round(failureRate*100)/100, "factor", math.Round(slowdown*100)/100)
 }
 
+// logPace logs and counts a change of a target's pace by half or more; g.mu is held.
+func (g *Gateway) logPace(now time.Duration, id, route string) {
+	s, ok := g.scheduler.Pace(now, id, route)
+	if !ok || !g.paces.Due(now, id, s) {
+		return
+	}
+	g.metrics.paceChanges.Add(string(s.Reason), 1)
+	g.cfg.Log.Info("pace", "target", id, "limit", math.Round(s.Limit*10)/10, "rate_per_s", math.Round(s.Rate*10)/10, "reason", string(s.Reason))
+}
+
 // budgetShare keeps the sum of the hosts' parts below the shared retry budget,
 // since requests are spread unevenly over the hosts.
 const budgetShare = 0.7
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,6 +61,8 @@
 	outcomes, byClass, refusals *expvar.Map
 	// conditionChanges counts changes of the health conditions of targets.
 	conditionChanges *expvar.Map
+	// paceChanges counts logged changes of the pace of targets by reason.
+	paceChanges *expvar.Map
 	// sends counts requests to targets by result.
 	sends *expvar.Map
 	// closes counts what a close of a caller's connection left behind, by kind.
@@ -75,13 +77,14 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
-		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(), closes: new(expvar.Map).Init(), acceptFailures: new(expvar.Int),
+		byClass: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), conditionChanges: new(expvar.Map).Init(), paceChanges: new(expvar.Map).Init(), closes: new(expvar.Map).Init(), acceptFailures: new(expvar.Int),
 		totalLatency: newHistogram(), queueWait: newHistogram(), targetLatency: newHistogram(),
 	}
 	m.vars.Set("requests_total", m.outcomes)
 	m.vars.Set("requests_by_class_total", m.byClass)
 	m.vars.Set("refusals_total", m.refusals)
 	m.vars.Set("judgements_total", m.conditionChanges)
+	m.vars.Set("pace_changes_total", m.paceChanges)
 	m.vars.Set("sends_total", m.sends)
 	m.vars.Set("connection_closes_total", m.closes)
 	m.vars.Set("accept_failures_total", m.acceptFailures)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/slotpeer"
 	"github.com/boragelock/boragelock/placement"
 )
@@ -33,10 +34,11 @@
 		if answered && (d.Action != placement.Refuse || d.Reason != placement.ReasonNoTarget) {
 			if d.Action == placement.Send {
 				c.lease = lease
-				c.g.recordPlaced(d.Target)
+				c.g.recordPlaced(d.Target, r.Route)
 			}
 			return d, true
 		}
+		r.SharedPool = true
 	}
 	return c.g.place(ctx, r)
 }
@@ -62,10 +64,10 @@
 }
 
 // recordPlaced counts a request that a coordinator placed.
-func (g *Gateway) recordPlaced(id string) {
+func (g *Gateway) recordPlaced(id, route string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.scheduler.RecordPlaced(id)
+	g.scheduler.RecordPlaced(boottime.Now(), id, route)
 }
 
 // releaseUnsent releases the slot of the request, which was not sent.
--- a/internal/slotpeer/metrics.go
+++ b/internal/slotpeer/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/slots"
 )
 
@@ -18,6 +19,10 @@
 	// asked counts asks of other hosts and this one at this coordinator; the others are
 	// those of slots.Stats.
 	asked, granted, refused, expired, waiting, leased *expvar.Int
+	// paceChanges counts logged changes of the pace of targets by reason; the others count
+	// falls of targets' limits by the response that caused them.
+	paceChanges                    *expvar.Map
+	paceShed, paceSlow, paceFailed *expvar.Int
 	// contended is the number of keyed targets whose slots are shared.
 	contended *expvar.Int
 
@@ -28,8 +33,11 @@
 func newMetrics() *metrics {
 	m := &metrics{vars: new(expvar.Map).Init(), answers: new(expvar.Map).Init(), waits: hdrhistogram.New(100, 60_000_000, 2)}
 	m.vars.Set("asks", m.answers)
+	m.paceChanges = new(expvar.Map).Init()
+	m.vars.Set("pace_changes_total", m.paceChanges)
 	for name, v := range map[string]**expvar.Int{
 		"coordinator_asked": &m.asked, "coordinator_granted": &m.granted, "coordinator_refused": &m.refused,
+		"pace_falls_shed": &m.paceShed, "pace_falls_slow": &m.paceSlow, "pace_falls_failed": &m.paceFailed,
 		"coordinator_expired": &m.expired, "coordinator_waiting": &m.waiting, "coordinator_leased": &m.leased, "contended_targets": &m.contended,
 	} {
 		*v = new(expvar.Int)
@@ -40,7 +48,10 @@
 	return m
 }
 
-func (m *metrics) setStats(s slots.Stats) {
+func (m *metrics) setStats(s slots.Stats, falls placement.PaceStats) {
+	m.paceShed.Set(int64(falls.Shed))
+	m.paceSlow.Set(int64(falls.Slow))
+	m.paceFailed.Set(int64(falls.Failed))
 	m.granted.Set(int64(s.Granted))
 	m.refused.Set(int64(s.Refused))
 	m.expired.Set(int64(s.Expired))
--- a/internal/slotpeer/peer.go
+++ b/internal/slotpeer/peer.go
@@ -58,6 +58,7 @@
 		cfg: cfg, server: newServer(m), metrics: m, coordinators: map[string]string{}, links: map[string]*link{},
 		lostUntil: map[string]time.Duration{}, tasks: make(chan *link, 64),
 	}
+	p.server.log = cfg.Log
 	p.local = newLocalHost(p)
 	return p
 }
--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/pace"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/slots"
 )
@@ -36,6 +39,9 @@
 	byConn      map[*jsonrpc2.Conn]*remoteHost
 	nextHost    uint64
 	metrics     *metrics
+	paces       pace.Reporter
+	// log is nil in tests.
+	log hclog.Logger
 }
 
 // remoteHost is a connected host.
@@ -52,14 +58,21 @@
 
 func newServer(m *metrics) *server {
 	return &server{
-		coordinator: slots.NewCoordinator(placement.Config{MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength}),
-		hosts:       map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m,
+		coordinator: slots.NewCoordinator(placement.Config{
+			MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength, AdaptivePace: true, ColdRateShare: coldRateShare,
+		}),
+		hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m,
 	}
 }
 
 // maxQueueLength bounds the asks that wait at a coordinator. Beyond it asks are refused.
 const maxQueueLength = 4096
 
+// coldRateShare is the part of a target's cold rate that its coordinator grants. Hosts that
+// it does not reach send in addition (placement.Request.SharedPool); together they stay
+// below the 1.5 times that a cold target bears.
+const coldRateShare = 0.8
+
 // setSnapshot applies the targets of a snapshot.
 func (s *server) setSnapshot(snap *fleet.Snapshot) {
 	list := make([]placement.Target, 0, len(snap.Targets))
@@ -80,6 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.coordinator.SetTargets(list)
+	s.paces.Keep(func(id string) bool { return snap.Targets[id] != nil })
 }
 
 // addHost registers a host.
@@ -108,7 +122,9 @@
 		s.deliver(s.coordinator.Withdraw(now, h.key, id))
 	}
 	for _, e := range m.Ends {
+		target, route := s.coordinator.LeaseOf(h.key, e.ID)
 		s.deliver(s.coordinator.End(now, h.key, e.ID, e.outcome()))
+		s.logPace(now, target, route)
 	}
 	for _, a := range m.Asks {
 		s.deliver(s.coordinator.Ask(now, a.ask(now, h.key, h.domain, rand.Float64())))
@@ -116,6 +132,18 @@
 	s.metrics.asked.Add(int64(len(m.Asks)))
 }
 
+// logPace logs and counts a change of a target's pace by half or more; s.mu is held.
+func (s *server) logPace(now time.Duration, target, route string) {
+	state, ok := s.coordinator.Pace(now, target, route)
+	if !ok || !s.paces.Due(now, target, state) {
+		return
+	}
+	s.metrics.paceChanges.Add(string(state.Reason), 1)
+	if s.log != nil {
+		s.log.Info("pace", "target", target, "limit", math.Round(state.Limit*10)/10, "rate_per_s", math.Round(state.Rate*10)/10, "reason", string(state.Reason))
+	}
+}
+
 // deliver hands answers to their hosts; s.mu is held.
 func (s *server) deliver(answers []slots.Answer) {
 	for _, a := range answers {
@@ -147,7 +175,7 @@
 				}
 			}
 		}
-		s.metrics.setStats(s.coordinator.Stats())
+		s.metrics.setStats(s.coordinator.Stats(), s.coordinator.PaceStats())
 		s.mu.Unlock()
 	}
 }
--- a/placement/board.go
+++ b/placement/board.go
@@ -8,6 +8,7 @@
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/health"
 	"github.com/boragelock/boragelock/limits"
+	"github.com/boragelock/boragelock/pace"
 )
 
 // Config holds the settings of a Scheduler. A zero field takes its default.
@@ -44,6 +45,10 @@
 	// ColdRateShare is the fraction of a target's cold rate that this host may use.
 	// Default: 1.
 	ColdRateShare float64
+	// AdaptivePace limits the requests to a target by package pace, in place of the backoff
+	// and the lower limit after refusals and of the cold rate alone. ColdRateShare is then
+	// also the fraction of the rate of a target of which nothing is known.
+	AdaptivePace bool
 	// WaitWhenLate makes requests wait that would miss their latency objective because
 	// of the work ahead; by default they are refused.
 	WaitWhenLate bool
@@ -134,6 +139,11 @@
 	// holds until the time at which the next permit is available.
 	permitRefused   limits.Permit
 	permitRefusedAt time.Duration
+	// pace is used with Config.AdaptivePace, in place of limitReduction, backoffUntil,
+	// shedBackoff, wasCold, coldTokens and coldTokensAt.
+	pace pace.Pacer
+	// self holds the target alone, as the list of targets of a request for its keys.
+	self [1]*target
 }
 
 // Scheduler places the requests of one host on targets.
@@ -147,6 +157,7 @@
 	poolOfTicket      map[uint64]poolKey
 	queueLength       int
 	lastTicket        uint64
+	paceStats         PaceStats
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -160,6 +171,18 @@
 // SetWaitWhenLate sets Config.WaitWhenLate.
 func (s *Scheduler) SetWaitWhenLate(wait bool) { s.cfg.WaitWhenLate = wait }
 
+// SetAdaptivePace sets Config.AdaptivePace. A change starts all targets anew.
+func (s *Scheduler) SetAdaptivePace(on bool) {
+	if on == s.cfg.AdaptivePace {
+		return
+	}
+	s.cfg.AdaptivePace = on
+	for _, t := range s.targets {
+		t.pace = pace.Pacer{}
+		t.pace.SetInFlight(0, t.inFlight)
+	}
+}
+
 // SetTargets replaces the list of targets. It keeps the state of incarnations that
 // remain.
 func (s *Scheduler) SetTargets(list []Target) {
@@ -170,6 +193,9 @@
 		t := old[x.ID]
 		if t == nil || t.Incarnation != x.Incarnation {
 			t = &target{slowdown: 1}
+			t.self[0] = t
+		} else if x.Usable && !t.Usable {
+			t.pace.Restart()
 		}
 		if x.RequestLimit != t.RequestLimit {
 			t.permitRefused = limits.Permit{} // the next permit may be available sooner
@@ -275,6 +301,9 @@
 // estimatedLoad returns the estimated number of requests that run or wait at a
 // target.
 func (s *Scheduler) estimatedLoad(now time.Duration, t *target) float64 {
+	if t.othersLoad == 0 && t.meanOthersLoad == 0 {
+		return float64(t.inFlight)
+	}
 	age := float64(now - t.reportedAt)
 	mean := 0.0
 	if t.reportCount >= minReports {
@@ -306,7 +335,10 @@
 
 // requestLimit returns the number of requests, running and waiting, at which a target
 // receives no new ones.
-func (s *Scheduler) requestLimit(t *target) float64 {
+func (s *Scheduler) requestLimit(now time.Duration, t *target) float64 {
+	if s.cfg.AdaptivePace {
+		return t.pace.Limit(now, s.maxRequests(t))
+	}
 	maxRequests := s.cfg.MaxRequestsPerSlot * float64(max(t.Slots, 1))
 	return maxRequests - t.limitReduction*max(0, maxRequests-minLimit)
 }
@@ -314,14 +346,21 @@
 // estimatedWait returns the time in seconds until a new request would begin to run at
 // a target, for requests with the given service time in seconds.
 func (s *Scheduler) estimatedWait(now time.Duration, t *target, serviceTime float64) float64 {
+	return s.waitBehind(now, t, serviceTime, s.estimatedLoad(now, t))
+}
+
+// waitBehind is estimatedWait for a target with the given load.
+func (s *Scheduler) waitBehind(now time.Duration, t *target, serviceTime, load float64) float64 {
 	slots := float64(max(t.Slots, 1))
-	queued := max(0, s.estimatedLoad(now, t)+1-slots)
+	queued := max(0, load+1-slots)
 	w := queued / slots * serviceTime * t.serviceFactor(now)
 	return max(w, (t.unavailableUntil() - now).Seconds())
 }
 
 // unavailableUntil returns when the target may receive requests again.
-func (t *target) unavailableUntil() time.Duration { return max(t.backoffUntil, t.pausedUntil) }
+func (t *target) unavailableUntil() time.Duration {
+	return max(t.backoffUntil, t.pausedUntil, t.pace.ReadyAt())
+}
 
 // Outcome describes how a request ended at a target.
 type Outcome struct {
@@ -356,6 +395,7 @@
 		return
 	}
 	t.inFlight = max(0, t.inFlight-1)
+	s.recordPace(now, t, outcome)
 	if outcome.Load != nil {
 		s.recordLoad(now, t, *outcome.Load)
 	}
@@ -399,6 +439,9 @@
 		t.stats.RecordRequest(now, true)
 		return
 	}
+	if s.cfg.AdaptivePace {
+		return
+	}
 	t.limitReduction += limitDecrease * (1 - t.limitReduction)
 	if now < t.backoffUntil {
 		return
@@ -488,9 +531,10 @@
 
 // RecordPlaced counts a request as in flight at a target on which another scheduler placed
 // it. RecordOutcome or ReleaseUnsent ends it.
-func (s *Scheduler) RecordPlaced(id string) {
+func (s *Scheduler) RecordPlaced(now time.Duration, id, route string) {
 	if t := s.targets[id]; t != nil {
 		t.inFlight++
+		s.recordPaceSent(now, t, s.meanServiceTime(route), true)
 	}
 }
 
@@ -499,5 +543,6 @@
 func (s *Scheduler) ReleaseUnsent(id string) {
 	if t := s.targets[id]; t != nil {
 		t.inFlight = max(0, t.inFlight-1)
+		t.pace.Unsent()
 	}
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -26,6 +26,9 @@
 	ObjectiveDeadline time.Duration
 	// HasIdleConnection reports whether the host has an idle connection to a target.
 	HasIdleConnection func(id string) bool
+	// SharedPool means that a coordinator places requests on the same targets, but did not
+	// answer for this one.
+	SharedPool bool
 	// TriedTargets lists the targets that must not be chosen again.
 	TriedTargets []string
 	// Random is a number from 0 to 1 that spreads requests over equal targets and
@@ -108,7 +111,16 @@
 	anyBusy := false
 	shortestWait := -1.0
 	permitAfter := time.Duration(-1)
-	for _, t := range s.candidates(r) {
+	list := s.candidates(&r)
+	next, stride, considered := 0, 1, 0
+	if s.cfg.AdaptivePace && len(list) > maxConsidered {
+		next, stride = int(r.Random*float64(len(list)))%len(list), coprimeStride(len(list))
+	}
+	for range list {
+		t := list[next]
+		if next += stride; next >= len(list) {
+			next -= len(list)
+		}
 		if !t.Usable || slices.Contains(r.TriedTargets, t.ID) {
 			continue
 		}
@@ -118,22 +130,31 @@
 			}
 			continue
 		}
-		if !s.hasColdToken(now, t, r.Random) {
+		if s.cfg.AdaptivePace {
+			if !s.allowsPace(now, t, &r, serviceTime) {
+				anyBusy = true
+				continue
+			}
+		} else if !s.hasColdToken(now, t, r.Random) {
 			anyBusy = anyBusy || r.Target != ""
 			continue
 		}
-		wait := s.estimatedWait(now, t, serviceTime)
+		load := s.estimatedLoad(now, t)
+		wait := s.waitBehind(now, t, serviceTime, load)
 		if shortestWait < 0 || wait < shortestWait {
 			shortestWait = wait
 		}
-		if s.estimatedLoad(now, t) >= s.requestLimit(t) || now < t.unavailableUntil() {
+		if load >= s.requestLimit(now, t) || now < t.unavailableUntil() {
 			anyBusy = true
 			continue
 		}
-		cost := s.cost(now, t, r, serviceTime, wait)
+		cost := s.cost(now, t, &r, serviceTime, wait)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
+		if considered++; considered >= maxConsidered && s.cfg.AdaptivePace {
+			break
+		}
 	}
 	timeLeft := (r.Deadline - now).Seconds()
 	switch {
@@ -144,6 +165,7 @@
 	case best != nil:
 		best.inFlight++
 		best.coldTokens--
+		s.recordPaceSent(now, best, serviceTime, r.SharedPool)
 		return Decision{Action: Send, Target: best.ID, NeedsPermit: best.RequestLimit > 0}
 	case anyBusy && minServiceFraction*serviceTime <= timeLeft && max(shortestWait, 0) < timeLeft:
 		return Decision{Action: Wait}
@@ -184,7 +206,7 @@
 // ends the pause that it asked for, 0 if one of them is not paused.
 func (s *Scheduler) pauseRemaining(now time.Duration, r Request) time.Duration {
 	shortest := time.Duration(-1)
-	for _, t := range s.candidates(r) {
+	for _, t := range s.candidates(&r) {
 		if remaining := max(0, t.pausedUntil-now); t.Usable && (shortest < 0 || remaining < shortest) {
 			shortest = remaining
 		}
@@ -192,12 +214,12 @@
 	return max(0, shortest)
 }
 
-func (s *Scheduler) candidates(r Request) []*target {
+func (s *Scheduler) candidates(r *Request) []*target {
 	if r.Target == "" {
 		return s.targetsByWorkload[r.Workload]
 	}
 	if t := s.targets[r.Target]; t != nil {
-		return []*target{t}
+		return t.self[:]
 	}
 	return nil
 }
@@ -209,7 +231,7 @@
 
 // cost returns the estimated time to a response in seconds, plus the costs of the
 // expected failures, of another failure domain and of a new connection.
-func (s *Scheduler) cost(now time.Duration, t *target, r Request, serviceTime, wait float64) float64 {
+func (s *Scheduler) cost(now time.Duration, t *target, r *Request, serviceTime, wait float64) float64 {
 	cost := wait + serviceTime*t.serviceFactor(now)
 	cost += t.stats.FailureRate(now) * 2 * max(r.Objective.Seconds(), serviceTime)
 	if domain := cmp.Or(r.Domain, s.cfg.Domain); t.Domain != domain {
@@ -281,7 +303,7 @@
 // selects.
 func (s *Scheduler) workTime(now time.Duration, r Request, include func(*waiter) bool) time.Duration {
 	slots, requests := 0.0, 0.0
-	for _, t := range s.candidates(r) {
+	for _, t := range s.candidates(&r) {
 		if t.Usable {
 			slots += float64(max(t.Slots, 1))
 			requests += s.estimatedLoad(now, t)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -231,11 +231,46 @@
 	}
 }
 
+// BenchmarkSubmit measures one decision and the end of its request, for a pool and for the
+// owner of a key. Targets have reported load, so that its decay is computed.
 func BenchmarkSubmit(b *testing.B) {
-	scheduler := newTestScheduler(Config{Domain: "d0", MaxRequestsPerSlot: 1e9}, 16, 2)
-	r := newRequest(time.Hour)
-	b.ReportAllocs()
-	for b.Loop() {
-		scheduler.Submit(time.Minute, r)
+	for _, adaptive := range []bool{false, true} {
+		for _, targets := range []int{16, 100, 350, 619} {
+			for _, keyed := range []bool{false, true} {
+				b.Run(fmt.Sprintf("adaptive=%t/keyed=%t/targets=%d", adaptive, keyed, targets), func(b *testing.B) {
+					scheduler, now := newTestScheduler(Config{Domain: "d0", MaxRequestsPerSlot: 3, AdaptivePace: adaptive}, targets, 6), time.Minute
+					outcome := Outcome{Route: "r", ResponseTime: 100 * time.Millisecond, Load: &Load{Running: 3, Slots: 6, Slowdown: 1}, ColdRemaining: -1}
+					for i := range targets {
+						scheduler.RecordOutcome(now, fmt.Sprint("t", i), outcome)
+					}
+					r := newRequest(time.Hour)
+					if keyed {
+						r.Target = "t7"
+					}
+					random := rand.New(rand.NewSource(1))
+					submit := func() Action {
+						now += 500 * time.Microsecond
+						r.Random = random.Float64()
+						d := scheduler.Submit(now, r)
+						switch d.Action {
+						case Send:
+							scheduler.RecordOutcome(now, d.Target, outcome)
+						case Wait:
+							scheduler.Cancel(d.Ticket)
+						}
+						return d.Action
+					}
+					for range 10_000 { // 5 s, in which the pace of all targets rises
+						submit()
+					}
+					b.ReportAllocs()
+					for b.Loop() {
+						if submit() != Send {
+							b.Fatal("not sent")
+						}
+					}
+				})
+			}
+		}
 	}
 }
--- a/slots/coordinator.go
+++ b/slots/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/boragelock/boragelock/pace"
 	"github.com/boragelock/boragelock/placement"
 )
 
@@ -177,6 +178,20 @@
 	return c.answers(now, c.scheduler.DispatchPool(now, l.competing()))
 }
 
+// LeaseOf returns the target and the route of a lease, or empty strings without one.
+func (c *Coordinator) LeaseOf(host string, id uint64) (target, route string) {
+	l := c.leases[askKey{host, id}]
+	return l.target, l.route
+}
+
+// Pace returns the pace of a target for requests of a route. ok is false if it is unknown.
+func (c *Coordinator) Pace(now time.Duration, target, route string) (state pace.State, ok bool) {
+	return c.scheduler.Pace(now, target, route)
+}
+
+// PaceStats returns how often the paces of targets fell.
+func (c *Coordinator) PaceStats() placement.PaceStats { return c.scheduler.PaceStats() }
+
 // Withdraw withdraws an ask whose request was not sent, and returns answers that are due.
 func (c *Coordinator) Withdraw(now time.Duration, host string, id uint64) []Answer {
 	key := askKey{host, id}
