--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -15,6 +16,7 @@
 	"github.com/boragelock/boragelock/fleet"
 	"github.com/boragelock/boragelock/internal/boottime"
 	"github.com/boragelock/boragelock/internal/guard"
+	"github.com/boragelock/boragelock/pace"
 	"github.com/boragelock/boragelock/placement"
 	"github.com/boragelock/boragelock/slots"
 )
@@ -44,6 +46,7 @@
 	// longQueue is set while more asks wait than longQueueFrom.
 	longQueue bool
 	metrics   *metrics
+	paces     pace.Reporter
 	log       hclog.Logger
 }
 
@@ -66,6 +69,7 @@
 func newCoordinator() *slots.Coordinator {
 	return slots.NewCoordinator(placement.Config{
 		MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength, CrossDomainCost: crossDomainCost,
+		AdaptivePace: true, ColdRateShare: coldRateShare,
 	})
 }
 
@@ -102,6 +106,11 @@
 	}
 }
 
+// coldRateShare is the part of a target's cold rate that its coordinator grants. Hosts that
+// it does not reach send in addition (placement.Request.SharedPool); together they stay
+// below the 1.5 times that a cold target bears.
+const coldRateShare = 0.8
+
 // setSnapshot applies the targets of a snapshot.
 func (s *server) setSnapshot(snap *fleet.Snapshot) {
 	list := make([]placement.Target, 0, len(snap.Targets))
@@ -126,6 +135,7 @@
 		}
 	}
 	s.setTargets(list, routes)
+	s.do(func(time.Duration) { s.paces.Keep(func(id string) bool { return snap.Targets[id] != nil }) })
 }
 
 // clearTargets leaves the coordinator without targets, so that it refuses all asks.
@@ -174,7 +184,9 @@
 			s.deliver(s.coordinator.Withdraw(now, h.key, id))
 		}
 		for i := range m.Ends {
+			target, route := s.coordinator.LeaseOf(h.key, m.Ends[i].ID)
 			s.deliver(s.coordinator.End(now, h.key, m.Ends[i].ID, m.Ends[i].outcome()))
+			s.logPace(now, target, route)
 		}
 		for i := range m.Asks {
 			s.ask(now, h, &m.Asks[i])
@@ -197,6 +209,16 @@
 	s.deliver(s.coordinator.Ask(now, a))
 }
 
+// logPace logs and counts a change of a target's pace by half or more; s.mu is held.
+func (s *server) logPace(now time.Duration, target, route string) {
+	state, ok := s.coordinator.Pace(now, target, route)
+	if !ok || !s.paces.Due(now, target, state) {
+		return
+	}
+	s.metrics.paceChanges.Add(string(state.Reason), 1)
+	s.log.Info("pace", "target", target, "limit", math.Round(state.Limit*10)/10, "rate_per_s", math.Round(state.Rate*10)/10, "reason", string(state.Reason))
+}
+
 // deliver hands answers to their hosts; s.mu is held.
 func (s *server) deliver(answers []slots.Answer) {
 	for _, a := range answers {
@@ -224,7 +246,7 @@
 				s.sendHeartbeats()
 			}
 			stats := s.coordinator.Stats()
-			s.metrics.setStats(stats)
+			s.metrics.setStats(stats, s.coordinator.PaceStats())
 			s.noteQueue(stats.Waiting)
 		})
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -176,7 +176,7 @@
 		return false
 	}
 	slots := 0
-	for _, t := range s.candidates(Request{Workload: pool.workload, Target: pool.target}) {
+	for _, t := range s.candidates(&Request{Workload: pool.workload, Target: pool.target}) {
 		if t.Usable {
 			slots += max(t.Slots, 1)
 		}
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -63,7 +63,7 @@
 	Convey("A request whose objective is shorter than its service time goes first while it is new", t, func() {
 		s := newScheduler()
 		for range 20 {
-			s.RecordPlaced("t0")
+			s.RecordPlaced(now, "t0", "")
 			s.RecordOutcome(now, "t0", Outcome{Route: "slow", ResponseTime: time.Second, ColdRemaining: -1})
 		}
 		wait(s, 2, 500*time.Millisecond, 3*time.Second)
--- a/slots/coordinator.go
+++ b/slots/coordinator.go
@@ -6,9 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/boragelock/boragelock/fleet"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/boragelock/boragelock/fleet"
+	"github.com/boragelock/boragelock/pace"
 	"github.com/boragelock/boragelock/placement"
 )
 
@@ -143,7 +144,7 @@
 	}
 	for _, l := range c.leases {
 		if changed[l.target] && c.counts(l) {
-			c.scheduler.RecordPlaced(l.target)
+			c.scheduler.RestorePlaced(l.target)
 		}
 	}
 }
@@ -254,6 +255,20 @@
 	return c.answers(now, c.scheduler.DispatchPool(now, l.competing()))
 }
 
+// LeaseOf returns the target and the route of a lease, or empty strings without one.
+func (c *Coordinator) LeaseOf(host string, id uint64) (target, route string) {
+	l := c.leases[askKey{host, id}]
+	return l.target, l.route
+}
+
+// Pace returns the pace of a target for requests of a route. ok is false if it is unknown.
+func (c *Coordinator) Pace(now time.Duration, target, route string) (state pace.State, ok bool) {
+	return c.scheduler.Pace(now, target, route)
+}
+
+// PaceStats returns how often the paces of targets fell.
+func (c *Coordinator) PaceStats() placement.PaceStats { return c.scheduler.PaceStats() }
+
 // Withdraw withdraws an ask whose request was not sent, and returns answers that are due.
 func (c *Coordinator) Withdraw(now time.Duration, host string, id uint64) []Answer {
 	key := askKey{host, id}
