Let short overloads end in the order of deadlines, and record the replays

Change: the newest go first beyond 1.5 late requests for each slot. Retry-After of asks that are refused at once is spread as well.

--- a/placement/doc.go
+++ b/placement/doc.go
@@ -7,9 +7,12 @@
 //     or refuse with the time after which the scheduler expects capacity.
 //   - A request waits only while the current estimate lets it end before its
 //     deadline; Dispatch refuses it as soon as it cannot.
-//   - Waiting requests are served by priority and then by deadline.
+//   - Waiting requests are served by priority and then by deadline. With
+//     Config.WaitWhenLate, those that are likely to meet their objective go before the
+//     others, and in an overload the newest of the most urgent go first.
 //   - A request that would miss its latency objective because of the work ahead of
-//     it is refused at once, with the time after which it would not.
+//     it is refused at once, with the time after which it would not. With
+//     Config.WaitWhenLate it waits for a part of its time limit.
 //   - A target that sheds requests has its concurrency limit reduced, down to one
 //     request from this host, and receives none during a backoff that doubles with
 //     each consecutive refusal. The limit rises slowly while the target sheds none.
--- a/placement/place.go
+++ b/placement/place.go
@@ -86,6 +86,9 @@
 			return d
 		}
 	} else if ahead := s.workAhead(now, r); missesDeadline(now, r, ahead, s.meanServiceTime(r.Route)) {
+		if s.cfg.WaitWhenLate {
+			ahead += time.Duration(retryJitter * r.Random * float64(ahead))
+		}
 		return Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: ahead}
 	}
 	if s.queueLength >= s.cfg.MaxQueueLength {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -11,8 +11,8 @@
 //
 //   - Requests that can still meet their objective go before those that cannot, so that a
 //     queue that has grown too long costs only the requests at its end their objective.
-//   - While more late requests wait than the pool runs at a time, those with the most time
-//     left go first. In the order of deadlines each would begin when it has just enough
+//   - While more late requests wait than overloadFactor for each slot, those with the most
+//     time left go first. In the order of deadlines each would begin when it has just enough
 //     time, and callers that came back after a refusal, who are late already, would take
 //     the slots of new ones.
 //
@@ -47,6 +47,10 @@
 	// fraction of it. Otherwise urgent requests whose objective is short for the service
 	// times would never go first.
 	maxLikelyFraction = 0.5
+	// overloadFactor is the number of late requests for each slot beyond which the newest go
+	// first. Fewer drain within about a service time, which is less than the objectives leave,
+	// and in the order of deadlines more requests are in time after a short overload.
+	overloadFactor = 1.5
 )
 
 // enqueue adds a waiting request and returns its ticket.
@@ -169,8 +173,8 @@
 	return &q.waiters, i
 }
 
-// isOverloaded reports whether more late requests wait than the targets run at a time. A
-// shorter queue of them drains within about one service time.
+// isOverloaded reports whether more late requests wait than overloadFactor times what the
+// targets run at a time.
 func (s *Scheduler) isOverloaded(pool poolKey, q *waitQueue) bool {
 	if len(q.late) == 0 {
 		return false
@@ -181,7 +185,7 @@
 			slots += max(t.Slots, 1)
 		}
 	}
-	return len(q.late) > slots
+	return float64(len(q.late)) > overloadFactor*float64(slots)
 }
 
 // QueuedDecision is the decision on a request that waited.
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -47,7 +47,7 @@
 		So(served(s, now), ShouldEqual, second)
 	})
 	// Guards against an overload in which each request begins when it has just enough time.
-	Convey("While more late ones wait than the pool runs, the newest of the most urgent go first", t, func() {
+	Convey("While more late ones wait than drain soon, the newest of the most urgent go first", t, func() {
 		s := newScheduler()
 		for range 2 {
 			wait(s, 0, 50*time.Millisecond, 2*time.Second)
--- a/slots/order_test.go
+++ b/slots/order_test.go
@@ -38,6 +38,12 @@
 		load: peak(usual, 1.7*usual, 5*time.Second, 17*time.Second), measured: 5 * time.Second, duration: 20 * time.Second}
 }
 
+// missing marks a pattern that misses orderGoal.
+func missing(p *loadPattern) *loadPattern {
+	p.missesGoal = true
+	return p
+}
+
 func loadPatterns() []*loadPattern {
 	slowed := mixedSpeeds(24)
 	for i := range 8 {
@@ -47,45 +53,73 @@
 	hidden.hidden = true
 	return []*loadPattern{
 		dayPeak("peak, usual load 0.55", 0.55),
-		dayPeak("peak, usual load 0.65", 0.65),
-		dayPeak("peak, usual load 0.80", 0.80),
-		hidden,
-		{name: "burst of the most urgent kind", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+		missing(dayPeak("peak, usual load 0.65", 0.65)),
+		missing(dayPeak("peak, usual load 0.80", 0.80)),
+		missing(hidden),
+		{name: "burst of the most urgent kind", missesGoal: true, kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
 			load: peak(0.65, 2, 5*time.Second, 9*time.Second), burstKind: 2, burstAbove: 0.65, measured: 5 * time.Second, duration: 12 * time.Second},
-		{name: "burst of one kind", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+		{name: "burst of one kind", missesGoal: true, kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
 			load: peak(0.65, 2, 5*time.Second, 7*time.Second), burstKind: 0, burstAbove: 0.65, measured: 5 * time.Second, duration: 12 * time.Second},
-		{name: "200 hot keys", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2, keys: 200,
+		{name: "200 hot keys", missesGoal: true, kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2, keys: 200,
 			load: peak(0.65, 0.65, 0, 0), measured: 5 * time.Second, duration: 17 * time.Second},
 		{name: "a third slowed", kinds: threeKinds, speeds: slowed, slots: 6, hosts: 60, noiseShare: 0.2,
 			load: peak(0.85, 0.85, 0, 0), measured: 0, duration: 12 * time.Second},
-		{name: "all hosts just started", kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
+		{name: "all hosts just started", missesGoal: true, kinds: threeKinds, speeds: mixedSpeeds(24), slots: 6, hosts: 60, noiseShare: 0.2,
 			load: peak(0.65, 1.3, 0, 3*time.Second), measured: 0, duration: 8 * time.Second},
 	}
 }
 
+// orderGoal is the goal of docs/design/hard-load.md for the requests in time, as a share of
+// the bound.
+const orderGoal = 0.9
+
+// patternResults are the results of a pattern over several seeds.
+type patternResults struct{ shared, alone, bound replayResult }
+
+func (p *loadPattern) results(t *testing.T, seeds ...uint64) patternResults {
+	var x patternResults
+	for _, seed := range seeds {
+		c := p.draw(seed)
+		x.shared = x.shared.add(c.replay(seed, true))
+		x.alone = x.alone.add(c.replay(seed, false))
+		x.bound = x.bound.add(c.bound())
+	}
+	s, a, b := x.shared.total(), x.alone.total(), x.bound.total()
+	t.Logf("%s: %d requests; in time %.3f of the bound, value %.3f; alone %.3f, %.3f", p.name, s.asked,
+		x.inTimeShare(), s.value()/b.value(), float64(a.inTime)/float64(b.inTime), a.value()/b.value())
+	t.Logf("  in time/late/refused/failed: shared %d/%d/%d/%d%v", s.inTime, s.late, s.refused, s.failed, x.shared)
+	t.Logf("  alone %d/%d/%d/%d%v", a.inTime, a.late, a.refused, a.failed, x.alone)
+	t.Logf("  bound %d/%d/%d/%d%v", b.inTime, b.late, b.refused, b.failed, x.bound)
+	return x
+}
+
+// inTimeShare returns the requests in time with a coordinator, as a share of the bound.
+func (x patternResults) inTimeShare() float64 {
+	return float64(x.shared.total().inTime) / float64(x.bound.total().inTime)
+}
+
 // TestQueueOrder replays the patterns with a coordinator, with hosts that decide by
 // themselves, and with the bound. It guards against an order of waiting that yields less
-// than hosts without a coordinator do, and against urgent requests that are in time less
-// often than less urgent ones.
+// than hosts without a coordinator do, against requests that get no answer although they
+// are the most urgent, and against a loss of the goal where it is met. The patterns that
+// miss it are in TestQueueOrderGoal.
 func TestQueueOrder(t *testing.T) {
 	for _, p := range loadPatterns() {
 		Convey("Given the pattern "+p.name, t, func() {
-			var shared, alone, bound replayResult
-			for seed := uint64(1); seed <= 2; seed++ {
-				c := p.draw(seed)
-				shared = shared.add(c.replay(seed, true))
-				alone = alone.add(c.replay(seed, false))
-				bound = bound.add(c.bound())
-			}
-			s, a, b := shared.total(), alone.total(), bound.total()
-			t.Logf("%s: %d requests; in time %.3f of the bound, value %.3f; alone %.3f, %.3f", p.name, s.asked,
-				float64(s.inTime)/float64(b.inTime), s.value()/b.value(), float64(a.inTime)/float64(b.inTime), a.value()/b.value())
-			t.Logf("  in time/late/refused/failed: shared %d/%d/%d/%d%v", s.inTime, s.late, s.refused, s.failed, shared)
-			t.Logf("  alone %d/%d/%d/%d%v", a.inTime, a.late, a.refused, a.failed, alone)
-			t.Logf("  bound %d/%d/%d/%d%v", b.inTime, b.late, b.refused, b.failed, bound)
+			x := p.results(t, 1, 2)
+			s, a, b := x.shared.total(), x.alone.total(), x.bound.total()
 			So(s.asked, ShouldEqual, b.asked)
 			So(s.asked, ShouldEqual, a.asked)
 			So(s.value(), ShouldBeGreaterThan, a.value())
+			urgent := x.shared[2]
+			answered := float64(urgent.inTime+urgent.late) / float64(urgent.asked)
+			for _, k := range x.shared[:2] {
+				// The kinds have different tails and time limits.
+				So(answered, ShouldBeGreaterThan, float64(k.inTime+k.late)/float64(k.asked)-0.01)
+			}
+			if !p.missesGoal {
+				So(x.inTimeShare(), ShouldBeGreaterThanOrEqualTo, orderGoal)
+			}
 		})
 	}
 }
--- a/slots/replay_test.go
+++ b/slots/replay_test.go
@@ -58,6 +58,8 @@
 	burstAbove float64
 	// hidden says that callers that come back don't state the time that they have left.
 	hidden bool
+	// missesGoal says that the pattern misses orderGoal.
+	missesGoal bool
 }
 
 // arrival is a request of a pattern.
