Check the target of a shared slot by what the host itself knows

Cause, found in review: a host sent a request to the target that a coordinator named.

Change: the host checks that the target is of the workload and states no limit, or gives the slot back and decides by itself.

--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -116,7 +116,12 @@
 // and the buffer that receives its log.
 func newHost(t *testing.T, targets int) (*harness, *logBuffer) {
 	t.Helper()
-	store := standin.NewStore()
+	return newHostOn(t, standin.NewStore(), targets)
+}
+
+// newHostOn is newHost with a store, and with changed settings of the gateway.
+func newHostOn(t *testing.T, store *standin.Store, targets int, change ...func(*Config)) (*harness, *logBuffer) {
+	t.Helper()
 	store.Put(platform.TopicOperator, "config", []byte(explainDesired))
 	r := &harness{}
 	for i := range targets {
@@ -138,7 +143,11 @@
 		Host: "host0", Fleet: storeServer.URL, Peer: "127.0.0.1:0", Store: platform.NewStore(strings.TrimPrefix(storeServer.URL, "http://")),
 		Grants: platform.NewGrants(), Log: log, Cores: 1, LinkMbps: 1000,
 	})
-	r.gw = New(Config{Domain: "d", Deployment: coord, Log: log, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second})
+	cfg := Config{Domain: "d", Deployment: coord, Log: log, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}
+	for _, f := range change {
+		f(&cfg)
+	}
+	r.gw = New(cfg)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -111,8 +111,8 @@
 }
 
 // newHarnessOn returns a harness whose gateway uses the result of wrap as its
-// deployment.
-func newHarnessOn(t *testing.T, targets int, wrap func(*fakeDeployment) Deployment) *harness {
+// deployment, with changed settings.
+func newHarnessOn(t *testing.T, targets int, wrap func(*fakeDeployment) Deployment, change ...func(*Config)) *harness {
 	t.Helper()
 	r := &harness{deployment: &fakeDeployment{directory: fleet.NewDirectory(), changed: make(chan struct{}), suspects: quarantine.NewLedger(quarantine.Config{})}}
 	d := &fleet.DesiredState{
@@ -136,9 +136,13 @@
 			ID: x.ID, Workload: "w", Address: strings.TrimPrefix(srv.URL, "http://"), Domain: "d", Slots: 2,
 		})
 	}
-	r.gw = New(Config{
+	cfg := Config{
 		Domain: "d", Deployment: wrap(r.deployment), Log: eventlog.New(io.Discard, "info"), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second,
-	})
+	}
+	for _, f := range change {
+		f(&cfg)
+	}
+	r.gw = New(cfg)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -25,22 +25,33 @@
 			domain = t.Domain
 		}
 		d, lease, answered := c.g.cfg.Slots.Acquire(ctx, r, domain)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			lease.Release()
 			return d, false
-		}
-		// A coordinator that knows of no target may not have heard of it yet.
-		if answered && (d.Action != placement.Refuse || d.Reason != placement.ReasonNoTarget) {
-			if d.Action == placement.Send {
-				c.lease = lease
-				c.g.recordPlaced(d.Target)
-			}
+		case answered && d.Action == placement.Send && c.accepts(d.Target):
+			c.lease = lease
+			c.g.recordPlaced(d.Target)
+			return d, true
+		case answered && d.Action == placement.Refuse && d.Reason != placement.ReasonNoTarget:
 			return d, true
 		}
+		// A coordinator that knows of no target, or of another one than this host, may have
+		// heard less of the targets, or more.
+		lease.Release()
 	}
 	return c.g.place(ctx, r)
 }
 
+// accepts reports whether a target that a coordinator chose may get the request by what this
+// host knows: it belongs to the workload and states no limit. A limit may have become known
+// while the request waited; it needs a permit then.
+func (c *call) accepts(id string) bool {
+	snap := c.g.syncSnapshot()
+	t := snap.Targets[id]
+	return t != nil && t.Workload == c.workload && snap.RequestLimit(t) == 0
+}
+
 // sharesSlots reports whether a request takes a shared slot. Targets that state a limit are
 // left to permits, which are shared already.
 func (c *call) sharesSlots(r placement.Request) bool {
