Tell all hosts the same live hosts and contended targets

Causes, found in review: a host that joined between a change and its message was sent the earlier state after the later one, and kept it. Targets that had left, or owned no keys any more, stayed contended for as long as the leader led. Hosts of an earlier release, which do not answer asks, were among the live ones. A host that joined was told the state also when slots were no longer shared.

Change: a mutex orders the state with its messages; contended targets are kept by workload and forgotten with their keys; hosts that state no processor share are left out, and those that do not share slots state none. Tests with a leader, hosts that join, a new leader, and slots not shared.

--- a/internal/coordinator/contended.go
+++ b/internal/coordinator/contended.go
@@ -32,20 +32,26 @@
 
 // contendedTargets is the set of contended targets by the leader's counts.
 type contendedTargets struct {
-	set map[string]bool
+	// set has the workload of each contended target.
+	set map[string]string
 	// told is what the hosts were told, nil for nothing yet.
 	told map[string]bool
 }
 
-// update applies the utilization of the targets of a workload.
-func (c *contendedTargets) update(utilizations map[string]float64) {
+// update applies the utilization of the targets of a workload. Those that own no keys are not
+// among them.
+func (c *contendedTargets) update(workload string, utilizations map[string]float64) {
 	if c.set == nil {
-		c.set = map[string]bool{}
+		c.set = map[string]string{}
 	}
+	maps.DeleteFunc(c.set, func(id, w string) bool {
+		_, owns := utilizations[id]
+		return w == workload && !owns
+	})
 	for id, u := range utilizations {
 		switch {
 		case u >= contendedFrom:
-			c.set[id] = true
+			c.set[id] = workload
 		case u < contendedUntil:
 			delete(c.set, id)
 		}
@@ -64,7 +70,7 @@
 		}
 	}
 	for id := range c.told {
-		if !c.set[id] {
+		if _, ok := c.set[id]; !ok {
 			m.Removed = append(m.Removed, id)
 		}
 	}
@@ -73,27 +79,41 @@
 	}
 	slices.Sort(m.Added)
 	slices.Sort(m.Removed)
-	c.told = maps.Clone(c.set)
+	c.told = make(map[string]bool, len(c.set))
+	for id := range c.set {
+		c.told[id] = true
+	}
 	return m, true
 }
 
+// retain forgets the targets of workloads that are gone.
+func (c *contendedTargets) retain(exists func(workload string) bool) {
+	maps.DeleteFunc(c.set, func(_, workload string) bool { return !exists(workload) })
+}
+
 // noteContention updates the contended targets of a workload.
 func (t *term) noteContention(now time.Duration, workload string, table *ownership.RangeTable, targets []ownership.RangeTarget, rates []float32) {
 	if t.c.cfg.Slots == nil || !t.c.cfg.Slots.Enabled() || now-t.beganAt < ratesKnownAfter {
 		return
 	}
-	t.contended.update(ownership.Utilizations(table, targets, rates))
+	t.contended.update(workload, ownership.Utilizations(table, targets, rates))
 }
 
 // sendContended tells all hosts of changes of the contended targets.
 func (t *term) sendContended() {
+	if t.c.cfg.Slots == nil || !t.c.cfg.Slots.Enabled() {
+		return
+	}
+	t.contended.retain(func(workload string) bool { return t.granters[workload] != nil })
 	m, due := t.contended.changes()
 	if !due {
 		return
 	}
 	all := contendedMessage{Full: true, Added: slices.Sorted(maps.Keys(t.contended.set))}
-	t.c.toldContended.Store(&all)
 	t.c.cfg.Slots.SetContended(m.Full, m.Added, m.Removed)
+	t.c.toldMu.Lock()
+	defer t.c.toldMu.Unlock()
+	t.c.toldContended.Store(&all)
 	t.c.peers.send(methodContended, m)
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -138,6 +138,9 @@
 	retired atomic.Bool
 	// witnesses holds what this host and its peers know of the time before a restore.
 	witnesses witnesses
+	// toldMu orders changes of toldHosts and toldContended with the messages: a host that
+	// joined between a change and its message got the earlier state after it.
+	toldMu sync.Mutex
 	// toldHosts is what this host last told the others as the leader of the live hosts, nil
 	// if nothing in its term.
 	toldHosts atomic.Pointer[hostsMessage]
--- a/internal/coordinator/hosts.go
+++ b/internal/coordinator/hosts.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"slices"
@@ -37,18 +38,21 @@
 // are live: each change moves the pools of some targets to another host.
 const hostsSettle = time.Second
 
-// liveHosts returns the hosts that follow this one, and this one, in the order of their
-// addresses.
+// liveHosts returns the hosts that may coordinate slots: those that follow this one, and this
+// one, in the order of their addresses. Hosts of earlier releases, and those that do not share
+// slots, state no processor share and do not answer asks.
 func (c *Coordinator) liveHosts() []slots.Host {
 	list := []slots.Host{{Address: c.cfg.Peer, Domain: c.cfg.Domain, Cores: c.cfg.Cores}}
 	c.peers.mu.Lock()
 	for pc := range c.peers.conns {
-		if pc.address != "" {
+		if pc.address != "" && pc.cores > 0 {
 			list = append(list, slots.Host{Address: pc.address, Domain: pc.domain, Cores: pc.cores})
 		}
 	}
 	c.peers.mu.Unlock()
-	slices.SortFunc(list, func(a, b slots.Host) int { return strings.Compare(a.Address, b.Address) })
+	slices.SortFunc(list, func(a, b slots.Host) int {
+		return cmp.Or(strings.Compare(a.Address, b.Address), strings.Compare(a.Domain, b.Domain), cmp.Compare(a.Cores, b.Cores))
+	})
 	return slices.CompactFunc(list, func(a, b slots.Host) bool { return a.Address == b.Address })
 }
 
@@ -66,11 +70,37 @@
 	if told == nil && now < t.hostsSettledAt && len(hosts) < c.roster.size() || told != nil && slices.Equal(hosts, told.Hosts) {
 		return
 	}
-	c.toldHosts.Store(&hostsMessage{hosts})
 	c.cfg.Slots.SetHosts(hosts)
+	c.toldMu.Lock()
+	defer c.toldMu.Unlock()
+	c.toldHosts.Store(&hostsMessage{hosts})
 	c.peers.send(methodHosts, hostsMessage{hosts})
 }
 
+// sendSlotState sends a host that joins what the others were told of shared slots.
+func (c *Coordinator) sendSlotState(pc *peerConn) {
+	if c.cfg.Slots == nil || !c.cfg.Slots.Enabled() {
+		return
+	}
+	c.toldMu.Lock()
+	defer c.toldMu.Unlock()
+	if m := c.toldHosts.Load(); m != nil {
+		pc.enqueue(encode(methodHosts, *m))
+	}
+	if m := c.toldContended.Load(); m != nil {
+		pc.enqueue(encode(methodContended, *m))
+	}
+}
+
+// statedCores returns the processor share that this host states to the leader, 0 if it does not
+// share slots.
+func (c *Coordinator) statedCores() float64 {
+	if c.cfg.Slots == nil {
+		return 0
+	}
+	return c.cfg.Cores
+}
+
 // applyLiveHosts applies the leader's message.
 func (c *Coordinator) applyLiveHosts(r *jsonrpc2.Request) error {
 	var m hostsMessage
--- a/internal/coordinator/peerclient.go
+++ b/internal/coordinator/peerclient.go
@@ -313,7 +313,7 @@
 
 // helloFor returns the hello message to the leader of a term.
 func (c *Coordinator) helloFor(l leaderRecord) helloMessage {
-	m := helloMessage{Host: c.cfg.Host, Address: c.cfg.Peer, Room: c.room(), Domain: c.cfg.Domain, Cores: c.cfg.Cores, Term: l.Term, Protocol: protocolVersion, Positions: map[string]topicPosition{}, Leader: c.leadership.current(), Lost: c.witnesses.position(), LostHosts: c.recentHosts(boottime.Now()), processState: c.processState()}
+	m := helloMessage{Host: c.cfg.Host, Address: c.cfg.Peer, Room: c.room(), Domain: c.cfg.Domain, Cores: c.statedCores(), Term: l.Term, Protocol: protocolVersion, Positions: map[string]topicPosition{}, Leader: c.leadership.current(), Lost: c.witnesses.position(), LostHosts: c.recentHosts(boottime.Now()), processState: c.processState()}
 	for _, f := range c.followers() {
 		if p := f.report(boottime.Now()); p.Next != unknownOffset {
 			m.Positions[f.topic] = p
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -79,7 +79,8 @@
 	Address string `json:"address,omitempty"`
 	// Room is the part that the host has of the resources that suffice to lead.
 	Room float64 `json:"room,omitempty"`
-	// Domain is the failure domain of the host, Cores its processor share.
+	// Domain is the failure domain of the host, Cores its processor share, or 0 if it does
+	// not share slots.
 	Domain string  `json:"domain,omitempty"`
 	Cores  float64 `json:"cores,omitempty"`
 	processState
@@ -548,12 +549,7 @@
 		pc.enqueue(r.message(w))
 	}
 	pc.enqueue(encode(methodPositions, c.topicPositions()))
-	if m := c.toldHosts.Load(); m != nil {
-		pc.enqueue(encode(methodHosts, *m))
-	}
-	if m := c.toldContended.Load(); m != nil {
-		pc.enqueue(encode(methodContended, *m))
-	}
+	c.sendSlotState(pc)
 	if incarnations := c.leavingTargets(false); len(incarnations) > 0 {
 		pc.enqueue(encode(methodLeaving, leavingMessage{Targets: incarnations}))
 	}
