Add the setting shared_queues

Change: shared_queues is auto, the default also when it is empty, or off. With off a host makes no slotpeer.Peer, states no processor share to the leader, and so coordinates for no other.

Result: go test ./internal/fleetsettings ./cmd/boragelock-gateway passes.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -107,8 +107,9 @@
 	settingsFile string
 	log          *eventlog.Log
 	coord        *coordinator.Coordinator
-	slots        *slotpeer.Peer
-	gw           *gateway.Gateway
+	// slots shares the slots of targets with other hosts, nil if that is off.
+	slots *slotpeer.Peer
+	gw    *gateway.Gateway
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -118,22 +119,28 @@
 	keyLease.Duration = min(keyLease.Duration, s.MaxKeyLease())
 	d := &daemon{settings: s, settingsFile: file, log: log}
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
-	d.slots = slotpeer.New(slotpeer.Config{Address: address, Domain: s.Domain, Log: log})
+	// Interfaces stay nil without a Peer: one that holds a nil pointer is not nil.
+	var slotService coordinator.SlotService
+	var sharedSlots gateway.SharedSlots
+	if s.SharesQueues() {
+		d.slots = slotpeer.New(slotpeer.Config{Address: address, Domain: s.Domain, Log: log})
+		slotService, sharedSlots = d.slots, d.slots
+		expvar.Publish("slots", d.slots.Vars())
+	}
 	d.coord = coordinator.New(coordinator.Config{
-		Host: s.Host, Fleet: s.Fleet, Domain: s.Domain, Peer: address, Slots: d.slots,
+		Host: s.Host, Fleet: s.Fleet, Domain: s.Domain, Peer: address, Slots: slotService,
 		Store: platform.NewStore(s.StoreAddress), Grants: platform.NewGrants(), Log: log,
 		Ranges: lease.RangeConfig{KeyLease: keyLease}, Cores: s.CPUShare, LinkMbps: s.LinkMbps,
 		Quarantine: s.Quarantine(),
 	})
 	callers, closing := callerBounds(s.MaxFDs)
 	d.gw = gateway.New(gateway.Config{
-		Domain: s.Domain, Deployment: d.coord, Slots: d.slots, Log: log,
+		Domain: s.Domain, Deployment: d.coord, Slots: sharedSlots, Log: log,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
 		MemoryMB: s.MemoryMB, MaxCallers: callers, MaxClosing: closing,
 	})
 	expvar.Publish("gateway", d.gw.Vars())
 	expvar.Publish("control", d.coord.Vars())
-	expvar.Publish("slots", d.slots.Vars())
 	return d
 }
 
@@ -158,7 +165,9 @@
 	}})
 	sup.Add(d.gw)
 	d.coord.AddTo(sup)
-	d.slots.AddTo(sup, d.coord)
+	if d.slots != nil {
+		d.slots.AddTo(sup, d.coord)
+	}
 	sup.Add(&namedService{"callers", func(ctx context.Context) error { return d.serveCallers(ctx, callers) }})
 	sup.Add(&namedService{"ready", func(ctx context.Context) error { return serveHTTP(ctx, ready, d.readiness()) }})
 	sup.Add(&namedService{"metrics", func(ctx context.Context) error { return serveHTTP(ctx, metrics, http.DefaultServeMux) }})
--- a/internal/fleetsettings/settings.go
+++ b/internal/fleetsettings/settings.go
@@ -53,6 +53,9 @@
 	// of package quarantine.
 	QuarantineEnds    int     `json:"quarantine_ends"`
 	QuarantineSeconds float64 `json:"quarantine_s"`
+	// SharedQueues is auto or off. With auto the hosts share the slots of targets where the
+	// desired state allows it (package slots). Empty: auto.
+	SharedQueues string `json:"shared_queues"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 }
@@ -114,6 +117,11 @@
 			return err
 		}
 	}
+	switch s.SharedQueues {
+	case "", sharedQueuesAuto, sharedQueuesOff:
+	default:
+		return &InvalidError{Field: "shared_queues", Value: s.SharedQueues, Allowed: "auto, off"}
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 		return nil
@@ -121,6 +129,15 @@
 	return &InvalidError{Field: "log_level", Value: s.LogLevel, Allowed: "debug, info, warn, error"}
 }
 
+// The values of Settings.SharedQueues.
+const (
+	sharedQueuesAuto = "auto"
+	sharedQueuesOff  = "off"
+)
+
+// SharesQueues reports whether the host shares queues where the desired state allows it.
+func (s *Settings) SharesQueues() bool { return s.SharedQueues != sharedQueuesOff }
+
 // numberRange is a numeric setting and its allowed range.
 type numberRange struct {
 	name            string
--- a/internal/fleetsettings/settings_test.go
+++ b/internal/fleetsettings/settings_test.go
@@ -41,3 +41,33 @@
 		}
 	})
 }
+
+// TestSharedQueuesSetting guards against a misspelt value that is taken as the default.
+func TestSharedQueuesSetting(t *testing.T) {
+	with := func(field string) (*Settings, error) {
+		return Decode([]byte(strings.Replace(valid, "{", "{"+field+",", 1)))
+	}
+	Convey("Queues are shared by default", t, func() {
+		s, err := Decode([]byte(valid))
+		So(err, ShouldBeNil)
+		So(s.SharesQueues(), ShouldBeTrue)
+		for _, value := range []string{"auto", ""} {
+			s, err = with(`"shared_queues":"` + value + `"`)
+			So(err, ShouldBeNil)
+			So(s.SharesQueues(), ShouldBeTrue)
+		}
+	})
+	Convey("They can be turned off", t, func() {
+		s, err := with(`"shared_queues":"off"`)
+		So(err, ShouldBeNil)
+		So(s.SharesQueues(), ShouldBeFalse)
+	})
+	Convey("Other values are named in the error", t, func() {
+		for _, value := range []string{`"of"`, `" "`, `"OFF"`, `false`} {
+			_, err := with(`"shared_queues":` + value)
+			So(errors.As(err, new(*InvalidError)), ShouldBeTrue)
+		}
+		_, err := with(`"shared_queues":"of"`)
+		So(err.Error(), ShouldEqual, `settings: shared_queues is "of"; allowed: auto, off`)
+	})
+}
