--- a/pace/pace.go
+++ b/pace/pace.go
@@ -20,6 +20,10 @@
 	// bad response. A single failure may be due to the request, and a slow response to a
 	// long one, so that they lower it less.
 	shedDecrease, slowDecrease, failureDecrease = 0.5, 0.7, 0.75
+	// minEvidence is the number of consecutive slow responses or failures after which the
+	// limit falls. Three in a hundred requests take seven times as long as the others, and a
+	// target may lose responses without being overloaded.
+	minEvidence = 3
 	// minProbeInterval is the interval after the first of consecutive bad responses, about
 	// half of a service time; maxProbeInterval bounds it, so that a target that is well
 	// again is used within seconds.
@@ -101,6 +105,8 @@
 	// and failures.
 	last Result
 	bad  int
+	// suspicious is the number of consecutive slow responses and failures.
+	suspicious int
 	// handledUntil is the time until which bad responses belong to requests that were sent
 	// before the limit fell. probeAt is when the next request may be sent after a bad
 	// response, badAt when the last one came.
@@ -136,14 +142,16 @@
 func (p *Pacer) silentFrom() time.Duration { return p.quietSince + SlowFactor*p.longest }
 
 // silent reports whether responses are overdue.
-func (p *Pacer) silent(now time.Duration) bool { return p.inFlight > 0 && now > p.silentFrom() }
+func (p *Pacer) silent(now time.Duration) bool {
+	return p.inFlight >= minEvidence && now > p.silentFrom()
+}
 
 // risen returns the limit with the rise since changedAt.
 func (p *Pacer) risen(now time.Duration, full float64) float64 {
 	if p.limit >= full {
 		return full
 	}
-	if p.inFlight > 0 {
+	if p.inFlight >= minEvidence {
 		now = min(now, p.silentFrom())
 	}
 	elapsed := now - p.changedAt
@@ -270,6 +278,11 @@
 		p.last, p.badAt = result, now
 		return false
 	}
+	if result != Shed {
+		if p.suspicious++; p.suspicious < minEvidence {
+			return false
+		}
+	}
 	p.fall(now, x, result)
 	return true
 }
@@ -277,7 +290,7 @@
 // good raises the limit. A target that runs the requests of other hosts at the usual speed
 // is ready for as many and one more, also if this host knows nothing else of it.
 func (p *Pacer) good(x *Params, load int) {
-	p.last, p.proven, p.bad, p.probeAt, p.handledUntil = Good, true, 0, 0, 0
+	p.last, p.proven, p.bad, p.probeAt, p.handledUntil, p.suspicious = Good, true, 0, 0, 0, 0
 	if p.fallen {
 		p.limit += 1 / p.limit
 	} else {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -96,15 +96,19 @@
 }
 
 // paceResult classifies an outcome. A response is expected to take longer by the work that
-// waits at the target.
+// waits at the target, and by what slows its machine at the moment. A reset after a request
+// was sent is more often a lost response than a full target.
 func paceResult(outcome Outcome, expected time.Duration) pace.Result {
 	if outcome.Load != nil && outcome.Load.Slots > 0 {
 		expected += expected * time.Duration(outcome.Load.Waiting) / time.Duration(outcome.Load.Slots)
 	}
+	if outcome.Load != nil && outcome.Load.Slowdown > 1 {
+		expected = time.Duration(float64(expected) * outcome.Load.Slowdown)
+	}
 	switch {
-	case outcome.Shed || outcome.ConnectionReset:
+	case outcome.Shed:
 		return pace.Shed
-	case outcome.Failed || outcome.Unreachable:
+	case outcome.Failed || outcome.Unreachable || outcome.ConnectionReset:
 		return pace.Failed
 	case outcome.ResponseTime <= 0:
 		return pace.Unknown
