--- a/pace/pace.go
+++ b/pace/pace.go
@@ -24,6 +24,8 @@
 	// limit falls. Three in a hundred requests take seven times as long as the others, and a
 	// target may lose responses without being overloaded.
 	minEvidence = 3
+	// longFactor is the ratio of a response time to the expected one that long requests reach.
+	longFactor = 8
 	// minProbeInterval is the interval after the first of consecutive bad responses, about
 	// half of a service time; maxProbeInterval bounds it, so that a target that is well
 	// again is used within seconds.
@@ -139,19 +141,22 @@
 func (p *Pacer) Restart() { p.limit = 0 }
 
 // silentFrom returns when the target counts as silent.
-func (p *Pacer) silentFrom() time.Duration { return p.quietSince + SlowFactor*p.longest }
+func (p *Pacer) silentFrom() time.Duration {
+	if p.inFlight < minEvidence {
+		return p.quietSince + longFactor*p.longest
+	}
+	return p.quietSince + SlowFactor*p.longest
+}
 
 // silent reports whether responses are overdue.
-func (p *Pacer) silent(now time.Duration) bool {
-	return p.inFlight >= minEvidence && now > p.silentFrom()
-}
+func (p *Pacer) silent(now time.Duration) bool { return p.inFlight > 0 && now > p.silentFrom() }
 
 // risen returns the limit with the rise since changedAt.
 func (p *Pacer) risen(now time.Duration, full float64) float64 {
 	if p.limit >= full {
 		return full
 	}
-	if p.inFlight >= minEvidence {
+	if p.inFlight > 0 {
 		now = min(now, p.silentFrom())
 	}
 	elapsed := now - p.changedAt
