--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 	Route    string
 	// Target is the owner of the request's key; if empty, any target may serve it.
 	Target string
+	// Domain is the failure domain of the host that sends the request. Default: that of
+	// the scheduler.
+	Domain string
 	// Priority orders waiting requests; 0 is the most urgent.
 	Priority int
 	// Deadline is when the response is due at the latest.
@@ -22,11 +26,17 @@
 	ObjectiveDeadline time.Duration
 	// HasIdleConnection reports whether the host has an idle connection to a target.
 	HasIdleConnection func(id string) bool
+	// SharedPool means that a coordinator places requests on the same targets, but did not
+	// answer for this one.
+	SharedPool bool
 	// TriedTargets lists the targets that must not be chosen again.
 	TriedTargets []string
 	// Random is a number from 0 to 1 that spreads requests over equal targets and
 	// callers' retries over time.
 	Random float64
+	// Affinity, if not 0, takes the place of Random in the choice among similar targets: with
+	// the same value requests prefer the same ones.
+	Affinity float64
 }
 
 // Action is what a Decision tells the caller to do with the request.
@@ -75,102 +85,22 @@
 	RetryAfter time.Duration
 }
 
-// waiter is a waiting request.
-type waiter struct {
-	Request
-	ticket uint64
-}
-
 // Submit decides on a new request.
 func (s *Scheduler) Submit(now time.Duration, r Request) Decision {
-	if !s.hasQueuedAhead(r) {
+	if !s.hasQueuedAhead(now, r) {
 		if d := s.decide(now, r); d.Action != Wait {
 			return d
 		}
 	} else if ahead := s.workAhead(now, r); missesDeadline(now, r, ahead, s.meanServiceTime(r.Route)) {
+		if s.cfg.WaitWhenLate {
+			ahead += time.Duration(retryJitter * r.Random * float64(ahead))
+		}
 		return Decision{Action: Refuse, Reason: ReasonDeadline, RetryAfter: ahead}
 	}
-	if len(s.queue) >= s.cfg.MaxQueueLength {
+	if s.queueLength >= s.cfg.MaxQueueLength {
 		return Decision{Action: Refuse, Reason: ReasonQueueFull, RetryAfter: s.drainTime(now, r)}
 	}
-	s.lastTicket++
-	w := &waiter{Request: r, ticket: s.lastTicket}
-	i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
-	s.queue = slices.Insert(s.queue, i, w)
-	return Decision{Action: Wait, Ticket: w.ticket}
-}
-
-// hasQueuedAhead reports whether a request with the same or a higher priority waits
-// for the same target, or for any target of the same workload if r names none.
-func (s *Scheduler) hasQueuedAhead(r Request) bool {
-	for _, w := range s.queue {
-		if w.Workload == r.Workload && w.Target == r.Target && w.Priority <= r.Priority {
-			return true
-		}
-	}
-	return false
-}
-
-func compareWaiters(a, b *waiter) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	if a.Deadline != b.Deadline {
-		if a.Deadline < b.Deadline {
-			return -1
-		}
-		return 1
-	}
-	return int(int64(a.ticket) - int64(b.ticket))
-}
-
-// QueuedDecision is the decision on a request that waited.
-type QueuedDecision struct {
-	Ticket uint64
-	Decision
-}
-
-// Dispatch returns the decisions on the waiting requests for which a target has
-// capacity, or which can no longer end in time.
-func (s *Scheduler) Dispatch(now time.Duration) []QueuedDecision {
-	var decisions []QueuedDecision
-	remaining := s.queue[:0]
-	blocked := map[[2]string]bool{}
-	for _, w := range s.queue {
-		key := [2]string{w.Workload, w.Target}
-		if blocked[key] && now+s.minServiceTime(w) <= w.Deadline {
-			remaining = append(remaining, w)
-			continue
-		}
-		d := s.decide(now, w.Request)
-		if d.Action == Wait {
-			blocked[key] = true
-			remaining = append(remaining, w)
-			continue
-		}
-		decisions = append(decisions, QueuedDecision{Ticket: w.ticket, Decision: d})
-	}
-	clear(s.queue[len(remaining):])
-	s.queue = remaining
-	return decisions
-}
-
-// QueueLength returns the number of waiting requests.
-func (s *Scheduler) QueueLength() int { return len(s.queue) }
-
-// Cancel removes a waiting request and reports whether it was still waiting.
-func (s *Scheduler) Cancel(ticket uint64) bool {
-	i := slices.IndexFunc(s.queue, func(w *waiter) bool { return w.ticket == ticket })
-	if i < 0 {
-		return false
-	}
-	s.queue = slices.Delete(s.queue, i, i+1)
-	return true
-}
-
-// minServiceTime returns the shortest time in which a waiting request can end.
-func (s *Scheduler) minServiceTime(w *waiter) time.Duration {
-	return time.Duration(minServiceFraction * s.meanServiceTime(w.Route) * float64(time.Second))
+	return Decision{Action: Wait, Ticket: s.enqueue(now, r)}
 }
 
 // minServiceFraction is the fraction of the mean service time that a request is
@@ -187,7 +117,16 @@
 	anyBusy := false
 	shortestWait := -1.0
 	permitAfter := time.Duration(-1)
-	for _, t := range s.candidates(r) {
+	list := s.candidates(&r)
+	next, stride, considered, full := 0, 1, 0, 0
+	if s.cfg.AdaptivePace && len(list) > maxConsidered {
+		next, stride = int(r.Random*float64(len(list)))%len(list), coprimeStride(len(list))
+	}
+	for range list {
+		t := list[next]
+		if next += stride; next >= len(list) {
+			next -= len(list)
+		}
 		if !t.Usable || slices.Contains(r.TriedTargets, t.ID) {
 			continue
 		}
@@ -197,22 +136,38 @@
 			}
 			continue
 		}
-		if !s.hasColdToken(now, t, r.Random) {
+		if s.cfg.AdaptivePace && float64(t.inFlight) >= s.maxRequests(t) {
+			// The shortest wait at a full pool is taken from some of its targets.
+			anyBusy = true
+			if full++; full > maxConsidered {
+				continue
+			}
+		}
+		if s.cfg.AdaptivePace {
+			if !s.allowsPace(now, t, &r, serviceTime) {
+				anyBusy = true
+				continue
+			}
+		} else if !s.hasColdToken(now, t, r.Random) {
 			anyBusy = anyBusy || r.Target != ""
 			continue
 		}
-		wait := s.estimatedWait(now, t, serviceTime)
+		load := s.estimatedLoad(now, t)
+		wait := s.waitBehind(now, t, serviceTime, load)
 		if shortestWait < 0 || wait < shortestWait {
 			shortestWait = wait
 		}
-		if s.estimatedLoad(now, t) >= s.requestLimit(t) || now < t.unavailableUntil() {
+		if load >= s.requestLimit(now, t) || now < t.unavailableUntil() {
 			anyBusy = true
 			continue
 		}
-		cost := s.cost(now, t, r, serviceTime, wait)
+		cost := s.cost(now, t, &r, serviceTime, wait)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
+		if considered++; considered >= maxConsidered && s.cfg.AdaptivePace {
+			break
+		}
 	}
 	timeLeft := (r.Deadline - now).Seconds()
 	switch {
@@ -223,6 +178,7 @@
 	case best != nil:
 		best.inFlight++
 		best.coldTokens--
+		s.recordPaceSent(now, best, serviceTime, r.SharedPool)
 		return Decision{Action: Send, Target: best.ID, NeedsPermit: best.RequestLimit > 0}
 	case anyBusy && minServiceFraction*serviceTime <= timeLeft && max(shortestWait, 0) < timeLeft:
 		return Decision{Action: Wait}
@@ -240,7 +196,7 @@
 // it. A request that misses the objective without any work ahead may still be sent.
 func (s *Scheduler) missesObjective(now time.Duration, r Request, serviceTime, shortestWait float64) bool {
 	timeLeft := (r.ObjectiveDeadline - now).Seconds()
-	return r.ObjectiveDeadline > 0 && shortestWait > 0 && serviceTime <= timeLeft && shortestWait+serviceTime > max(objectiveFraction*timeLeft, serviceTime)
+	return !s.cfg.WaitWhenLate && r.ObjectiveDeadline > 0 && shortestWait > 0 && serviceTime <= timeLeft && shortestWait+serviceTime > max(objectiveFraction*timeLeft, serviceTime)
 }
 
 // objectiveFraction is the fraction of the time left to the objective that the wait
@@ -263,7 +219,7 @@
 // ends the pause that it asked for, 0 if one of them is not paused.
 func (s *Scheduler) pauseRemaining(now time.Duration, r Request) time.Duration {
 	shortest := time.Duration(-1)
-	for _, t := range s.candidates(r) {
+	for _, t := range s.candidates(&r) {
 		if remaining := max(0, t.pausedUntil-now); t.Usable && (shortest < 0 || remaining < shortest) {
 			shortest = remaining
 		}
@@ -271,12 +227,12 @@
 	return max(0, shortest)
 }
 
-func (s *Scheduler) candidates(r Request) []*target {
+func (s *Scheduler) candidates(r *Request) []*target {
 	if r.Target == "" {
 		return s.targetsByWorkload[r.Workload]
 	}
 	if t := s.targets[r.Target]; t != nil {
-		return []*target{t}
+		return t.self[:]
 	}
 	return nil
 }
@@ -288,10 +244,10 @@
 
 // cost returns the estimated time to a response in seconds, plus the costs of the
 // expected failures, of another failure domain and of a new connection.
-func (s *Scheduler) cost(now time.Duration, t *target, r Request, serviceTime, wait float64) float64 {
+func (s *Scheduler) cost(now time.Duration, t *target, r *Request, serviceTime, wait float64) float64 {
 	cost := wait + serviceTime*t.serviceFactor(now)
 	cost += t.stats.FailureRate(now) * 2 * max(r.Objective.Seconds(), serviceTime)
-	if t.Domain != s.cfg.Domain {
+	if domain := cmp.Or(r.Domain, s.cfg.Domain); t.Domain != domain {
 		cost += s.cfg.CrossDomainCost.Seconds()
 		if e := s.routeEstimates[r.Route]; e != nil {
 			cost += s.cfg.CrossDomainCostPerKB.Seconds() * e.responseKB
@@ -300,7 +256,7 @@
 	if r.HasIdleConnection != nil && !r.HasIdleConnection(t.ID) {
 		cost += s.cfg.NewConnectionCost.Seconds()
 	}
-	return cost + costJitter*serviceTime*hashFraction(r.Random, t.ID)
+	return cost + costJitter*serviceTime*hashFraction(cmp.Or(r.Affinity, r.Random), t.ID)
 }
 
 // hashFraction returns a number from 0 to 1 that depends on random and on the target.
@@ -341,30 +297,38 @@
 // of the targets that may receive it, and the waiting requests for the same workload
 // and target that have a higher priority or, with the same, an earlier deadline.
 func (s *Scheduler) workAhead(now time.Duration, r Request) time.Duration {
-	return s.workTime(now, r, func(w *waiter) bool { return compareWaiters(w, &waiter{Request: r, ticket: s.lastTicket + 1}) < 0 })
+	self, late := &waiter{Request: r, ticket: s.lastTicket + 1}, s.isLate(now, &r)
+	waiting := 0
+	if q := s.queues[r.pool()]; q != nil {
+		list := q.waiters
+		if late {
+			waiting, list = len(list), q.late
+		}
+		i, _ := slices.BinarySearchFunc(list, self, compareWaiters)
+		waiting += i
+	}
+	return s.workTime(now, r, waiting)
 }
 
 // drainTime returns the expected time for all work that competes with a request.
 func (s *Scheduler) drainTime(now time.Duration, r Request) time.Duration {
-	return s.workTime(now, r, func(*waiter) bool { return true })
+	waiting := 0
+	if q := s.queues[r.pool()]; q != nil {
+		waiting = q.length()
+	}
+	return s.workTime(now, r, waiting)
 }
 
 // workTime returns the expected time for the load of the targets that may receive a
-// request, and for the waiting requests for the same workload and target that include
-// selects.
-func (s *Scheduler) workTime(now time.Duration, r Request, include func(*waiter) bool) time.Duration {
-	slots, requests := 0.0, 0.0
-	for _, t := range s.candidates(r) {
+// request, and for a number of waiting requests.
+func (s *Scheduler) workTime(now time.Duration, r Request, waiting int) time.Duration {
+	slots, requests := 0.0, float64(waiting)
+	for _, t := range s.candidates(&r) {
 		if t.Usable {
 			slots += float64(max(t.Slots, 1))
 			requests += s.estimatedLoad(now, t)
 		}
 	}
-	for _, w := range s.queue {
-		if w.Workload == r.Workload && w.Target == r.Target && include(w) {
-			requests++
-		}
-	}
 	return toDuration(requests / max(slots, 1) * s.meanServiceTime(r.Route))
 }
 
