Show customers' limits in "boragelock fleet"

Cause: operators could not see the limits in force without the desired state.

Change: one line for each customer, without credentials.

Measured: go test ./cmd/boragelock: ok.

--- a/cmd/boragelock/fleet.go
+++ b/cmd/boragelock/fleet.go
@@ -115,6 +115,8 @@
 	Owners                map[string]*ownership.RangeTable `json:"owners"`
 	Leader                json.RawMessage                  `json:"leader"`
 	UnusableAnnouncements []string                         `json:"unusable_announcements"`
+	// Customers holds the customers with their limits, without credentials.
+	Customers []*fleet.Customer `json:"customers"`
 	// InvalidCustomers holds what the desired state has of customers that hosts leave out.
 	InvalidCustomers []*fleet.InvalidCustomerError `json:"invalid_customers"`
 }
@@ -167,6 +169,9 @@
 			}
 			v.Version = d.Version
 			v.InvalidCustomers = problems
+			if d.Customers != nil {
+				v.Customers = d.Customers.All()
+			}
 		}
 	}
 	for _, r := range targetRecords.Records {
@@ -201,6 +206,13 @@
 			fmt.Fprintf(w, "keys %s %d-%d owner=%s waits_for=%s\n", workload, s.From, s.To, s.Owner, orNone(strings.Join(s.PreviousOwners, ",")))
 		}
 	}
+	for _, c := range v.Customers {
+		limit := "none"
+		if c.RatePerSecond > 0 {
+			limit = fmt.Sprintf("%g/s burst=%g", c.RatePerSecond, c.Burst)
+		}
+		fmt.Fprintf(w, "customer %s limit=%s\n", c.Name, limit)
+	}
 	for _, p := range v.InvalidCustomers {
 		fmt.Fprintf(w, "left out: %v\n", p)
 	}
--- a/cmd/boragelock/fleet_test.go
+++ b/cmd/boragelock/fleet_test.go
@@ -52,7 +52,8 @@
 	store := standin.NewStore()
 	srv := httptest.NewServer(store)
 	defer srv.Close()
-	store.Put(platform.TopicOperator, "config", map[string]any{"version": "0000000a"})
+	store.Put(platform.TopicOperator, "config", map[string]any{"version": "0000000a", "tenants": []any{
+		map[string]any{"name": "north", "api-keys": []string{"secret"}, "rate-per-s": 33.5, "burst": 12}, map[string]any{"name": "south", "api-keys": []string{"s"}}}})
 	store.Put(platform.TopicOperator, "evacuate/z2", map[string]any{})
 	store.Put(platform.TopicTargets, "t1", map[string]any{
 		"service": "w", "address": "a:1", "zone": "z", "slots": 2, "state": "ready", "cold-left-s": 0, "seq": 1})
@@ -63,9 +64,13 @@
 	if code != exitOK {
 		t.Fatalf("exit code %d: %s", code, errs.String())
 	}
-	for _, want := range []string{"desired state 0000000a, evacuated: z2", "target t1 workload=w", "keys w 0-65535 owner=t1", "announcement of bad"} {
+	for _, want := range []string{"desired state 0000000a, evacuated: z2", "target t1 workload=w", "keys w 0-65535 owner=t1", "announcement of bad",
+		"customer north limit=33.5/s burst=12", "customer south limit=none"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
 		}
 	}
+	if strings.Contains(out.String(), "secret") {
+		t.Error("a credential is printed")
+	}
 }
