--- a/internal/coordinator/allotments.go
+++ b/internal/coordinator/allotments.go
@@ -19,7 +19,7 @@
 	// allotWait bounds the time that a request waits for the leader's answer. Hosts with a small
 	// part of a core stop for 100 ms at times; with 100 ms one request in 80 was refused within
 	// its allotment on a calm day.
-	allotWait = 300 * time.Millisecond
+	allotWait = 250 * time.Millisecond
 	// allotTimeout is the age of a message from which the leader counts as not answering. It
 	// is above allotWait.
 	allotTimeout = 400 * time.Millisecond
