Turn pace off by default; let late requests wait for half of their time

Late requests that wait for 0.8 of their time limit are held long and refused after all.

Change: the setting adaptive_pace, false by default.

--- a/cmd/boragelock-gateway/main.go
+++ b/cmd/boragelock-gateway/main.go
@@ -123,7 +123,7 @@
 	var slotService coordinator.SlotService
 	var sharedSlots gateway.SharedSlots
 	if s.SharesQueues() {
-		d.slots = slotpeer.New(slotpeer.Config{Address: address, Domain: s.Domain, Log: log})
+		d.slots = slotpeer.New(slotpeer.Config{Address: address, Domain: s.Domain, Log: log, AdaptivePace: s.AdaptivePace})
 		slotService, sharedSlots = d.slots, d.slots
 		expvar.Publish("slots", d.slots.Vars())
 	}
@@ -135,7 +135,7 @@
 	})
 	callers, closing := callerBounds(s.MaxFDs)
 	d.gw = gateway.New(gateway.Config{
-		Domain: s.Domain, Deployment: d.coord, Slots: sharedSlots, Log: log,
+		Domain: s.Domain, Deployment: d.coord, Slots: sharedSlots, AdaptivePace: s.AdaptivePace, Log: log,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow(),
 		MemoryMB: s.MemoryMB, MaxCallers: callers, MaxClosing: closing,
 	})
--- a/internal/fleetsettings/settings.go
+++ b/internal/fleetsettings/settings.go
@@ -56,6 +56,9 @@
 	// SharedQueues is auto or off. With auto the hosts share the slots of targets where the
 	// desired state allows it (package slots). Empty: auto.
 	SharedQueues string `json:"shared_queues"`
+	// AdaptivePace says that, where slots are shared, package pace limits the requests to
+	// targets that have started or recovered, in place of backoff and cold tokens.
+	AdaptivePace bool `json:"adaptive_pace"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	Log        *eventlog.Log
 	// Slots shares the slots of targets with the other hosts, nil if they are not shared.
 	Slots SharedSlots
+	// AdaptivePace makes the scheduler use package pace where slots are shared.
+	AdaptivePace bool
 	// RetryRatio and RetryExtra are the retry budget of the deployment: in each
 	// window, all hosts together may send ratio x requests + extra retries.
 	RetryRatio  float64
@@ -198,7 +200,7 @@
 	g.snapshot = snap
 	g.sharesSlots = g.cfg.Slots != nil && slots.Enabled(snap.DesiredState)
 	g.scheduler.SetWaitWhenLate(g.sharesSlots)
-	g.scheduler.SetAdaptivePace(g.sharesSlots)
+	g.scheduler.SetAdaptivePace(g.sharesSlots && g.cfg.AdaptivePace)
 	g.setColdRateShare(hosts)
 	list := make([]placement.Target, 0, len(snap.Targets))
 	for _, t := range snap.Targets {
--- a/internal/slotpeer/peer.go
+++ b/internal/slotpeer/peer.go
@@ -30,6 +30,8 @@
 	// Address is the host's peer address, Domain its failure domain.
 	Address, Domain string
 	Log             hclog.Logger
+	// AdaptivePace makes the coordinator use package pace.
+	AdaptivePace bool
 }
 
 // Peer asks coordinators for slots and coordinates the pools of this host.
@@ -65,7 +67,7 @@
 func New(cfg Config) *Peer {
 	m := newMetrics()
 	p := &Peer{
-		cfg: cfg, server: newServer(m, cfg.Log), metrics: m, coordinators: map[poolAt]string{}, links: map[string]*link{},
+		cfg: cfg, server: newServer(m, cfg), metrics: m, coordinators: map[poolAt]string{}, links: map[string]*link{},
 		lost: map[string]lostCoordinator{}, tasks: make(chan *link, 64),
 	}
 	m.publishQueues(p.server)
--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -48,6 +48,8 @@
 	metrics   *metrics
 	paces     pace.Reporter
 	log       hclog.Logger
+	// adaptivePace is as in Config.
+	adaptivePace bool
 }
 
 // remoteHost is a connected host.
@@ -62,14 +64,17 @@
 	close     func()
 }
 
-func newServer(m *metrics, log hclog.Logger) *server {
-	return &server{coordinator: newCoordinator(), hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{}, metrics: m, log: log}
+func newServer(m *metrics, cfg Config) *server {
+	return &server{
+		coordinator: newCoordinator(cfg.AdaptivePace), hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{},
+		metrics: m, log: cfg.Log, adaptivePace: cfg.AdaptivePace,
+	}
 }
 
-func newCoordinator() *slots.Coordinator {
+func newCoordinator(adaptivePace bool) *slots.Coordinator {
 	return slots.NewCoordinator(placement.Config{
 		MaxRequestsPerSlot: 1, WaitWhenLate: true, MaxQueueLength: maxQueueLength, CrossDomainCost: crossDomainCost,
-		AdaptivePace: true, ColdRateShare: coldRateShare,
+		AdaptivePace: adaptivePace, ColdRateShare: coldRateShare,
 	})
 }
 
@@ -99,7 +104,7 @@
 		return
 	}
 	s.log.Error("panic", "duty", "slot coordinator", "err", err)
-	s.coordinator = newCoordinator()
+	s.coordinator = newCoordinator(s.adaptivePace)
 	s.coordinator.SetTargets(s.targets)
 	for _, h := range s.hosts {
 		h.close()
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -39,10 +39,8 @@
 
 const (
 	// latePatience is the fraction of its time limit for which a request waits that can no
-	// longer meet its objective. A caller that is refused then has time to come back once.
-	// With 0.5, callers that don't state the time left come back as new ones, and 0.03 less
-	// of the bound is in time.
-	latePatience = 0.8
+	// longer meet its objective. A caller that is refused then has half of its time left to come back.
+	latePatience = 0.5
 	// maxLikelyFraction bounds the time that a request needs for its objective, as a
 	// fraction of it. Otherwise urgent requests whose objective is short for the service
 	// times would never go first.
