--- a/fleet/customers.go
+++ b/fleet/customers.go
@@ -38,7 +38,9 @@
 // Customers holds the customers of a desired state. It keeps credentials only as hashes. The
 // zero value has no customers. It must not be changed once it is shared.
 type Customers struct {
-	list         []*Customer
+	list []*Customer
+	// added counts the calls of Add, also for customers that were left out.
+	added        int
 	byName       map[string]*Customer
 	byCredential map[[sha256.Size]byte]*Customer
 }
@@ -53,7 +55,8 @@
 // that it leaves out: of two customers with the same name or credential, the first one has
 // it.
 func (s *Customers) Add(c Customer, credentials []string) (problems []*InvalidCustomerError) {
-	index := len(s.list)
+	index := s.added
+	s.added++
 	problem := func(field, text string) {
 		problems = append(problems, &InvalidCustomerError{Customer: c.Name, Index: index, Field: field, Problem: text})
 	}
--- a/fleet/customers_test.go
+++ b/fleet/customers_test.go
@@ -25,7 +25,9 @@
 			for _, name := range []string{"", "a", "x\r\ny", "x\x00", " x", "é"} {
 				So(s.Add(Customer{Name: name}, []string{"k9"}), ShouldHaveLength, 1)
 			}
-			So(s.Add(Customer{Name: "r", RatePerSecond: -1}, []string{"k9"})[0].Field, ShouldEqual, "rate")
+			last := s.Add(Customer{Name: "r", RatePerSecond: -1}, []string{"k9"})[0]
+			So(last.Field, ShouldEqual, "rate")
+			So(last.Index, ShouldEqual, 8) // customers that were left out count
 			So(s.ByCredential("k9"), ShouldBeNil)
 			So(s.All(), ShouldHaveLength, 2)
 		})
--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -113,7 +113,7 @@
 		Convey("no spelling of the headers lets a caller name a customer or pass a credential on", func() {
 			for i, lines := range [][]string{
 				{customerHeader + ": south"}, {strings.ToLower(customerHeader) + ": south", customerHeader + ": south"},
-				{"X_Boragelock_Tenant: south"}, {"x-boragelock_tenant: south", "x_boragelock_key: s1"},
+				{"X_Boragelock_Tenant: south"}, {"X.Boragelock.Tenant: south", "X-Boragelock.Key: s1"}, {"x-boragelock_tenant: south", "x_boragelock_key: s1"},
 				{"Connection: " + customerHeader, customerHeader + ": south"},
 			} {
 				for path, want := range map[string][]string{"/s/a": {"north"}, "/open/a": {"north"}} {
@@ -123,6 +123,7 @@
 					for name, values := range h.received(id) {
 						So(strings.Join(values, " "), ShouldNotContainSubstring, "south")
 						So(strings.ToLower(name), ShouldNotContainSubstring, "_key")
+						So(strings.ToLower(name), ShouldNotContainSubstring, ".key")
 					}
 				}
 			}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -88,7 +89,7 @@
 
 func compareWaiters(a, b *waiter) int {
 	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
+		return cmp.Compare(a.Priority, b.Priority) // a customer's priority may be any number
 	}
 	if a.Deadline != b.Deadline {
 		if a.Deadline < b.Deadline {
