Limit what a host sends beside a coordinator that it cannot reach

Cause: while a coordinator did not answer, hosts sent up to three requests per slot to each target, which the coordinator was granting to others meanwhile.

Change: at most one request in flight from such a host to a target.

--- a/placement/place.go
+++ b/placement/place.go
@@ -108,6 +108,10 @@
 // deadline.
 const minServiceFraction = 1.0
 
+// maxBesideCoordinator is the number of requests that this host has in flight at a target whose
+// slots a coordinator may be granting to others meanwhile.
+const maxBesideCoordinator = 1
+
 // decide decides on a request by the current load, and counts it as in flight if a
 // target has capacity.
 func (s *Scheduler) decide(now time.Duration, r Request) Decision {
@@ -157,7 +161,7 @@
 		if shortestWait < 0 || wait < shortestWait {
 			shortestWait = wait
 		}
-		if load >= s.requestLimit(now, t) || now < t.unavailableUntil() {
+		if load >= s.requestLimit(now, t) || now < t.unavailableUntil() || r.SharedPool && t.inFlight >= maxBesideCoordinator {
 			anyBusy = true
 			continue
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -24,6 +24,23 @@
 	return Request{Workload: "w", Route: "r", Deadline: deadline, Objective: 500 * time.Millisecond, Random: 0.5}
 }
 
+// Guards against hosts that fill the targets of a coordinator that they cannot reach.
+func TestSubmitBesideACoordinator(t *testing.T) {
+	Convey("A host that its coordinator did not answer has one request in flight at a target", t, func() {
+		scheduler := newTestScheduler(Config{Domain: "d0"}, 1, 6)
+		now := time.Minute
+		r := newRequest(now + time.Second)
+		r.SharedPool = true
+		So(scheduler.Submit(now, r).Action, ShouldEqual, Send)
+		waiting := scheduler.Submit(now, r)
+		So(waiting.Action, ShouldEqual, Wait)
+		So(scheduler.Dispatch(now), ShouldBeEmpty)
+		scheduler.RecordOutcome(now+50*time.Millisecond, "t0", Outcome{Route: "r", ResponseTime: 50 * time.Millisecond, ColdRemaining: -1})
+		So(scheduler.Dispatch(now + 50*time.Millisecond)[0].Ticket, ShouldEqual, waiting.Ticket)
+		So(scheduler.Submit(now, newRequest(now+time.Second)).Action, ShouldEqual, Send)
+	})
+}
+
 func TestSubmit(t *testing.T) {
 	Convey("Given two targets with one slot each", t, func() {
 		scheduler := newTestScheduler(Config{Domain: "d0", MaxRequestsPerSlot: 1}, 2, 1)
