Let coordinators sleep while no ask waits

Cause: the loop of each coordinator woke 50 times a second, also on the many small hosts that coordinate few pools or none.

Change: it runs every 20 ms while an ask waits, otherwise every 250 ms, and when one begins to wait.

Result: go test -race ./internal/slotpeer passes; processor time not measured by itself.

--- a/internal/slotpeer/server.go
+++ b/internal/slotpeer/server.go
@@ -23,7 +23,10 @@
 
 // Timing of the connections.
 const (
-	tickInterval      = 20 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	// idleInterval is the interval while no ask waits: most hosts coordinate few pools, and
+	// each wake-up costs them processor time.
+	idleInterval      = 250 * time.Millisecond
 	heartbeatInterval = 100 * time.Millisecond
 	// outboxSize bounds the answers that wait for one host. A host that does not read
 	// them is disconnected.
@@ -48,6 +51,9 @@
 	metrics   *metrics
 	paces     pace.Reporter
 	log       hclog.Logger
+	// asksWait wakes serve when asks begin to wait; idle is set while none does.
+	idle     bool
+	asksWait chan struct{}
 	// adaptivePace is as in Config.
 	adaptivePace bool
 }
@@ -67,7 +73,7 @@
 func newServer(m *metrics, cfg Config) *server {
 	return &server{
 		coordinator: newCoordinator(cfg.AdaptivePace), hosts: map[string]*remoteHost{}, byConn: map[*jsonrpc2.Conn]*remoteHost{},
-		metrics: m, log: cfg.Log, adaptivePace: cfg.AdaptivePace,
+		metrics: m, log: cfg.Log, asksWait: make(chan struct{}, 1), adaptivePace: cfg.AdaptivePace,
 	}
 }
 
@@ -196,6 +202,13 @@
 		for i := range m.Asks {
 			s.ask(now, h, &m.Asks[i])
 		}
+		if s.idle && s.coordinator.Stats().Waiting > 0 {
+			s.idle = false
+			select {
+			case s.asksWait <- struct{}{}:
+			default:
+			}
+		}
 	})
 }
 
@@ -235,15 +248,17 @@
 
 // serve grants slots as leases and queues change, until the context ends.
 func (s *server) serve(ctx context.Context) error {
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTimer(tickInterval)
 	defer tick.Stop()
 	nextHeartbeat := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.asksWait:
 		case <-tick.C:
 		}
+		interval := idleInterval
 		s.do(func(now time.Duration) {
 			s.deliver(s.coordinator.Tick(now))
 			if now >= nextHeartbeat {
@@ -253,7 +268,11 @@
 			stats := s.coordinator.Stats()
 			s.metrics.setStats(stats, s.coordinator.PaceStats())
 			s.noteQueue(stats.Waiting)
+			if s.idle = stats.Waiting == 0; !s.idle {
+				interval = tickInterval
+			}
 		})
+		tick.Reset(interval)
 	}
 }
 
