--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -148,7 +148,7 @@
 			So(h.received("7"), ShouldBeNil)
 		})
 		Convey("a host with an old view of the desired state refuses what it cannot judge", func() {
-			h.deployment.stale = true
+			h.deployment.stale.Store(true)
 			So(h.send("/s/a", "8", credentialHeader+": x"), ShouldEqual, http.StatusServiceUnavailable)
 			So(h.send("/s/a", "9", credentialHeader+": n1"), ShouldEqual, 200)
 		})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,7 +33,7 @@
 	mu        sync.Mutex
 	directory *fleet.Directory
 	changed   chan struct{}
-	stale     bool
+	stale     atomic.Bool
 	// targetsLate says that the host is late in following the targets.
 	targetsLate atomic.Bool
 	suspects    *quarantine.Ledger
@@ -107,7 +107,7 @@
 func (s *fakeDeployment) Ready() bool     { return true }
 func (s *fakeDeployment) HasLeader() bool { return true }
 func (s *fakeDeployment) HostCount() int  { return 1 }
-func (s *fakeDeployment) UpToDate() bool  { return !s.stale }
+func (s *fakeDeployment) UpToDate() bool  { return !s.stale.Load() }
 
 func (s *fakeDeployment) TargetsView() (time.Duration, bool) { return 0, !s.targetsLate.Load() }
 
@@ -235,7 +235,7 @@
 			resp, _, err := r.sendRequest("GET", "/none", "id", "", 1000)
 			So(err, ShouldBeNil)
 			So(resp.StatusCode, ShouldEqual, 404)
-			r.deployment.stale = true
+			r.deployment.stale.Store(true)
 			resp, _, err = r.sendRequest("GET", "/none", "id", "", 1000)
 			So(err, ShouldBeNil)
 			So(resp.StatusCode, ShouldEqual, 503)
