Let the soak play shared slots

Cause: the soak's desired state has no route of priority 0, so that its hosts never share slots.

Change: -shared, and a case of TestSoak, with a desired state that asks for it.

--- a/cmd/boragelock-soak/main.go
+++ b/cmd/boragelock-soak/main.go
@@ -34,6 +34,7 @@
 	restores := flag.Bool("restores", false, "let the store return from older copies")
 	fatal := flag.Bool("fatal", false, "repeat a request that ends each target that runs it")
 	lapses := flag.Bool("lapses", false, "let the announcements of targets lapse during outages of the store")
+	shared := flag.Bool("shared", false, "let hosts share the slots of targets")
 	dir := flag.String("dir", filepath.Join(os.TempDir(), "boragelock-soak"), "directory for settings, logs and events")
 	flag.Parse()
 	if flag.NArg() > 0 || *seeds < 1 || *atOnce < 1 {
@@ -50,7 +51,7 @@
 	runOne := func(seed uint64) bool {
 		return runSeed(ctx, soak.Config{
 			Gateway: gateway, Dir: filepath.Join(*dir, fmt.Sprint("seed-", seed)), Seed: seed,
-			Hosts: *hosts, Targets: *targets, FaultTime: *length, Restores: *restores, AllHostsEnd: *allHostsEnd, Fatal: *fatal, Lapses: *lapses,
+			Hosts: *hosts, Targets: *targets, FaultTime: *length, Restores: *restores, AllHostsEnd: *allHostsEnd, Fatal: *fatal, Lapses: *lapses, SharedQueues: *shared,
 		})
 	}
 	if failed := runSeeds(ctx, *first, *seeds, *atOnce, runOne); failed > 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,8 @@
 	Lapses bool
 	// Fatal lets a caller repeat a request that ends each target that runs it.
 	Fatal bool
+	// SharedQueues makes the desired state one for which hosts share the slots of targets.
+	SharedQueues bool
 }
 
 // Result is the result of a run.
@@ -78,6 +80,16 @@
 "services":[{"name":"w","health-path":"/health","max-conns":100,"cold-start-s":3,"cold-per-s":4,"sharded":true,"warmup-s":3}],
 "limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-s":2,"idle-timeout-s":10}}`
 
+// state returns a version of the desired state.
+func (c Config) state(version int) string {
+	s := fmt.Sprintf(desiredState, version)
+	if c.SharedQueues {
+		s = strings.Replace(s, `"priority":1`, `"priority":0`, 1)
+		s = strings.ReplaceAll(s, `"target-latency-s":0.5`, `"target-latency-s":0.6`)
+	}
+	return s
+}
+
 // testbed is the system under test and the observations of one run.
 type testbed struct {
 	cfg          Config
@@ -236,7 +248,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stateVersion++
-	w.store.Put(platform.TopicOperator, "config", []byte(fmt.Sprintf(desiredState, w.stateVersion)))
+	w.store.Put(platform.TopicOperator, "config", []byte(w.cfg.state(w.stateVersion)))
 }
 
 // clearFaults removes all faults of the store and the proxies.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,8 @@
 	callers int
 	// lapses lets announcements lapse during outages of the store.
 	lapses bool
+	// shared makes hosts share the slots of targets.
+	shared bool
 }{
 	{seed: 1},
 	{seed: 2},
@@ -33,6 +35,7 @@
 	// at once, and a target ends: few requests are answered, and few reach the fatal one's owner.
 	{seed: 5, fatal: true, callers: 6},
 	{seed: 6, lapses: true},
+	{seed: 7, shared: true},
 	// A host that was paused past its stop limit cut off requests that arrived during
 	// the pause. This is allowed, and the check considers the limit.
 	{seed: 1008, cause: "paused during a planned stop"},
@@ -64,7 +67,7 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
 			t.Log(s.cause)
-			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Callers: s.callers, Fatal: s.fatal, Lapses: s.lapses, MinAnswered: minAnswered, MinFatalEnds: endsBefore, MaxFaultTime: 40 * time.Second})
+			r, err := Run(context.Background(), Config{Gateway: gateway, Dir: t.TempDir(), Seed: s.seed, FaultTime: 10 * time.Second, Restores: s.restores, AllHostsEnd: s.allHostsEnd, Callers: s.callers, Fatal: s.fatal, Lapses: s.lapses, SharedQueues: s.shared, MinAnswered: minAnswered, MinFatalEnds: endsBefore, MaxFaultTime: 40 * time.Second})
 			if err != nil {
 				t.Fatal(err)
 			}
