--- a/placement/board.go
+++ b/placement/board.go
@@ -221,7 +221,7 @@
 const (
 	// likelyQuantile is the fraction of a route's requests that must be able to meet the
 	// objective in the time left for a request to go before late ones. By the mean service
-	// time nearly half of those that begin last end late.
+	// time, a third or more of those that begin last end late if the times are log-normal.
 	likelyQuantile = 0.9
 	// likelyStep is the step by which the quantile follows the samples, as a fraction of the
 	// mean: it doubles within some 20 samples of twice the time.
