Take a body without a length as whole only if its request was written

What callers saw: a target answered a long upload at once with 200 and no length, sent a part of the body and reset the connection. The caller got that part as a complete response.

Cause: the kernel reports the error of a connection once. A request over 16 KiB is written while its response is read. When the write took the reset, the read saw the end of the stream, which ends a body without a length. The same holds for a connection that the kernel gives up (a timeout).

Change: the end of the stream ends such a body only when the write has ended, and without an error. Otherwise the response broke off: 502, or another target for a safe request; a response that is being streamed is cut off. A response with a length or chunks is taken as before while the upload goes on, and so is one without that ends in good order, also before the upload was read. A target that closes an upload it has not read makes the write fail, so that its response without a length is refused: what came before the reset is not known to be all.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -117,6 +117,22 @@
 		So(r.status, ShouldEqual, http.StatusOK)
 		So(r.err, ShouldNotBeNil)
 	})
+	Convey("a body without a length that is reset during an upload is an error with an open outcome", t, func() {
+		tgt := newRawTarget(t, func(_ int, c net.Conn) {
+			if readRequest(c) != "" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(2 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0) // fails on a connection that is closed already
+				_ = c.Close()
+			}
+		})
+		s := newTestHost(t, tgt.addr(), nil)
+		for range 8 {
+			r := s.do("POST", "/v1/keyed/a", strings.NewReader(strings.Repeat("u", 1<<20)))
+			So(r.status, ShouldEqual, http.StatusBadGateway)
+			So(r.e.Outcome, ShouldEqual, retry.MayHaveRun)
+		}
+	})
 	Convey("a large answer arrives as a whole", t, func() {
 		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			for range 100 {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"syscall"
@@ -280,6 +279,7 @@
 	}
 	u.sentIDHashes = append(u.sentIDHashes, maphash.String(idHashSeed, o.id))
 	head := o.encodeHead(id)
+	var request *upload // nil when the request was written before its response is read
 	if len(head)+len(o.body) <= maxInlineWrite {
 		if n, err := u.nc.Write(append(head, o.body...)); err != nil {
 			return nil, &sendError{sent: n > 0, reason: "write", err: err}
@@ -291,19 +291,16 @@
 		}
 		defer stop()
 		// A target may respond before it has read a long body.
-		o.bodyMemory.hold()
-		go func(body []byte, memory *requestBody) {
-			defer memory.drop()
-			if _, err := (&net.Buffers{head, body}).WriteTo(u.nc); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-				_ = u.nc.Close() // makes the read below fail, as the deadline does
-			}
-		}(o.body, o.bodyMemory)
+		request = startUpload(u.nc, head, o.body, o.bodyMemory)
 	}
 	for range maxResponseReads {
 		resp, err := u.readHead(o.method)
 		if err != nil {
 			return nil, &sendError{sent: true, reason: "no answer", err: err}
 		}
+		if request != nil && endsWithConnection(resp) {
+			resp.Body = &closeDelimitedBody{resp.Body, request}
+		}
 		res, err := readResponse(resp, memory)
 		if err != nil {
 			return nil, &sendError{sent: true, reason: "answer broke off", err: err}
