End an exchange when the name of a field is not a token

What callers saw: a target sent a response in whose head a name held a blank ("X Odd: v", "X-Odd : v", "Content-Length : 3"). The caller got it as a response, the line passed on as it was, or with a body of another length than the target had stated. Callers of boragelockd got the response without the line.

Cause: net/http's reader keeps a name with a blank and does not act on the line, and nothing checked the names it returns. Names with control bytes or separators it refuses itself.

Change: package httpmessage checks the names of a response's head and trailers, and of informational responses, on both request paths. Such a response ends the exchange: the outcome is unknown, the connection is closed, the caller gets 502, and a safe request may go to another target. A large response that is streamed and whose trailers are malformed is cut off. Grants, releases and calls to the store and the platform's log have an unknown outcome; none of them used a field of an informational response, so that those are not checked there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,8 @@
 	"net/textproto"
 	"sync"
 	"time"
+
+	"github.com/boragelock/boragelock/internal/httpmessage"
 )
 
 // attempt is one transmission of a request over one hop.
@@ -73,13 +75,18 @@
 		GotFirstResponseByte: a.gotFirstByte,
 		// With this hook Transport accepts any number of interim responses,
 		// which show that a waiting connection is not silent.
-		Got1xxResponse: got1xx,
+		Got1xxResponse: checkInterim,
 	})
 	resp, err := tr.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, a.fail(err)
 	}
 	a.headerReceived()
+	if err := httpmessage.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		a.closeConn()
+		return nil, a.fail(err)
+	}
 	if !a.ownsResponse() {
 		_ = resp.Body.Close()
 		a.abort(errMismatchedResponse)
@@ -88,7 +95,10 @@
 	return resp, nil
 }
 
-func got1xx(int, textproto.MIMEHeader) error { return nil }
+// checkInterim fails the attempt when an interim response is malformed.
+func checkInterim(_ int, h textproto.MIMEHeader) error {
+	return httpmessage.CheckFieldNames(http.Header(h))
+}
 
 // gotConn is called when Transport has assigned a connection. A second call
 // after a write to the first connection is a silent replay, which it prevents.
@@ -126,6 +136,15 @@
 	a.silenceTimer = time.AfterFunc(a.silenceTimeout, a.checkSilence)
 }
 
+// closeConn closes the connection, so that Transport cannot use it for another request.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close() // nothing is lost: its response is not used
+	}
+}
+
 // headerReceived is called when the header of the response has arrived.
 func (a *attempt) headerReceived() {
 	a.mu.Lock()
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -133,6 +133,43 @@
 			So(r.e.Outcome, ShouldEqual, retry.MayHaveRun)
 		}
 	})
+	Convey("an answer with a name that is no token is an error with an open outcome", t, func() {
+		for _, line := range []string{"X Odd: v", "X-Odd : v", "Content-Length : 3", "Connection : close", "X\tOdd: v", "X\x00Odd: v", "X\x7fOdd: v"} {
+			for _, text := range []string{
+				"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
+				"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
+				"HTTP/1.1 503 Service Unavailable\r\nBoragelock-Outcome: not_run\r\nBoragelock-Code: shed\r\nContent-Length: 0\r\n" + line + "\r\n\r\n",
+				"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + ok("body"),
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n",
+			} {
+				var conns atomic.Int32
+				tgt := newRawTarget(t, func(n int, c net.Conn) {
+					conns.Store(int32(n))
+					for readRequest(c) != "" {
+						_, _ = io.WriteString(c, text)
+					}
+				})
+				s := newTestHost(t, tgt.addr(), nil)
+				for range 2 {
+					r := s.do("POST", "/v1/keyed/a", nil)
+					So(r.status, ShouldEqual, http.StatusBadGateway)
+					So(r.e.Outcome, ShouldEqual, retry.MayHaveRun)
+				}
+				if !strings.Contains(text, "chunked") { // trailers end after the body, whose end is sure
+					So(conns.Load(), ShouldEqual, 2) // none is used again
+				}
+			}
+		}
+	})
+	Convey("a large answer whose trailers have such a name ends as a broken connection", t, func() {
+		tgt := newRawTarget(t, func(_ int, c net.Conn) {
+			if readRequest(c) != "" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n"+strings.Repeat("x", 200000)+"\r\n0\r\nX-Odd : v\r\n\r\n")
+			}
+		})
+		r := newTestHost(t, tgt.addr(), nil).do("GET", "/v1/keyed/a", nil)
+		So(r.err, ShouldNotBeNil)
+	})
 	Convey("a large answer arrives as a whole", t, func() {
 		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			for range 100 {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragelock/boragelock/admission"
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/httpmessage"
 	"github.com/boragelock/boragelock/internal/httpplatform"
 	"github.com/boragelock/boragelock/internal/view"
 	"github.com/boragelock/boragelock/provider"
@@ -278,6 +279,8 @@
 	case f.err == errMismatchedResponse:
 		s.m.crossedAnswers.Add(1)
 		return newError(retry.CodeTargetFailed).WithCause("send", f.err)
+	case isMalformed(f.err):
+		return newError(retry.CodeTargetFailed).WithCause("send", f.err)
 	}
 	return newError(retry.CodeResponseLost).WithCause("send", f.err)
 }
@@ -291,12 +294,15 @@
 		s.m.silentConnections.Add(1)
 		return newError(CodeSilentConnection).WithCause("read response", err)
 	}
-	if errors.As(err, new(*invalidResponseError)) {
+	if errors.As(err, new(*invalidResponseError)) || isMalformed(err) {
 		return newError(retry.CodeTargetFailed).WithCause("read response", err)
 	}
 	return newError(retry.CodeResponseLost).WithCause("read response", err)
 }
 
+// isMalformed reports whether a target sent a malformed response.
+func isMalformed(err error) bool { return errors.As(err, new(*httpmessage.FieldNameError)) }
+
 // takeRetry takes one retry from the budgets of the host and the customer.
 func (s *Server) takeRetry(c *call) bool {
 	s.budgetMu.Lock()
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/boragelock/boragelock/internal/boottime"
+	"github.com/boragelock/boragelock/internal/httpmessage"
 	"github.com/boragelock/boragelock/platform"
 )
 
@@ -340,6 +341,9 @@
 			return nil, err
 		}
 		u.headLimit.N = math.MaxInt64 // the body has its own limit
+		if err := httpmessage.CheckResponse(resp); err != nil {
+			return nil, err
+		}
 		switch {
 		case platform.IsFinalStatus(resp.StatusCode):
 			return resp, nil
--- a/internal/httpplatform/client.go
+++ b/internal/httpplatform/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/boragelock/boragelock/internal/httpmessage"
 	"github.com/boragelock/boragelock/provider"
 )
 
@@ -123,6 +124,16 @@
 	t.writesBefore = append(t.writesBefore, c.writes.Load())
 }
 
+// closeConns closes the connections, so that what a server sends next on them is not taken for
+// the response to another request.
+func (t *writeTracker) closeConns() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		_ = c.Close() // nothing is lost: no request is in progress on it
+	}
+}
+
 // mayHaveSent reports whether a byte of the request may have left this host.
 // After the context has ended, the transport may still be about to write to a
 // connection that the request was given.
@@ -164,6 +175,10 @@
 		return &provider.Error{Op: op, Code: provider.CodeUnavailable, Detail: "no connection", Err: err}
 	}
 	defer resp.Body.Close()
+	if err := httpmessage.CheckResponse(resp); err != nil {
+		tracker.closeConns()
+		return &provider.Error{Op: op, Code: provider.CodeUnknownOutcome, Detail: "response is malformed", Err: err}
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return &provider.Error{Op: op, Code: provider.CodeUnknownOutcome, Detail: "response body could not be read to its end", Err: err}
--- a/internal/httpplatform/platform_test.go
+++ b/internal/httpplatform/platform_test.go
@@ -57,6 +57,31 @@
 		_, err := l.Append(short, []byte("x"))
 		So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
 	})
+	Convey("a malformed answer leaves the outcome unknown, and its connection is not used again", t, func() {
+		for _, status := range []string{"200 OK", "409 Conflict", "503 Service Unavailable"} {
+			var conns atomic.Int64
+			l, stop := serve(func(w http.ResponseWriter, r *http.Request) {
+				conns.Add(1)
+				c, buffered, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				for { // further requests of the connection
+					_, _ = c.Write([]byte("HTTP/1.1 " + status + "\r\nX-Odd : v\r\n" + provider.HeaderOutcome + ": not_run\r\nContent-Length: 2\r\n\r\n{}"))
+					if _, err := http.ReadRequest(buffered.Reader); err != nil {
+						return
+					}
+				}
+			})
+			defer stop()
+			for range 2 {
+				_, err := l.Append(ctx, []byte("x"))
+				So(codeOf(err), ShouldEqual, provider.CodeUnknownOutcome)
+			}
+			So(conns.Load(), ShouldEqual, 2)
+		}
+	})
 	Convey("answers map to codes", t, func() {
 		for _, c := range []struct {
 			status  int
