--- a/internal/gateway/endofbody_test.go
+++ b/internal/gateway/endofbody_test.go
@@ -110,7 +110,7 @@
 					time.Sleep(wait)
 					reset(nc)
 				})
-				for _, size := range []int{64 << 10, 8 << 20, 24 << 20} {
+				for _, size := range []int{8 << 10, 64 << 10, 8 << 20, 24 << 20} {
 					for range uploads {
 						_, err := uploadTo(newPool(), address, size)
 						So(err, ShouldNotBeNil)
